Add the project skeleton and the interfaces between modules

Cause: nothing exists yet, and several people work on modules at once, so the interfaces between them are needed first.

No earlier state to compare with.

Conclusion: modules can be written against these headers independently.

--- /dev/null
+++ b/include/samphiretray/base/log.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace samphiretray {
+
+enum class log_level { debug, info, warning, error };
+
+/// One key=value pair of a log line.
+struct log_field {
+    std::string_view key;
+    std::string value;
+
+    log_field(std::string_view name, std::string text) : key(name), value(std::move(text)) {}
+    log_field(std::string_view name, std::string_view text) : key(name), value(text) {}
+    log_field(std::string_view name, const char* text) : key(name), value(text) {}
+    template <typename Number>
+        requires std::integral<Number> || std::floating_point<Number>
+    log_field(std::string_view name, Number number) : key(name), value(std::to_string(number)) {}
+};
+
+/// Sets up logging to standard error; `minimum` is the lowest level written. Call once at start.
+void configure_logging(log_level minimum);
+
+/// Writes one line "event=<event> key=value ...". Values with spaces, quotes or control characters are
+/// quoted and escaped, so an event is always one line. Never pass keys or request bodies.
+void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
+
+/// The line that `log_event` writes, without time and level.
+[[nodiscard]] std::string format_event(std::string_view event, std::initializer_list<log_field> fields);
+
+} // namespace samphiretray
--- /dev/null
+++ b/include/samphiretray/net/loop.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "samphiretray/base/time.h"
+
+#include <functional>
+#include <memory>
+
+struct st_h2o_evloop_t;
+
+namespace samphiretray::net {
+
+/// A timer that is cancelled when its handle is destroyed.
+class timer {
+public:
+    virtual ~timer() = default;
+};
+
+using timer_handle = std::unique_ptr<timer>;
+
+/// The event loop of a process: one thread, all callbacks run inside `run`.
+class loop {
+public:
+    loop();
+    ~loop();
+    loop(const loop&) = delete;
+    loop& operator=(const loop&) = delete;
+
+    /// The monotonic time now.
+    [[nodiscard]] time_point now() const noexcept { return monotonic_clock::now(); }
+
+    /// Calls `action` once after `delay` (resolution 1 ms) unless the handle is destroyed first.
+    [[nodiscard]] timer_handle after(duration delay, std::function<void()> action);
+
+    /// Calls `action` each `interval` until the handle is destroyed.
+    [[nodiscard]] timer_handle every(duration interval, std::function<void()> action);
+
+    /// Calls `action` from the loop, after the callback that is running now has returned.
+    void post(std::function<void()> action);
+
+    /// Calls `action` from the loop when the process receives `signal_number` (self-pipe).
+    void on_signal(int signal_number, std::function<void()> action);
+
+    /// Runs callbacks until `stop` is called.
+    void run();
+    /// Runs callbacks until `done` returns true or `limit` has passed; returns the last value of `done`.
+    bool run_until(const std::function<bool()>& done, duration limit);
+    void stop() noexcept;
+
+    /// The h2o loop, for the sources in src/net.
+    [[nodiscard]] st_h2o_evloop_t* native() noexcept;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> implementation_;
+};
+
+} // namespace samphiretray::net
--- /dev/null
+++ b/include/samphiretray/net/peer_link.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "samphiretray/base/error.h"
+#include "samphiretray/net/address.h"
+#include "samphiretray/net/loop.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace samphiretray::net {
+
+/// A WebSocket connection between two processes of the system; carries binary messages in order.
+class peer_link {
+public:
+    virtual ~peer_link() = default;
+
+    /// Queues a message. Ignored after the link has closed.
+    virtual void send(std::string_view message) = 0;
+    /// Closes after queued messages have been written.
+    virtual void close() = 0;
+
+    virtual void on_message(std::function<void(std::string_view)> action) = 0;
+    /// Called once, from the loop, when the link has gone, for whatever cause.
+    virtual void on_closed(std::function<void(const error&)> action) = 0;
+
+    [[nodiscard]] virtual bool is_open() const noexcept = 0;
+    /// Bytes queued but not yet written to the socket.
+    [[nodiscard]] virtual std::size_t buffered_bytes() const noexcept = 0;
+    /// Numeric address of the peer.
+    [[nodiscard]] virtual std::string peer() const = 0;
+};
+
+struct peer_link_options {
+    /// Links that carry a larger message are closed with `errc::too_large`.
+    std::size_t max_message_bytes = 8U << 20U;
+    duration connect_timeout = 2s;
+};
+
+/// Connects to a peer. `done` runs from the loop, with the open link or with `connection_failed`, `timeout`
+/// or `protocol_error` (step `connect`). Destroying the returned handle cancels the attempt.
+class peer_connect {
+public:
+    virtual ~peer_connect() = default;
+};
+
+[[nodiscard]] std::unique_ptr<peer_connect>
+connect_peer(loop& events, const address& peer, peer_link_options options,
+             std::function<void(result<std::shared_ptr<peer_link>>)> done);
+
+/// Accepts links from peers.
+class peer_listener {
+public:
+    /// Port 0 takes a free port. Fails with `errc::connection_failed` (step `connect`).
+    [[nodiscard]] static result<std::unique_ptr<peer_listener>>
+    create(loop& events, const address& listen, peer_link_options options,
+           std::function<void(std::shared_ptr<peer_link>)> on_link);
+    virtual ~peer_listener() = default;
+
+    [[nodiscard]] virtual address local_address() const = 0;
+    virtual void stop_accepting() = 0;
+};
+
+} // namespace samphiretray::net
--- /dev/null
+++ b/include/samphiretray/platform/vm_list.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "samphiretray/base/error.h"
+#include "samphiretray/net/address.h"
+#include "samphiretray/platform/key_value.h"
+#include "samphiretray/wire/messages.h"
+
+#include <concepts>
+#include <string>
+#include <vector>
+
+namespace samphiretray::platform {
+
+enum class vm_state { live, leaving };
+
+/// One VM of the platform's list and the process of ours that runs on it.
+struct vm {
+    std::string name;
+    wire::role kind = wire::role::entry;
+    std::string region;
+    std::string data_centre;
+    /// Where the process accepts peer links.
+    net::address peer_address;
+    vm_state state = vm_state::live;
+    /// Agents only: the endpoint beside it, the service it belongs to, and its base model (empty for plain
+    /// services).
+    std::string endpoint;
+    std::string service;
+    std::string base_model;
+    /// Agents of engines only: number of adapter slots, as a hint for placement.
+    unsigned slots = 0;
+};
+
+/// The platform's lagging list of VMs.
+template <typename List>
+concept vm_list = requires(List& list, completion<std::vector<vm>> on_list) { list.fetch(on_list); };
+
+} // namespace samphiretray::platform
+
+namespace samphiretray {
+
+template <>
+inline constexpr auto name_table<platform::vm_state> =
+    std::to_array<std::pair<platform::vm_state, std::string_view>>({
+        {platform::vm_state::live, "live"},
+        {platform::vm_state::leaving, "leaving"},
+    });
+
+} // namespace samphiretray
--- /dev/null
+++ b/src/base/hash.cpp
@@ -0,0 +1,48 @@
+#include "samphiretray/base/hash.h"
+
+#include <openssl/evp.h>
+#include <openssl/rand.h>
+#include <xxhash.h>
+
+#include <array>
+#include <span>
+#include <stdexcept>
+#include <vector>
+
+namespace samphiretray {
+
+namespace {
+
+std::string to_hex(std::span<const unsigned char> bytes) {
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    text.reserve(bytes.size() * 2);
+    for (const unsigned char byte : bytes) {
+        text += digits[byte >> 4U];
+        text += digits[byte & 0xFU];
+    }
+    return text;
+}
+
+} // namespace
+
+std::uint64_t hash64(std::string_view text, std::uint64_t seed) noexcept {
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+std::string sha256_hex(std::string_view text) {
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned int size = 0;
+    EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(), nullptr);
+    return to_hex(std::span{digest}.first(size));
+}
+
+std::string random_hex(std::size_t bytes) {
+    std::vector<unsigned char> buffer(bytes);
+    if (RAND_bytes(buffer.data(), static_cast<int>(bytes)) != 1) {
+        throw std::runtime_error("the random source of OpenSSL failed");
+    }
+    return to_hex(buffer);
+}
+
+} // namespace samphiretray
--- /dev/null
+++ b/src/base/log.cpp
@@ -0,0 +1,104 @@
+#include "samphiretray/base/log.h"
+
+#include <easylogging++.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace samphiretray {
+
+namespace {
+
+bool needs_quotes(std::string_view value) {
+    return value.empty() || std::ranges::any_of(value, [](unsigned char c) {
+               return c <= ' ' || c == '"' || c == '=' || c == '\\' || c == 0x7F;
+           });
+}
+
+void append_escaped(std::string& line, std::string_view value) {
+    for (const char c : value) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (c == '"' || c == '\\') {
+            line += '\\';
+            line += c;
+        } else if (byte < ' ' || byte == 0x7F) {
+            std::array<char, 5> escaped{};
+            std::snprintf(escaped.data(), escaped.size(), "\\x%02x", byte);
+            line += escaped.data();
+        } else {
+            line += c;
+        }
+    }
+}
+
+void append_field(std::string& line, std::string_view key, std::string_view value) {
+    line += key;
+    line += '=';
+    if (!needs_quotes(value)) {
+        line += value;
+        return;
+    }
+    line += '"';
+    append_escaped(line, value);
+    line += '"';
+}
+
+el::Level to_el_level(log_level level) {
+    switch (level) {
+    case log_level::debug:
+        return el::Level::Debug;
+    case log_level::info:
+        return el::Level::Info;
+    case log_level::warning:
+        return el::Level::Warning;
+    case log_level::error:
+        break;
+    }
+    return el::Level::Error;
+}
+
+} // namespace
+
+void configure_logging(log_level minimum) {
+    el::Configurations settings;
+    settings.setToDefault();
+    settings.setGlobally(el::ConfigurationType::ToFile, "false");
+    settings.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+    settings.setGlobally(el::ConfigurationType::Format, "%msg");
+    constexpr std::array levels{log_level::debug, log_level::info, log_level::warning, log_level::error};
+    for (const log_level level : levels) {
+        settings.set(to_el_level(level), el::ConfigurationType::Enabled, level >= minimum ? "true" : "false");
+    }
+    el::Loggers::reconfigureLogger("default", settings);
+}
+
+std::string format_event(std::string_view event, std::initializer_list<log_field> fields) {
+    std::string line;
+    append_field(line, "event", event);
+    for (const log_field& field : fields) {
+        line += ' ';
+        append_field(line, field.key, field.value);
+    }
+    return line;
+}
+
+void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) {
+    el::Logger* logger = el::Loggers::getLogger("default");
+    if (!logger->typedConfigurations()->enabled(to_el_level(level))) {
+        return;
+    }
+    constexpr std::array<std::string_view, 4> names{"debug", "info", "warning", "error"};
+    std::string line = "time=";
+    line += el::base::utils::DateTime::getDateTime("%Y-%M-%dT%H:%m:%s.%g", nullptr);
+    line += " level=";
+    line += names.at(static_cast<std::size_t>(level));
+    line += ' ';
+    line += format_event(event, fields);
+    line += '\n';
+    std::fwrite(line.data(), 1, line.size(), stderr);
+}
+
+} // namespace samphiretray
--- /dev/null
+++ b/standins/main.cpp
@@ -0,0 +1,6 @@
+#include <cstdio>
+
+int main() {
+    std::puts("samphiretray-standins " SAMPHIRETRAY_VERSION);
+    return 0;
+}
--- /dev/null
+++ b/tests/catch_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
