--- /dev/null
+++ b/include/samphiretray/config/chunks.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "samphiretray/config/configuration.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// The stored form of a configuration: chunks named by their digest, and a manifest that lists them.
+namespace samphiretray::config {
+
+inline constexpr std::string_view manifest_key = "config/manifest";
+
+/// The key under which a chunk is stored.
+[[nodiscard]] std::string chunk_key(std::string_view digest);
+
+/// The name of a chunk: SHA-256 of its text in hexadecimal.
+[[nodiscard]] std::string chunk_digest(std::string_view text);
+
+/// Chunk texts by digest.
+using chunk_map = std::map<std::string, std::string, std::less<>>;
+
+struct manifest {
+    /// Grows by one with each accepted edit.
+    std::uint64_t revision = 0;
+    /// Unique for each edit; tells after a lost answer whether a write took effect.
+    std::string token;
+    /// Tokens of the revisions before this one, newest first, at most `history_limit`. An editor whose write
+    /// was followed by others finds its token here.
+    std::vector<std::string> history;
+    std::string rules_chunk;
+    std::string keys_chunk;
+    /// Chunk `i` holds the adapters whose hash modulo the number of chunks is `i`.
+    std::vector<std::string> inventory_chunks;
+
+    static constexpr std::size_t history_limit = 32;
+
+    /// All digests, without duplicates, sorted.
+    [[nodiscard]] std::vector<std::string> chunks() const;
+};
+
+[[nodiscard]] std::string to_text(const manifest& value);
+/// Fails with `errc::invalid_argument` (step `configure`).
+[[nodiscard]] result<manifest> parse_manifest(std::string_view text);
+
+/// Number of inventory chunks for `rows` adapter versions: a power of two with about 128 rows in a chunk, so
+/// that a chunk and the manifest are of similar size. Stays at `present` (0: none) unless that is off by more
+/// than a factor of four, because a new number changes every chunk.
+[[nodiscard]] std::size_t inventory_chunk_count(std::size_t rows, std::size_t present);
+
+struct chunked_configuration {
+    /// Lists the chunks; revision, token and history are left to the editor.
+    config::manifest manifest;
+    chunk_map chunks;
+};
+
+/// Equal configurations give equal chunks, whatever the order of their rows.
+[[nodiscard]] chunked_configuration split(const configuration& value, std::size_t inventory_chunks);
+
+/// The inverse of `split`. Fails with `errc::not_found` if a chunk is missing and `errc::invalid_argument` if
+/// a chunk differs from its digest or cannot be parsed (step `configure`).
+[[nodiscard]] result<configuration> join(const manifest& list, const chunk_map& chunks);
+
+} // namespace samphiretray::config
--- /dev/null
+++ b/include/samphiretray/control/contact.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "samphiretray/base/name_table.h"
+#include "samphiretray/base/time.h"
+#include "samphiretray/wire/messages.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+
+namespace samphiretray::control {
+
+enum class contact_state {
+    /// The configuration in force was the newest one at most the bound ago.
+    fresh,
+    /// The watchers of every region report that their calls to the key-value service fail.
+    service_down,
+    /// Neither is known; keyed routes are refused.
+    cut_off,
+};
+
+struct contact_settings {
+    std::string region;
+    /// Oldest evidence that counts.
+    duration bound = 10s;
+};
+
+/// Evidence of contact with the key-value service, and of its outages.
+///
+/// Evidence is dated on the own clock from before sending the call or pull that brought it, less the age in
+/// the reply. Pauses and delays therefore make it older, never younger than the truth.
+class contact {
+public:
+    explicit contact(contact_settings settings);
+
+    /// Regions that have entries. A region stays known for the life of the process, because a region that is
+    /// cut off may also be missing from the VM list.
+    void set_regions(std::span<const std::string> regions);
+
+    /// A watcher's own call, sent at `sent`, succeeded and showed `revision` as the newest one
+    /// (`replica::effective_revision`).
+    void on_own_success(time_point sent, std::uint64_t revision);
+    /// A watcher's own call, sent at `sent`, failed.
+    void on_own_failure(time_point sent);
+    /// The reply to a pull that was sent at `sent`.
+    void on_reply(time_point sent, const wire::state_reply& reply);
+    /// `revision` came into force here. Evidence of a higher revision counts only once that is in force.
+    void on_in_force(std::uint64_t revision);
+
+    /// Age of the newest evidence that the configuration in force was the newest one.
+    [[nodiscard]] std::optional<duration> age(time_point now) const;
+    /// Time of the newest evidence, from any region, that the key-value service answered.
+    [[nodiscard]] std::optional<time_point> newest_answer() const;
+    [[nodiscard]] contact_state state(time_point now) const;
+
+    /// Sets revision, contact age and regions of a reply.
+    void fill(time_point now, wire::state_reply& reply) const;
+
+private:
+    struct region_times {
+        std::optional<time_point> answered;
+        std::optional<time_point> failed;
+    };
+
+    void add_evidence(time_point at, std::uint64_t revision);
+    [[nodiscard]] bool is_recent(const std::optional<time_point>& at, time_point now) const;
+
+    contact_settings settings_;
+    std::uint64_t in_force_ = 0;
+    /// Newest time at which the revision in force, or a lower one, was known to be the newest.
+    std::optional<time_point> in_force_evidence_;
+    /// The same for higher revisions.
+    std::map<std::uint64_t, time_point> later_evidence_;
+    std::map<std::string, region_times, std::less<>> regions_;
+};
+
+} // namespace samphiretray::control
+
+namespace samphiretray {
+
+template <>
+inline constexpr auto name_table<control::contact_state> =
+    std::to_array<std::pair<control::contact_state, std::string_view>>({
+        {control::contact_state::fresh, "fresh"},
+        {control::contact_state::service_down, "service_down"},
+        {control::contact_state::cut_off, "cut_off"},
+    });
+
+} // namespace samphiretray
--- /dev/null
+++ b/include/samphiretray/control/membership.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "samphiretray/base/time.h"
+#include "samphiretray/platform/vm_list.h"
+#include "samphiretray/wire/messages.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace samphiretray::control {
+
+struct membership_settings {
+    /// How long a leaving notice counts, unless the VM list or a new incarnation ends it sooner: the longest
+    /// planned stop and the lag of the VM list.
+    duration notice_lifetime = 150s;
+    /// How long a notice is passed on after it was first heard; much longer than gossip needs.
+    duration notice_forwarding = 60s;
+    /// How long an expired notice is remembered, so that a late copy does not count again.
+    duration notice_memory = 600s;
+};
+
+/// The VMs of the fleet: the platform's lagging list merged with the notices of leaving VMs.
+class membership {
+public:
+    explicit membership(membership_settings settings = {});
+
+    /// Replaces the list. A VM that was missing and is listed again has a new incarnation.
+    void on_list(time_point now, std::vector<platform::vm> list);
+    /// A notice from a `state_reply`, or the own one.
+    void on_leaving(time_point now, const wire::leaving_vm& notice);
+    /// A link to `vm` was opened; voids a leaving notice of another incarnation.
+    void on_hello(time_point now, std::string_view vm, std::string_view incarnation);
+
+    /// Any listed VM, also a leaving one; nothing if it is not listed.
+    [[nodiscard]] const platform::vm* find(std::string_view name) const;
+    /// Whether new work may go to a VM: it is listed as live and has not announced its stop.
+    [[nodiscard]] bool is_live(time_point now, std::string_view name) const;
+    [[nodiscard]] std::vector<const platform::vm*> live_agents(time_point now,
+                                                               std::string_view service) const;
+    [[nodiscard]] std::vector<const platform::vm*> live_entries(time_point now) const;
+    /// Live entries and agents of a region; `platform::vm::data_centre` tells where.
+    [[nodiscard]] std::vector<const platform::vm*> peers_in(time_point now, std::string_view region) const;
+    [[nodiscard]] std::vector<const platform::vm*> live(time_point now) const;
+    /// Regions that have entries, sorted.
+    [[nodiscard]] std::vector<std::string> regions() const;
+    /// Notices to pass on in a `state_reply`.
+    [[nodiscard]] std::vector<wire::leaving_vm> notices(time_point now) const;
+    /// Changes whenever an answer may have changed, except by the passing of time.
+    [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
+
+private:
+    struct notice_state {
+        time_point heard;
+        /// False once the VM has been seen under a later incarnation.
+        bool counts = true;
+    };
+    struct vm_state {
+        platform::vm listed;
+        /// Incarnation of the last link, if any.
+        std::string incarnation;
+        /// By incarnation.
+        std::map<std::string, notice_state, std::less<>> notices;
+        bool is_listed = false;
+    };
+
+    [[nodiscard]] bool is_leaving(time_point now, const vm_state& state) const;
+    void forget_old(time_point now);
+
+    membership_settings settings_;
+    std::map<std::string, vm_state, std::less<>> vms_;
+    std::uint64_t version_ = 0;
+};
+
+} // namespace samphiretray::control
