--- a/include/samphiretray/base/log.h
+++ b/include/samphiretray/base/log.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "samphiretray/base/name_table.h"
+
 #include <concepts>
 #include <cstdint>
 #include <initializer_list>
@@ -10,6 +12,14 @@
 
 enum class log_level { debug, info, warning, error };
 
+template <>
+inline constexpr auto name_table<log_level> = std::to_array<std::pair<log_level, std::string_view>>({
+    {log_level::debug, "debug"},
+    {log_level::info, "info"},
+    {log_level::warning, "warning"},
+    {log_level::error, "error"},
+});
+
 /// One key=value pair of a log line.
 struct log_field {
     std::string_view key;
--- a/include/samphiretray/config/chunks.h
+++ b/include/samphiretray/config/chunks.h
@@ -46,9 +46,9 @@
 /// Fails with `errc::invalid_argument` (step `configure`).
 [[nodiscard]] result<manifest> parse_manifest(std::string_view text);
 
-/// Number of inventory chunks for `rows` adapter versions: a power of two with about 128 rows in a chunk, so
-/// that a chunk and the manifest are of similar size. Stays at `present` (0: none) unless that is off by more
-/// than a factor of four, because a new number changes every chunk.
+/// Number of inventory chunks for `rows` adapter versions: the power of two with which a changed chunk and
+/// the manifest that lists all chunks are smallest together. Stays at `present` (0: none) unless that is off
+/// by more than a factor of four, because a new number changes every chunk.
 [[nodiscard]] std::size_t inventory_chunk_count(std::size_t rows, std::size_t present);
 
 struct chunked_configuration {
--- a/include/samphiretray/config/editor.h
+++ b/include/samphiretray/config/editor.h
@@ -45,8 +45,9 @@
 
     [[nodiscard]] std::vector<editor_action> start();
     [[nodiscard]] std::vector<editor_action> on_read(std::string_view key,
-                                                     result<platform::versioned_value> answer);
-    [[nodiscard]] std::vector<editor_action> on_swap(std::string_view key, result<std::uint64_t> answer);
+                                                     const result<platform::versioned_value>& answer);
+    [[nodiscard]] std::vector<editor_action> on_swap(std::string_view key,
+                                                     const result<std::uint64_t>& answer);
 
     /// Set once the transaction has ended: the accepted revision, or one of `conflict` (another edit came
     /// first; nothing was changed), `invalid_argument` (the edit or its result was refused), `unavailable`
@@ -58,35 +59,42 @@
 
 private:
     enum class phase { read_manifest, read_chunks, write_chunks, swap_manifest, read_back, ended };
+    using actions = std::vector<editor_action>;
 
-    [[nodiscard]] std::vector<editor_action> on_base(const platform::versioned_value& value);
-    [[nodiscard]] std::vector<editor_action> on_base_chunk(std::string_view key, std::string text);
-    [[nodiscard]] std::vector<editor_action> on_stored_chunk(std::string_view key,
-                                                             const platform::versioned_value& value);
-    [[nodiscard]] std::vector<editor_action> on_read_back(const platform::versioned_value& value);
-    [[nodiscard]] std::vector<editor_action> apply_edit();
-    [[nodiscard]] std::vector<editor_action> chunk_written(std::string_view key);
-    [[nodiscard]] std::vector<editor_action> read(std::string_view key);
-    [[nodiscard]] std::vector<editor_action> write_chunk(std::string_view key);
-    [[nodiscard]] std::vector<editor_action> swap_manifest();
-    [[nodiscard]] std::vector<editor_action> read_back();
-    [[nodiscard]] std::vector<editor_action> end(result<std::uint64_t> outcome);
-    [[nodiscard]] std::vector<editor_action> give_up(const error& cause);
-    /// Delay before the next call of `key`, or nothing after the last attempt.
-    [[nodiscard]] std::optional<duration> count_failure(std::string_view key);
+    [[nodiscard]] actions on_base(const platform::versioned_value& value);
+    [[nodiscard]] actions on_base_chunk(const platform::versioned_value& value);
+    [[nodiscard]] actions on_stored_chunk(const std::string& key, const platform::versioned_value& value);
+    [[nodiscard]] actions on_read_back(const platform::versioned_value& value);
+    [[nodiscard]] actions apply_edit();
+    [[nodiscard]] actions prepare(const configuration& edited);
+    [[nodiscard]] actions on_chunk_swap(const std::string& key, const result<std::uint64_t>& answer);
+    [[nodiscard]] actions on_manifest_swap(const result<std::uint64_t>& answer);
+    [[nodiscard]] actions chunk_is_stored(const std::string& key);
+    /// Decides after an uncertain write, from a manifest of another revision than the base.
+    [[nodiscard]] actions decide(const manifest& stored);
+
+    [[nodiscard]] actions read(const std::string& key, duration delay = {});
+    [[nodiscard]] actions write_chunk(const std::string& key, duration delay = {});
+    [[nodiscard]] actions swap_manifest(duration delay = {});
+    /// Repeats `call` after a delay, or gives up after the last attempt.
+    template <typename Call>
+    [[nodiscard]] actions repeat(const std::string& key, const error& cause, Call call);
+    [[nodiscard]] actions give_up(const error& cause);
+    [[nodiscard]] actions end(result<std::uint64_t> outcome);
 
     edit_function edit_;
     std::string token_;
     phase phase_ = phase::read_manifest;
     manifest base_;
-    std::uint64_t base_kv_revision_ = 0;
+    /// The key-value service's revision of the base.
+    std::uint64_t base_stored_as_ = 0;
     chunk_map base_chunks_;
+    chunked_configuration target_;
     /// Keys whose read or write has not ended.
     std::set<std::string, std::less<>> open_;
-    chunked_configuration target_;
     std::map<std::string, int, std::less<>> failures_;
-    /// True once a write of the manifest may have been sent.
-    bool swap_sent_ = false;
+    /// True once the outcome of a write of the manifest was lost.
+    bool is_uncertain_ = false;
     std::optional<result<std::uint64_t>> outcome_;
 };
 
--- a/include/samphiretray/config/replica.h
+++ b/include/samphiretray/config/replica.h
@@ -60,6 +60,7 @@
     [[nodiscard]] result<std::vector<std::string>> advance();
     [[nodiscard]] status switch_to_pending();
     [[nodiscard]] error refuse_pending(error cause);
+    void drop_outdated_pending();
     void forget_unused_chunks();
 
     std::shared_ptr<const snapshot> current_;
--- /dev/null
+++ b/src/config/settings.cpp
@@ -0,0 +1,162 @@
+#include "samphiretray/config/settings.h"
+
+#include "samphiretray/base/json_fields.h"
+#include "samphiretray/config/names.h"
+
+#include <fstream>
+#include <iterator>
+
+namespace samphiretray::config {
+
+namespace {
+
+using presence = json_fields::presence;
+
+enum class port_rule { any, not_zero };
+
+constexpr std::size_t shortest_secret = 16;
+constexpr std::size_t longest_secret = 4096;
+// A pull may be lost and the evidence passes several hops, so the bound must cover a few rounds.
+constexpr int rounds_in_freshness_bound = 3;
+
+void read_address(json_fields& fields, std::string_view name, net::address& target, port_rule rule) {
+    std::string text;
+    fields.read(name, text, presence::required);
+    if (fields.has_failed()) {
+        return;
+    }
+    auto parsed = net::parse_address(text);
+    if (!parsed || (rule == port_rule::not_zero && parsed->port == 0)) {
+        fields.refuse(name, "an IP address and a port, such as \"10.0.0.1:80\"");
+        return;
+    }
+    target = *std::move(parsed);
+}
+
+void read_name(json_fields& fields, std::string_view name, std::string& target, presence needed) {
+    fields.read(name, target, needed);
+    if (!fields.has_failed() && fields.has(name) && !is_name(target)) {
+        fields.refuse(name, name_rule);
+    }
+}
+
+void read_count(json_fields& fields, std::string_view name, std::uint32_t& target, std::uint32_t minimum,
+                std::uint32_t maximum) {
+    std::uint64_t value = target;
+    fields.read(name, value, minimum, maximum);
+    target = static_cast<std::uint32_t>(value);
+}
+
+std::string trim_line_ends(std::string text) {
+    while (!text.empty() && (text.back() == '\n' || text.back() == '\r')) {
+        text.pop_back();
+    }
+    return text;
+}
+
+void read_secret(json_fields& fields, std::string& target) {
+    std::string file;
+    fields.read("cluster_secret", target);
+    fields.read("cluster_secret_file", file);
+    if (fields.has("cluster_secret") == fields.has("cluster_secret_file")) {
+        fields.refuse("cluster_secret", "either cluster_secret or cluster_secret_file, and not both");
+        return;
+    }
+    if (!file.empty()) {
+        std::ifstream stream{file, std::ios::binary};
+        target = trim_line_ends({std::istreambuf_iterator<char>{stream}, {}});
+    }
+    if (target.size() < shortest_secret || target.size() > longest_secret) {
+        fields.refuse(fields.has("cluster_secret") ? "cluster_secret" : "cluster_secret_file",
+                      "a secret of 16 to 4096 characters, or the name of a readable file with one");
+    }
+}
+
+void read_common(json_fields& fields, common_settings& target) {
+    read_name(fields, "vm", target.vm, presence::required);
+    read_name(fields, "region", target.region, presence::required);
+    read_name(fields, "data_centre", target.data_centre, presence::required);
+    read_address(fields, "peer_listen", target.peer_listen, port_rule::any);
+    read_address(fields, "admin_listen", target.admin_listen, port_rule::any);
+    read_address(fields, "key_value_service", target.key_value_service, port_rule::not_zero);
+    read_address(fields, "vm_list", target.vm_list, port_rule::not_zero);
+    read_secret(fields, target.cluster_secret);
+    fields.read_enum("log", target.log);
+    fields.read("vm_list_interval", target.vm_list_interval, 50ms, 60s);
+    fields.read("pull_interval", target.pull_interval, 20ms, 10s);
+    fields.read("freshness_bound", target.freshness_bound, 100ms, 60s);
+    if (target.freshness_bound < rounds_in_freshness_bound * target.pull_interval) {
+        fields.refuse(fields.has("freshness_bound_ms") ? "freshness_bound_ms" : "pull_interval_ms",
+                      "a freshness_bound_ms of at least three times pull_interval_ms");
+    }
+}
+
+void read_certificates(json_fields& fields, entry_settings& target) {
+    fields.read("certificate_file", target.certificate_file);
+    fields.read("private_key_file", target.private_key_file);
+    if (target.certificate_file.empty() != target.private_key_file.empty()) {
+        fields.refuse(target.certificate_file.empty() ? "certificate_file" : "private_key_file",
+                      "both certificate_file and private_key_file, or neither");
+    }
+}
+
+void read_drain(json_fields& fields, duration& notice, duration& limit) {
+    fields.read("drain_notice", notice, 0ms, 60s);
+    fields.read("drain_limit", limit, 0ms, 3600s);
+}
+
+void read_entry(json_fields& fields, entry_settings& target) {
+    read_common(fields, target.common);
+    read_address(fields, "listen", target.listen, port_rule::any);
+    fields.read("max_body_bytes", target.max_body_bytes, 1024, 1U << 30U);
+    read_certificates(fields, target);
+    fields.read("request_timeout", target.request_timeout, 1ms, 3600s);
+    read_drain(fields, target.drain_notice, target.drain_limit);
+    fields.read("max_requests", target.max_requests, 1, 1'000'000);
+    read_count(fields, "rate_shards", target.rate_shards, 1, 1024);
+    read_count(fields, "claim_shards", target.claim_shards, 1, 4096);
+    fields.read("loads_per_second", target.loads_per_second, 0.01, 1e6);
+    read_count(fields, "loads_in_flight", target.loads_in_flight, 1, 100'000);
+}
+
+void read_agent(json_fields& fields, agent_settings& target) {
+    read_common(fields, target.common);
+    read_name(fields, "endpoint", target.endpoint, presence::required);
+    read_name(fields, "service", target.service, presence::required);
+    fields.read("base_model", target.base_model);
+    if (!target.base_model.empty() && !is_model_name(target.base_model)) {
+        fields.refuse("base_model", model_name_rule);
+    }
+    read_address(fields, "endpoint_address", target.endpoint_address, port_rule::not_zero);
+    read_count(fields, "concurrency", target.concurrency, 0, 100'000);
+    fields.read("max_queue", target.max_queue, 1, 1'000'000);
+    fields.read("engine_poll_interval", target.engine_poll_interval, 10ms, 60s);
+    read_drain(fields, target.drain_notice, target.drain_limit);
+}
+
+template <typename Settings>
+result<Settings> parse_settings(std::string_view text, std::string_view file,
+                                void (*read)(json_fields&, Settings&)) {
+    auto fields = json_fields::parse(text, file, step::settings);
+    if (!fields) {
+        return fields.error();
+    }
+    Settings settings;
+    read(*fields, settings);
+    if (const auto done = fields->finish(); !done) {
+        return done.error();
+    }
+    return settings;
+}
+
+} // namespace
+
+result<entry_settings> parse_entry_settings(std::string_view text, std::string_view file) {
+    return parse_settings<entry_settings>(text, file, read_entry);
+}
+
+result<agent_settings> parse_agent_settings(std::string_view text, std::string_view file) {
+    return parse_settings<agent_settings>(text, file, read_agent);
+}
+
+} // namespace samphiretray::config
--- /dev/null
+++ b/tests/support/fake_key_value.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "samphiretray/base/time.h"
+#include "samphiretray/platform/key_value.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace samphiretray::test {
+
+/// The stored state of a key-value service: compare-and-swap and leases on one clock.
+class fake_key_value {
+public:
+    [[nodiscard]] platform::versioned_value read(time_point now, const std::string& key) {
+        expire(now);
+        const auto found = entries_.find(key);
+        return found == entries_.end() ? platform::versioned_value{} : found->second.stored;
+    }
+
+    [[nodiscard]] result<std::uint64_t> swap(time_point now, const platform::swap_request& request) {
+        if (read(now, request.key).revision != request.expected) {
+            return make_error(errc::conflict, step::configure, "kv", "the revision differs");
+        }
+        entry& written = entries_[request.key];
+        written.stored = {request.value, ++last_revision_};
+        written.expires = request.lease ? std::optional{now + *request.lease} : std::nullopt;
+        return last_revision_;
+    }
+
+private:
+    struct entry {
+        platform::versioned_value stored;
+        std::optional<time_point> expires;
+    };
+
+    void expire(time_point now) {
+        std::erase_if(entries_,
+                      [now](const auto& e) { return e.second.expires && *e.second.expires <= now; });
+    }
+
+    std::map<std::string, entry> entries_;
+    std::uint64_t last_revision_ = 0;
+};
+
+} // namespace samphiretray::test
