--- /dev/null
+++ b/src/agent/answer_checker.cpp
@@ -0,0 +1,133 @@
+#include "samphiretray/agent/answer_checker.h"
+
+#include <nlohmann/json.hpp>
+
+namespace samphiretray::agent {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t max_held_bytes = 8U << 20U;
+constexpr std::string_view event_end = "\n\n";
+constexpr std::string_view data_prefix = "data:";
+
+error receive_error(errc code, std::string detail) {
+    return make_error(code, step::receive, "engine", std::move(detail));
+}
+
+/// The text behind "data:" of the event's first data line, without surrounding blanks.
+std::string_view event_data(std::string_view event) {
+    const std::size_t start = event.find(data_prefix);
+    if (start == std::string_view::npos) {
+        return {};
+    }
+    std::string_view data = event.substr(start + data_prefix.size());
+    data = data.substr(0, data.find('\n'));
+    const std::size_t first = data.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    const std::size_t last = data.find_last_not_of(" \t\r");
+    return data.substr(first, last - first + 1);
+}
+
+std::optional<std::uint32_t> total_tokens(const json& body) {
+    const auto usage = body.find("usage");
+    if (usage == body.end() || !usage->is_object()) {
+        return std::nullopt;
+    }
+    const auto total = usage->find("total_tokens");
+    if (total == usage->end() || !total->is_number_unsigned()) {
+        return std::nullopt;
+    }
+    return total->get<std::uint32_t>();
+}
+
+} // namespace
+
+std::string engine_name(const platform::adapter_version& target) {
+    return target.adapter + "@" + target.version;
+}
+
+answer_checker::answer_checker(const platform::adapter_version& expected)
+    : expected_(engine_name(expected)) {}
+
+void answer_checker::start(int status, std::string_view content_type) {
+    streamed_ = content_type.starts_with("text/event-stream");
+    successful_ = status >= 200 && status < 300;
+}
+
+result<std::string> answer_checker::feed(std::string_view bytes) {
+    held_ += bytes;
+    if (held_.size() > max_held_bytes) {
+        return receive_error(errc::too_large, "an event or body of the answer is larger than 8 MiB");
+    }
+    if (!streamed_ || !successful_) {
+        return std::string{};
+    }
+    std::size_t checked = 0;
+    for (std::size_t end = held_.find(event_end); end != std::string::npos;
+         end = held_.find(event_end, checked)) {
+        const std::string_view event = std::string_view{held_}.substr(checked, end - checked);
+        if (auto outcome = check_event(event); !outcome) {
+            return outcome.error();
+        }
+        checked = end + event_end.size();
+    }
+    std::string passed = held_.substr(0, checked);
+    held_.erase(0, checked);
+    return passed;
+}
+
+result<std::string> answer_checker::finish() {
+    if (!successful_) {
+        return std::exchange(held_, {});
+    }
+    if (streamed_) {
+        if (!done_) {
+            return receive_error(errc::connection_closed, "the stream ended without [DONE]");
+        }
+        return std::exchange(held_, {});
+    }
+    if (auto outcome = check_body(held_); !outcome) {
+        return outcome.error();
+    }
+    return std::exchange(held_, {});
+}
+
+status answer_checker::check_event(std::string_view event) {
+    const std::string_view data = event_data(event);
+    if (data.empty()) {
+        return success();
+    }
+    if (done_) {
+        return receive_error(errc::protocol_error, "an event after [DONE]");
+    }
+    if (data == "[DONE]") {
+        done_ = true;
+        return success();
+    }
+    return check_body(data);
+}
+
+status answer_checker::check_body(std::string_view text) {
+    const json body = json::parse(text, nullptr, false);
+    if (!body.is_object()) {
+        return receive_error(errc::protocol_error, "the engine's answer is not a JSON object");
+    }
+    const auto model = body.find("model");
+    if (model == body.end() || !model->is_string()) {
+        return receive_error(errc::protocol_error, "the engine's answer names no model");
+    }
+    if (model->get_ref<const std::string&>() != expected_) {
+        return receive_error(errc::wrong_version,
+                             "expected " + expected_ + ", the engine ran " + model->get<std::string>());
+    }
+    if (const auto total = total_tokens(body)) {
+        tokens_ = total;
+    }
+    return success();
+}
+
+} // namespace samphiretray::agent
--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -1,6 +1,8 @@
 #include "samphiretray/base/hash.h"
 
+#include <openssl/crypto.h>
 #include <openssl/evp.h>
+#include <openssl/hmac.h>
 #include <openssl/rand.h>
 #include <xxhash.h>
 
@@ -37,6 +39,19 @@
     return to_hex(std::span{digest}.first(size));
 }
 
+std::string hmac_sha256_hex(std::string_view secret, std::string_view text) {
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned int size = 0;
+    const std::string bytes{text};
+    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
+         reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(), digest.data(), &size);
+    return to_hex(std::span{digest}.first(size));
+}
+
+bool equal_in_constant_time(std::string_view left, std::string_view right) noexcept {
+    return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
 std::string random_hex(std::size_t bytes) {
     std::vector<unsigned char> buffer(bytes);
     if (RAND_bytes(buffer.data(), static_cast<int>(bytes)) != 1) {
