--- /dev/null
+++ b/include/samphiretray/orders/claim_ledger.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "samphiretray/base/error.h"
+#include "samphiretray/base/name_table.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace samphiretray::orders {
+
+enum class claim_state {
+    /// The call may have been made; its outcome is unknown.
+    claimed,
+    /// The call was not made and will not be. Another request may take the claim over.
+    not_run,
+    /// The call was made; the recorded answer goes to each repeat.
+    done,
+};
+
+/// A recorded answer.
+struct outcome {
+    std::uint16_t status = 0;
+    std::string content_type;
+    std::string body;
+    /// True if the answer's body exceeded the bound and is not recorded.
+    bool body_omitted = false;
+};
+
+struct claim {
+    /// `claim_key` of the organisation and the idempotency key.
+    std::string key;
+    /// Digest of the request's method, path and body.
+    std::string content;
+    /// Unique over all requests of all entries.
+    std::string request;
+    /// Seconds since the epoch by the wall clock of the entry that wrote the claim.
+    std::int64_t claimed_at = 0;
+    claim_state state = claim_state::claimed;
+    /// Only with `done`.
+    outcome answer;
+};
+
+/// Digest under which a call is claimed.
+[[nodiscard]] std::string claim_key(std::string_view organisation, std::string_view idempotency_key);
+/// Shard of a claim key, below `shards`.
+[[nodiscard]] std::uint32_t claim_shard(std::string_view key, std::uint32_t shards);
+/// Key of a shard's value in the key-value service.
+[[nodiscard]] std::string claims_key(std::uint32_t shard);
+
+struct ledger_limits {
+    /// Largest text; the service takes values of at most one megabyte, with room left for its JSON escapes.
+    std::size_t max_bytes = 900'000;
+    /// Claims older than this are dropped. Claims are kept 24 h at most.
+    std::int64_t retention_seconds = 24L * 3600;
+    /// Longest recorded body and content type; a longer body is omitted from the record.
+    std::size_t max_body_bytes = 2048;
+    std::size_t max_content_type_bytes = 128;
+};
+
+/// The value of `claims/<shard>`: claims in order of their time.
+///
+/// Expiry compares wall clocks of different entries. A writer whose clock is ahead by d shortens the
+/// retention of all claims of the shard by d.
+class claim_ledger {
+public:
+    explicit claim_ledger(ledger_limits limits = {}) : limits_(limits) {}
+
+    /// Fails with `errc::protocol_error` (step `claim`) naming the line. An empty text is an empty ledger.
+    [[nodiscard]] static result<claim_ledger> parse(std::string_view text, ledger_limits limits = {});
+    /// One line for each claim, fields separated by spaces, bytes outside printable ASCII escaped.
+    [[nodiscard]] std::string format() const;
+
+    /// The claim of a key, or null.
+    [[nodiscard]] const claim* find(std::string_view key) const;
+    /// Adds a claim, or replaces one that is `not_run`. Returns false if there is no room; live claims are
+    /// never dropped for room.
+    [[nodiscard]] bool add(claim added);
+    /// Sets the outcome of a claim that is still `claimed` by `request`. Returns false if there is none. A
+    /// body for which there is no room is omitted.
+    bool set_done(std::string_view key, std::string_view request, outcome answer);
+    bool set_not_run(std::string_view key, std::string_view request);
+    /// Drops the claims older than the retention.
+    void drop_expired(std::int64_t now_seconds);
+
+    [[nodiscard]] std::size_t size() const noexcept { return claims_.size(); }
+    /// Length of `format()`.
+    [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
+
+private:
+    using position = std::list<claim>::iterator;
+
+    [[nodiscard]] claim* find_live(std::string_view key, std::string_view request);
+    void erase(position at);
+
+    ledger_limits limits_;
+    std::list<claim> claims_;
+    std::unordered_map<std::string, position> by_key_;
+    std::size_t bytes_ = 0;
+};
+
+} // namespace samphiretray::orders
+
+namespace samphiretray {
+
+template <>
+inline constexpr auto name_table<orders::claim_state> =
+    std::to_array<std::pair<orders::claim_state, std::string_view>>({
+        {orders::claim_state::claimed, "claimed"},
+        {orders::claim_state::not_run, "not_run"},
+        {orders::claim_state::done, "done"},
+    });
+
+} // namespace samphiretray
--- a/include/samphiretray/wire/messages.h
+++ b/include/samphiretray/wire/messages.h
@@ -177,13 +177,18 @@
     std::uint64_t demand = 0;
     /// Unused tokens of earlier, still valid grants, given back with this message.
     std::uint64_t returned = 0;
+    /// Tokens that the sender may still spend after this message. Without it the issuer assumes that nothing
+    /// of the earlier grants was spent.
+    std::optional<std::uint64_t> held;
+    /// Tokens that the first waiting reservation lacks; less is of no use to the sender. 0 if none waits.
+    std::uint64_t least = 0;
 };
 
 struct grant_reply {
     std::uint64_t round = 0;
     std::string organisation;
     std::uint64_t tokens = 0;
-    /// Counted by the receiver from sending the request.
+    /// Counted by the receiver from sending the request. Renews what the receiver still holds.
     std::uint32_t valid_ms = 0;
     /// False if the receiver does not hold the duty; the sender asks another entry.
     bool issuer = true;
