--- /dev/null
+++ b/include/samphiretray/agent/fair_queue.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "samphiretray/base/time.h"
+#include "samphiretray/platform/engine.h"
+#include "samphiretray/wire/messages.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace samphiretray::agent {
+
+struct queue_settings {
+    /// Waiting requests at most; a priority request may exceed it by `priority_extra`.
+    std::size_t max_length = 512;
+    std::size_t priority_extra = 64;
+    /// An organisation may be served this many tokens early to keep a batch on one adapter.
+    double group_slack = 512.0;
+    /// Tokens a second that the endpoint is assumed to serve until completions show another rate.
+    double initial_rate = 1000.0;
+    /// Requests estimated to start after this part of their time left are refused at once.
+    double deadline_part = 0.9;
+};
+
+struct queued_request {
+    std::uint64_t request = 0;
+    std::uint32_t attempt = 0;
+    std::string organisation;
+    /// Empty names for plain services.
+    platform::adapter_version adapter;
+    bool priority = false;
+    /// Upper bound of the cost.
+    std::uint32_t tokens = 0;
+    time_point arrived;
+    time_point deadline;
+};
+
+/// Start-time fair queueing in tokens between organisations, priority class first.
+class fair_queue {
+public:
+    explicit fair_queue(queue_settings settings);
+
+    /// Weight of an organisation's share; 1 unless set.
+    void set_weight(const std::string& organisation, double weight);
+
+    /// Adds a request, or says why it is refused: `queue_full`, or `deadline` if the estimated wait plus
+    /// `load_delay` exceeds the time left. A refused request was not queued.
+    [[nodiscard]] std::optional<wire::refusal> push(queued_request request, duration load_delay,
+                                                    time_point now);
+
+    using runnable_predicate = std::function<bool(const queued_request&)>;
+
+    /// Removes and returns the request to run next among those that `runnable` accepts: priority first, then
+    /// the organisation with the lowest start tag, then the order of arrival. Requests that wait for a load
+    /// are skipped and keep their organisation's tag, so they run as soon as they can.
+    [[nodiscard]] std::optional<queued_request> pop(const runnable_predicate& runnable);
+
+    /// Corrects an organisation's tag once the real cost is known.
+    void settle(const std::string& organisation, std::uint32_t estimated, std::uint32_t actual);
+    /// Learns the rate at which the endpoint serves tokens while it is busy.
+    void served(std::uint32_t tokens, duration busy);
+
+    /// Removes all requests that `matches` accepts: cancels, withdrawn keys.
+    [[nodiscard]] std::vector<queued_request> remove_if(const runnable_predicate& matches);
+    /// Removes the requests whose deadline has passed.
+    [[nodiscard]] std::vector<queued_request> expire(time_point now);
+    /// The earliest deadline of a waiting request, for a timer.
+    [[nodiscard]] std::optional<time_point> next_deadline() const;
+
+    [[nodiscard]] std::size_t size() const noexcept { return size_; }
+    [[nodiscard]] bool empty() const noexcept { return size_ == 0; }
+    /// Estimated wait of a new request without a load.
+    [[nodiscard]] duration estimated_wait(bool priority) const;
+
+private:
+    struct flow {
+        /// Virtual time at which the organisation's next request starts.
+        double tag = 0.0;
+        double weight = 1.0;
+        std::list<queued_request> waiting;
+        std::uint64_t tokens = 0;
+    };
+    /// One fair queue for each class; the priority class comes first.
+    struct service_class {
+        std::map<std::string, flow> flows;
+        double virtual_time = 0.0;
+        std::uint64_t tokens = 0;
+    };
+
+    [[nodiscard]] std::optional<queued_request> pop_from(service_class& from,
+                                                         const runnable_predicate& runnable);
+    queued_request take(service_class& from, flow& of, std::list<queued_request>::iterator position);
+    void remove_matching(service_class& from, const runnable_predicate& matches,
+                         std::vector<queued_request>& removed);
+    [[nodiscard]] service_class& class_of(bool priority) { return priority ? priority_ : normal_; }
+
+    queue_settings settings_;
+    service_class priority_;
+    service_class normal_;
+    std::map<std::string, double> weights_;
+    platform::adapter_version last_adapter_;
+    double rate_;
+    std::size_t size_ = 0;
+};
+
+} // namespace samphiretray::agent
