--- /dev/null
+++ b/include/samphiretray/entry/claims_controller.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "samphiretray/net/loop.h"
+#include "samphiretray/orders/claim_batcher.h"
+#include "samphiretray/platform/key_value.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace samphiretray::entry {
+
+/// Claims of idempotency keys at one entry, in batches for each shard.
+template <platform::key_value_service KeyValue>
+class claims_controller {
+public:
+    claims_controller(net::loop& events, KeyValue& service, std::uint32_t shards);
+    ~claims_controller();
+    claims_controller(const claims_controller&) = delete;
+    claims_controller& operator=(const claims_controller&) = delete;
+
+    using decided = std::function<void(const orders::claim_answer&)>;
+    void claim(const orders::claim_request& asked, decided done);
+    void record_done(const std::string& key, const std::string& request, orders::outcome answer);
+    void record_not_run(const std::string& key, const std::string& request);
+
+    void on_tick();
+    /// True if nothing waits, so that the entry may stop without losing an outcome.
+    [[nodiscard]] bool idle() const;
+
+private:
+    using batcher_pointer = std::shared_ptr<orders::claim_batcher>;
+
+    [[nodiscard]] batcher_pointer batcher_for(const std::string& key);
+    void pump(const batcher_pointer& shard);
+
+    net::loop& loop_;
+    KeyValue& service_;
+    std::uint32_t shard_count_;
+    std::map<std::uint32_t, batcher_pointer> batchers_;
+    std::unordered_map<std::string, decided> waiting_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace samphiretray::entry
+
+#include "samphiretray/entry/claims_controller-inl.h"
--- /dev/null
+++ b/include/samphiretray/entry/dispatcher.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "samphiretray/control/membership.h"
+#include "samphiretray/entry/request_context.h"
+#include "samphiretray/node/peer_directory.h"
+#include "samphiretray/routing/outlier_ejection.h"
+#include "samphiretray/routing/placement.h"
+#include "samphiretray/routing/retry_policy.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace samphiretray::entry {
+
+/// Events of the request path, for metrics.
+struct dispatch_counts {
+    std::uint64_t attempts = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t cold_starts = 0;
+    std::uint64_t late_answers = 0;
+    std::uint64_t cut_answers = 0;
+    std::uint64_t wrong_version = 0;
+    std::uint64_t remote_bytes = 0;
+};
+
+/// Sends requests to agents, follows their attempts and passes the answers on to the callers.
+class dispatcher {
+public:
+    dispatcher(net::loop& events, node::peer_identity self, node::peer_directory& peers,
+               const control::membership& members);
+    ~dispatcher();
+    dispatcher(const dispatcher&) = delete;
+    dispatcher& operator=(const dispatcher&) = delete;
+
+    /// Starts the first attempt. The request ends by one of its own functions.
+    void dispatch(const request_pointer& request);
+
+    /// Handles a message of an agent; false if `value` is of another kind.
+    [[nodiscard]] bool handle(const node::peer_pointer& from, wire::message& value);
+    void on_peer_closed(const node::peer_pointer& gone);
+    void members_changed();
+
+    [[nodiscard]] const dispatch_counts& counts() const noexcept { return counts_; }
+    [[nodiscard]] std::size_t running() const noexcept { return attempts_.size(); }
+
+private:
+    struct attempt;
+    using attempt_pointer = std::shared_ptr<attempt>;
+
+    void try_next(const request_pointer& request, std::uint32_t number, std::vector<std::string> tried);
+    void send(const attempt_pointer& started, const result<node::peer_pointer>& link);
+    [[nodiscard]] static wire::request_open make_open(const attempt& started, time_point now);
+    [[nodiscard]] attempt_pointer find(const node::peer_pointer& from, std::uint64_t request,
+                                       std::uint32_t number);
+    void on_head(const node::peer_pointer& from, const wire::answer_head& head);
+    void on_data(const node::peer_pointer& from, wire::answer_data& data);
+    void on_answer_end(const node::peer_pointer& from, const wire::answer_end& end);
+    void on_refused(const node::peer_pointer& from, const wire::request_refused& refused);
+    void start_response(attempt& answered, const net::http_headers& extra);
+    void complete(const attempt_pointer& ended, const wire::answer_end& end);
+    /// Ends an attempt that failed, and retries or refuses its request.
+    void attempt_failed(const attempt_pointer& failed, error cause, bool forwarded,
+                        std::optional<duration> retry_after);
+    void forget(const attempt_pointer& ended);
+    [[nodiscard]] bool is_remote(const std::string& endpoint) const;
+
+    net::loop& loop_;
+    node::peer_identity self_;
+    node::peer_directory& peers_;
+    const control::membership& members_;
+    routing::placement placement_;
+    routing::retry_policy retries_;
+    routing::outlier_ejection ejection_;
+    /// Agents by the endpoint beside them.
+    std::map<std::string, platform::vm, std::less<>> agents_;
+    std::unordered_map<std::uint64_t, attempt_pointer> attempts_;
+    dispatch_counts counts_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace samphiretray::entry
--- /dev/null
+++ b/include/samphiretray/entry/load_controller-inl.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "samphiretray/entry/load_controller.h"
+#include "samphiretray/node/rendezvous.h"
+
+#include <utility>
+
+namespace samphiretray::entry {
+
+/// Name of the duty and of its rank order; agents ask the entries in this order.
+inline constexpr std::string_view loads_duty = "loads";
+inline constexpr std::size_t load_duty_candidates = 3;
+
+template <platform::key_value_service KeyValue>
+load_controller<KeyValue>::load_controller(net::loop& events, const config::entry_settings& settings,
+                                           const node::peer_identity& self, KeyValue& service,
+                                           const control::membership& members,
+                                           const control::contact& evidence)
+    : loop_(events), settings_(settings), self_(self), members_(members),
+      duty_(events, service, evidence, control::duty_lease("fleet", loads_duty, self.vm, self.incarnation)) {}
+
+template <platform::key_value_service KeyValue>
+std::string load_controller<KeyValue>::holder_name(const node::peer_pointer& of) {
+    return of->identity().vm + "/" + of->identity().incarnation;
+}
+
+template <platform::key_value_service KeyValue>
+void load_controller<KeyValue>::members_changed() {
+    const auto entries = members_.live_entries(loop_.now());
+    duty_.set_candidate(!stopping_ && node::is_ranked(loads_duty, entries, self_.vm, load_duty_candidates));
+}
+
+template <platform::key_value_service KeyValue>
+void load_controller<KeyValue>::refresh_term() {
+    if (permits_ && term_ == duty_.fencing_number()) {
+        return;
+    }
+    term_ = duty_.fencing_number();
+    control::load_permits_options options;
+    options.loads_per_second = settings_.loads_per_second;
+    options.max_in_flight = settings_.loads_in_flight;
+    permits_ = std::make_unique<control::load_permits>(options, loop_.now());
+}
+
+template <platform::key_value_service KeyValue>
+bool load_controller<KeyValue>::handle(const node::peer_pointer& from, const wire::message& value) {
+    const time_point now = loop_.now();
+    const std::string holder = holder_name(from);
+    if (const auto* request = std::get_if<wire::permit_request>(&value)) {
+        holders_[holder] = from;
+        refresh_term();
+        permits_->request(holder, *request, now);
+    } else if (const auto* cancel = std::get_if<wire::permit_cancel>(&value)) {
+        if (permits_) {
+            permits_->cancel(holder, cancel->round, now);
+        }
+    } else if (const auto* done = std::get_if<wire::permit_done>(&value)) {
+        if (permits_) {
+            permits_->done(holder, done->round, now);
+        }
+    } else {
+        return false;
+    }
+    deliver();
+    return true;
+}
+
+template <platform::key_value_service KeyValue>
+void load_controller<KeyValue>::on_peer_closed(const node::peer_pointer& gone) {
+    const std::string holder = holder_name(gone);
+    if (holders_.erase(holder) > 0 && permits_) {
+        permits_->holder_gone(holder);
+    }
+}
+
+template <platform::key_value_service KeyValue>
+void load_controller<KeyValue>::deliver() {
+    if (!permits_) {
+        return;
+    }
+    for (const control::permit_answer& answer : permits_->take_answers(duty_.may_act(), loop_.now())) {
+        const auto found = holders_.find(answer.holder);
+        const auto link = found == holders_.end() ? nullptr : found->second.lock();
+        if (link) {
+            link->send(answer.reply);
+        }
+    }
+}
+
+template <platform::key_value_service KeyValue>
+void load_controller<KeyValue>::on_tick() {
+    duty_.on_tick();
+    deliver();
+}
+
+template <platform::key_value_service KeyValue>
+void load_controller<KeyValue>::stop() {
+    stopping_ = true;
+    duty_.set_candidate(false);
+}
+
+} // namespace samphiretray::entry
--- /dev/null
+++ b/include/samphiretray/entry/load_controller.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "samphiretray/config/settings.h"
+#include "samphiretray/control/load_permits.h"
+#include "samphiretray/control/membership.h"
+#include "samphiretray/node/duty_runner.h"
+#include "samphiretray/node/peer_directory.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace samphiretray::entry {
+
+/// The fleet's load permits while this entry holds the duty `loads`.
+template <platform::key_value_service KeyValue>
+class load_controller {
+public:
+    load_controller(net::loop& events, const config::entry_settings& settings,
+                    const node::peer_identity& self, KeyValue& service, const control::membership& members,
+                    const control::contact& evidence);
+
+    void members_changed();
+    /// Handles a permit message of an agent; false if `value` is of another kind.
+    [[nodiscard]] bool handle(const node::peer_pointer& from, const wire::message& value);
+    void on_peer_closed(const node::peer_pointer& gone);
+    void on_tick();
+    void stop();
+    [[nodiscard]] bool is_stopped() const { return stopping_ && !duty_.is_releasing(); }
+    [[nodiscard]] bool is_held() const noexcept { return duty_.is_held(); }
+
+private:
+    [[nodiscard]] static std::string holder_name(const node::peer_pointer& of);
+    void refresh_term();
+    void deliver();
+
+    net::loop& loop_;
+    const config::entry_settings& settings_;
+    node::peer_identity self_;
+    const control::membership& members_;
+    node::duty_runner<KeyValue> duty_;
+    std::uint64_t term_ = 0;
+    std::unique_ptr<control::load_permits> permits_;
+    std::map<std::string, std::weak_ptr<node::peer>> holders_;
+    bool stopping_ = false;
+};
+
+} // namespace samphiretray::entry
+
+#include "samphiretray/entry/load_controller-inl.h"
--- /dev/null
+++ b/include/samphiretray/entry/rate_controller.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "samphiretray/config/settings.h"
+#include "samphiretray/config/snapshot.h"
+#include "samphiretray/control/membership.h"
+#include "samphiretray/node/duty_runner.h"
+#include "samphiretray/node/peer_directory.h"
+#include "samphiretray/rate/grant_holder.h"
+#include "samphiretray/rate/grant_issuer.h"
+#include "samphiretray/rate/region_shares.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace samphiretray::entry {
+
+/// Whether a reservation was granted, and otherwise when to try again.
+struct reservation_outcome {
+    bool granted = false;
+    duration retry_after{};
+};
+
+/// The rate limits of all organisations at one entry: its own shares, and the buckets of the rate shards
+/// whose duty it holds.
+template <platform::key_value_service KeyValue>
+class rate_controller {
+public:
+    rate_controller(net::loop& events, const config::entry_settings& settings,
+                    const node::peer_identity& self, KeyValue& service, node::peer_directory& peers,
+                    const control::membership& members, const control::contact& evidence);
+    ~rate_controller();
+    rate_controller(const rate_controller&) = delete;
+    rate_controller& operator=(const rate_controller&) = delete;
+
+    void set_configuration(std::shared_ptr<const config::snapshot> current);
+    void members_changed();
+
+    using decided = std::function<void(reservation_outcome)>;
+    /// Reserves `bound` tokens; `done` may run inside this function.
+    void reserve(std::uint64_t request, const std::string& organisation, std::uint64_t bound,
+                 time_point deadline, decided done);
+    /// Ends a granted or waiting reservation.
+    void settle(std::uint64_t request, const std::string& organisation, std::uint64_t used);
+
+    /// Handles a grant message; false if `value` is of another kind.
+    [[nodiscard]] bool handle(const node::peer_pointer& from, const wire::message& value);
+    void on_tick();
+    /// Gives back unused tokens and releases the duties.
+    void stop();
+    [[nodiscard]] bool is_stopped() const;
+    [[nodiscard]] std::size_t held_shards() const;
+
+private:
+    struct share {
+        explicit share(std::string name) : holder(std::move(name)) {}
+        rate::grant_holder holder;
+        std::unordered_map<std::uint64_t, decided> waiting;
+        /// Place in the rank order of the entry that is believed to be the issuer.
+        std::size_t issuer_rank = 0;
+    };
+    struct issuing {
+        rate::grant_issuer issuer;
+        rate::region_shares shares;
+    };
+    struct shard {
+        std::unique_ptr<node::duty_runner<KeyValue>> duty;
+        std::uint64_t term = 0;
+        std::map<std::string, std::shared_ptr<issuing>> organisations;
+    };
+
+    [[nodiscard]] std::uint32_t shard_of(const std::string& organisation) const;
+    [[nodiscard]] std::string duty_name(std::uint32_t shard_number) const;
+    [[nodiscard]] std::vector<const platform::vm*> region_entries() const;
+    [[nodiscard]] rate::bucket_limits limits_of(const std::string& organisation) const;
+    [[nodiscard]] share& share_of(const std::string& organisation);
+    void pump(const std::string& organisation, share& of);
+    void send(const std::string& organisation, share& of, const wire::grant_request& request);
+    void send_failed(const std::string& organisation, std::uint64_t round);
+    void accept(const wire::grant_reply& reply);
+    [[nodiscard]] wire::grant_reply answer(const std::string& holder, const wire::grant_request& request);
+    [[nodiscard]] std::shared_ptr<issuing> issuing_for(shard& in, const std::string& organisation);
+    void run_shares(const std::string& organisation, const std::shared_ptr<issuing>& of);
+    void apply_limits(const std::string& organisation, issuing& of);
+
+    net::loop& loop_;
+    const config::entry_settings& settings_;
+    node::peer_identity self_;
+    KeyValue& service_;
+    node::peer_directory& peers_;
+    const control::membership& members_;
+    const control::contact& evidence_;
+    std::shared_ptr<const config::snapshot> configuration_;
+    std::map<std::string, share> shares_;
+    std::vector<shard> shards_;
+    bool stopping_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace samphiretray::entry
+
+#include "samphiretray/entry/rate_controller-inl.h"
--- /dev/null
+++ b/include/samphiretray/node/config_watcher.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "samphiretray/config/replica.h"
+#include "samphiretray/control/contact.h"
+#include "samphiretray/net/loop.h"
+#include "samphiretray/platform/key_value.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace samphiretray::node {
+
+/// Watches the manifest in the key-value service on behalf of a data centre.
+///
+/// Each completed watch is evidence of contact as of the time it was sent, each failed one evidence of an
+/// outage. While it is off there are no calls.
+template <platform::key_value_service KeyValue>
+class config_watcher {
+public:
+    /// `on_change` is called after the configuration in force may have changed.
+    config_watcher(net::loop& events, KeyValue& service, control::contact& evidence,
+                   config::replica& configuration, std::function<void()> on_change);
+    ~config_watcher();
+    config_watcher(const config_watcher&) = delete;
+    config_watcher& operator=(const config_watcher&) = delete;
+
+    void set_active(bool active);
+    [[nodiscard]] bool is_active() const noexcept { return active_; }
+
+private:
+    void watch();
+    void on_manifest(time_point sent, const result<platform::versioned_value>& answer);
+    void on_chunk(const std::string& digest, result<platform::versioned_value> answer);
+    void fetch(const std::vector<std::string>& digests);
+    void watch_later(duration pause);
+
+    net::loop& loop_;
+    KeyValue& service_;
+    control::contact& evidence_;
+    config::replica& configuration_;
+    std::function<void()> on_change_;
+    bool active_ = false;
+    bool watching_ = false;
+    std::uint64_t seen_ = 0;
+    std::set<std::string> fetching_;
+    net::timer_handle timer_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace samphiretray::node
+
+#include "samphiretray/node/config_watcher-inl.h"
--- /dev/null
+++ b/include/samphiretray/node/duty_runner-inl.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "samphiretray/node/duty_runner.h"
+
+#include <utility>
+
+namespace samphiretray::node {
+
+template <platform::key_value_service KeyValue>
+duty_runner<KeyValue>::duty_runner(net::loop& events, KeyValue& service, const control::contact& evidence,
+                                   control::duty_settings settings)
+    : loop_(events), service_(service), evidence_(evidence),
+      duty_(std::make_shared<control::duty>(std::move(settings))) {}
+
+template <platform::key_value_service KeyValue>
+void duty_runner<KeyValue>::set_candidate(bool candidate) {
+    if (candidate == candidate_) {
+        return;
+    }
+    candidate_ = candidate;
+    if (candidate) {
+        duty_->run_for(loop_.now());
+    } else {
+        duty_->release(loop_.now());
+    }
+    on_tick();
+}
+
+template <platform::key_value_service KeyValue>
+void duty_runner<KeyValue>::on_tick() {
+    const time_point now = loop_.now();
+    duty_->on_contact(now, evidence_);
+    const auto next = duty_->next_time();
+    if (next && *next <= now) {
+        perform(duty_->on_time(now));
+    }
+}
+
+template <platform::key_value_service KeyValue>
+bool duty_runner<KeyValue>::may_act() const {
+    const time_point now = loop_.now();
+    return duty_->may_act(now, evidence_.state(now));
+}
+
+template <platform::key_value_service KeyValue>
+void duty_runner<KeyValue>::perform(std::optional<control::duty_action> action) {
+    if (!action) {
+        return;
+    }
+    const std::weak_ptr<control::duty> weak = duty_;
+    if (auto* read = std::get_if<control::duty_read>(&*action)) {
+        service_.read(std::move(read->key), [this, weak](result<platform::versioned_value> answer) {
+            if (const auto duty = weak.lock()) {
+                perform(duty->on_read(loop_.now(), std::move(answer)));
+            }
+        });
+        return;
+    }
+    service_.compare_and_swap(std::move(std::get<control::duty_swap>(*action).swap),
+                              [this, weak](result<std::uint64_t> answer) {
+                                  if (const auto duty = weak.lock()) {
+                                      perform(duty->on_swap(loop_.now(), std::move(answer)));
+                                  }
+                              });
+}
+
+} // namespace samphiretray::node
--- /dev/null
+++ b/include/samphiretray/node/rendezvous.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "samphiretray/platform/vm_list.h"
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace samphiretray::node {
+
+/// The VMs in the order in which they are to carry `duty`: by rendezvous hashing, so that all processes with
+/// the same list agree, and a change of the list moves few duties.
+[[nodiscard]] std::vector<const platform::vm*> rank_for(std::string_view duty,
+                                                        std::span<const platform::vm* const> candidates);
+
+/// Whether `vm` is among the first `count` of that order.
+[[nodiscard]] bool is_ranked(std::string_view duty, std::span<const platform::vm* const> candidates,
+                             std::string_view vm, std::size_t count);
+
+} // namespace samphiretray::node
--- /dev/null
+++ b/src/node/rendezvous.cpp
@@ -0,0 +1,27 @@
+#include "samphiretray/node/rendezvous.h"
+
+#include "samphiretray/base/hash.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace samphiretray::node {
+
+std::vector<const platform::vm*> rank_for(std::string_view duty,
+                                          std::span<const platform::vm* const> candidates) {
+    const std::uint64_t seed = hash64(duty);
+    std::vector<const platform::vm*> ranked(candidates.begin(), candidates.end());
+    std::ranges::sort(ranked, std::ranges::greater{}, [seed](const platform::vm* vm) {
+        return std::pair{hash64(vm->name, seed), vm->name};
+    });
+    return ranked;
+}
+
+bool is_ranked(std::string_view duty, std::span<const platform::vm* const> candidates, std::string_view vm,
+               std::size_t count) {
+    const auto ranked = rank_for(duty, candidates);
+    const auto first = std::views::take(ranked, static_cast<std::ptrdiff_t>(count));
+    return std::ranges::any_of(first, [vm](const platform::vm* each) { return each->name == vm; });
+}
+
+} // namespace samphiretray::node
