Correct the headers of the agent's decisions

Cause: an unpin that arrives after an engine restart could release the pin of a newer request for the same adapter; a full queue could refuse an organisation within its share.

Change: pins carry the slot and its generation; push can displace the newest request of the longest queue; settings of placement completed.

Conclusion: stale pins have no effect by construction.

--- a/include/samphiretray/agent/fair_queue.h
+++ b/include/samphiretray/agent/fair_queue.h
@@ -19,8 +19,9 @@
     /// Waiting requests at most; a priority request may exceed it by `priority_extra`.
     std::size_t max_length = 512;
     std::size_t priority_extra = 64;
-    /// An organisation may be served this many tokens early to keep a batch on one adapter.
-    double group_slack = 512.0;
+    /// Requests of the same organisation that one on the adapter that ran last may overtake in a row. It
+    /// costs other organisations nothing.
+    std::uint32_t max_overtaken = 8;
     /// Tokens a second that the endpoint is assumed to serve until completions show another rate.
     double initial_rate = 1000.0;
     /// Requests estimated to start after this part of their time left are refused at once.
@@ -40,6 +41,14 @@
     time_point deadline;
 };
 
+struct push_result {
+    /// Why the request was refused: `queue_full`, or `deadline` if the estimated wait exceeds the time left.
+    /// It was not queued.
+    std::optional<wire::refusal> refused;
+    /// A waiting request that the new one displaced from a full queue; it is to be refused as `queue_full`.
+    std::optional<queued_request> displaced;
+};
+
 /// Start-time fair queueing in tokens between organisations, priority class first.
 class fair_queue {
 public:
@@ -48,10 +57,10 @@
     /// Weight of an organisation's share; 1 unless set.
     void set_weight(const std::string& organisation, double weight);
 
-    /// Adds a request, or says why it is refused: `queue_full`, or `deadline` if the estimated wait plus
-    /// `load_delay` exceeds the time left. A refused request was not queued.
-    [[nodiscard]] std::optional<wire::refusal> push(queued_request request, duration load_delay,
-                                                    time_point now);
+    /// Adds a request or refuses it. `load_delay` is the estimated time until the adapter is resident. In a
+    /// full queue an organisation with less than its share of the places displaces the newest request of the
+    /// organisation with the most.
+    [[nodiscard]] push_result push(queued_request request, duration load_delay, time_point now);
 
     using runnable_predicate = std::function<bool(const queued_request&)>;
 
@@ -61,7 +70,8 @@
     [[nodiscard]] std::optional<queued_request> pop(const runnable_predicate& runnable);
 
     /// Corrects an organisation's tag once the real cost is known.
-    void settle(const std::string& organisation, std::uint32_t estimated, std::uint32_t actual);
+    void settle(const std::string& organisation, bool priority, std::uint32_t estimated,
+                std::uint32_t actual);
     /// Learns the rate at which the endpoint serves tokens while it is busy.
     void served(std::uint32_t tokens, duration busy);
 
@@ -74,7 +84,7 @@
 
     [[nodiscard]] std::size_t size() const noexcept { return size_; }
     [[nodiscard]] bool empty() const noexcept { return size_ == 0; }
-    /// Estimated wait of a new request without a load.
+    /// Estimated wait of a new request of a new organisation, without a load.
     [[nodiscard]] duration estimated_wait(bool priority) const;
 
 private:
@@ -84,6 +94,8 @@
         double weight = 1.0;
         std::list<queued_request> waiting;
         std::uint64_t tokens = 0;
+        /// Requests in a row that overtook the oldest runnable one.
+        std::uint32_t overtaken = 0;
     };
     /// One fair queue for each class; the priority class comes first.
     struct service_class {
@@ -92,12 +104,20 @@
         std::uint64_t tokens = 0;
     };
 
+    using position = std::list<queued_request>::iterator;
+
     [[nodiscard]] std::optional<queued_request> pop_from(service_class& from,
                                                          const runnable_predicate& runnable);
-    queued_request take(service_class& from, flow& of, std::list<queued_request>::iterator position);
+    [[nodiscard]] position choose(flow& of, const runnable_predicate& runnable, position oldest) const;
+    queued_request take(service_class& from, flow& of, position chosen, bool oldest);
     void remove_matching(service_class& from, const runnable_predicate& matches,
                          std::vector<queued_request>& removed);
     [[nodiscard]] service_class& class_of(bool priority) { return priority ? priority_ : normal_; }
+    [[nodiscard]] double weight_of(const std::string& organisation) const;
+    [[nodiscard]] duration wait_of(const queued_request& request) const;
+    [[nodiscard]] bool has_room(const queued_request& request) const;
+    [[nodiscard]] std::optional<queued_request> displace_for(const queued_request& request);
+    void insert(queued_request request);
 
     queue_settings settings_;
     service_class priority_;
--- a/include/samphiretray/agent/slot_table.h
+++ b/include/samphiretray/agent/slot_table.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 /// Decisions of the agent beside an endpoint. No I/O; the time is an argument.
@@ -56,6 +57,13 @@
     unknown,
 };
 
+/// Keeps an adapter resident for one request.
+struct slot_pin {
+    std::size_t slot = 0;
+    /// Distinguishes successive contents of the slot.
+    std::uint64_t generation = 0;
+};
+
 /// Effect of a change of the engine's incarnation.
 struct restart_effect {
     /// Adapters with waiting requests; they must be loaded again.
@@ -66,9 +74,9 @@
 
 /// The adapter slots of one engine.
 ///
-/// Cycle of an adapter: `wait_started` for each request that needs a load; `loads_wanted` names the adapters
-/// for which a permit is worth asking; `begin_load` with the permit; commands; `load_finished`; `pin` for
-/// each request that runs and `wait_ended` when a request stops waiting for any reason.
+/// Cycle of an adapter: `wait_started` for each queued request, resident or not; `loads_wanted` names the
+/// adapters for which a permit is worth asking; `begin_load` with the permit; commands; `load_finished`;
+/// `pin` for each request that runs, and `wait_ended` when a request leaves the queue for any reason.
 class slot_table {
 public:
     explicit slot_table(slot_settings settings);
@@ -89,6 +97,8 @@
                                                        time_point now);
 
     /// Adapters with waiting requests for which a load can begin now, priority first, then the longest wait.
+    /// At most as many as there are slots for. Also begins and ends draining; called after other events and
+    /// from time to time.
     [[nodiscard]] std::vector<adapter_version> loads_wanted(time_point now);
     /// Begins a load. No commands if it cannot begin (any more): nobody waits, backoff, no slot.
     [[nodiscard]] std::vector<slot_command> begin_load(const adapter_version& adapter,
@@ -104,9 +114,10 @@
 
     /// True if `pin` would succeed.
     [[nodiscard]] bool can_run(const adapter_version& adapter, bool priority) const;
-    /// Pins the slot of a resident adapter for one request; false if the request must wait.
-    [[nodiscard]] bool pin(const adapter_version& adapter, bool priority, time_point now);
-    void unpin(const adapter_version& adapter, time_point now);
+    /// Pins the slot of a resident adapter for one request; nothing if the request must wait.
+    [[nodiscard]] std::optional<slot_pin> pin(const adapter_version& adapter, bool priority, time_point now);
+    /// Ends a pin. A pin from before a restart of the engine has no effect.
+    void unpin(const slot_pin& pin, time_point now);
 
     [[nodiscard]] bool resident(const adapter_version& adapter) const;
     [[nodiscard]] std::uint32_t pins(const adapter_version& adapter) const;
@@ -123,6 +134,7 @@
         slot_state state = slot_state::empty;
         adapter_version holds;
         std::uint32_t pins = 0;
+        /// The last command; for a resident adapter the one that loaded it.
         std::uint64_t command = 0;
         std::uint64_t fencing_number = 0;
         time_point loaded_at;
@@ -131,6 +143,8 @@
         double popularity = 0.0;
         bool draining = false;
         bool cancelling = false;
+        /// Loaded for waiting requests and not used yet; it may not be evicted without use.
+        bool promised = false;
         /// The adapter to load after an unload.
         std::optional<adapter_version> next;
         /// Set while a failed unload waits to be repeated.
@@ -147,19 +161,26 @@
 
     [[nodiscard]] slot* find(const adapter_version& adapter);
     [[nodiscard]] const slot* find(const adapter_version& adapter) const;
-    [[nodiscard]] slot* find_command(std::uint64_t id);
+    [[nodiscard]] slot* find_command(slot_state state, std::uint64_t id);
     [[nodiscard]] bool assigned(const adapter_version& adapter) const;
-    [[nodiscard]] std::size_t free_for_priority() const;
-    [[nodiscard]] slot* choose_slot(bool priority, time_point now);
-    [[nodiscard]] slot* choose_victim(bool priority, time_point now);
+    [[nodiscard]] bool waited_for(const adapter_version& adapter) const;
+    [[nodiscard]] std::size_t evictable() const;
+    [[nodiscard]] bool any_draining() const;
+    [[nodiscard]] bool is_victim(const slot& of, const demand& wanted, time_point now) const;
+    [[nodiscard]] slot* choose_slot(const demand& wanted, time_point now);
+    [[nodiscard]] double popularity_of(const slot& of, time_point now) const;
     [[nodiscard]] double value_of(const slot& of, time_point now) const;
-    void drain_one(time_point now);
+    [[nodiscard]] bool may_begin(const adapter_version& adapter, const demand& wanted, time_point now) const;
+    [[nodiscard]] std::vector<const std::pair<const adapter_version, demand>*>
+    demands_in_order(time_point now) const;
+    void update_draining(bool needed, time_point now);
     [[nodiscard]] slot_command start_load(slot& into, const adapter_version& adapter);
     [[nodiscard]] slot_command start_unload(slot& of);
-    [[nodiscard]] bool may_begin(const demand& wanted, time_point now) const;
     void record_failure(const adapter_version& adapter, time_point now);
+    void forget_idle_demands(time_point now);
 
     slot_settings settings_;
+    std::size_t reserved_;
     std::vector<slot> slots_;
     std::map<adapter_version, demand> demands_;
     std::string incarnation_;
--- a/include/samphiretray/routing/placement.h
+++ b/include/samphiretray/routing/placement.h
@@ -4,16 +4,14 @@
 #include "samphiretray/platform/engine.h"
 #include "samphiretray/wire/messages.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 /// Decisions of an entry about where an attempt goes. No I/O; the time is an argument.
@@ -46,20 +44,30 @@
     /// Added to a cold start outside an adapter's home endpoints: the store's rate is scarce, and the load
     /// evicts another adapter.
     duration spread_cost = 1s;
+    /// Added to a resident adapter outside its home endpoints, so that an extra copy falls idle and is
+    /// evicted.
+    duration extra_cost = 50ms;
+    /// Added for an endpoint at its capacity, and in proportion below it; balances endpoints without queues.
+    duration busy_cost = 20ms;
+    /// Relative weight in rendezvous hashing of endpoints in other regions. Zero: homes are in the own region
+    /// while it has live endpoints; one: all entries agree on one home in the fleet.
+    double remote_weight = 0.0;
+    /// Requests an endpoint runs at once until it reports its capacity.
+    std::uint32_t capacity = 8;
     /// Time that one request occupies a place in the batch until answers show another one.
     duration service_time = 2s;
     /// A load report loses half of its weight in this time.
     duration report_half_life = 2s;
-    /// A residency hint is forgotten this long after the last answer.
-    duration hint_lifetime = 10min;
+    /// Trust in a residency hint halves in this time after the last answer.
+    duration hint_half_life = 2min;
     /// Residency hints kept at most; the oldest are dropped.
     std::size_t max_hints = 200'000;
     /// An endpoint beyond its capacity and beyond this multiple of the pool's mean load comes last.
     double load_bound = 1.25;
     /// An adapter gets one more home endpoint when all of its homes are estimated to wait longer than this...
     duration grow_wait = 500ms;
-    /// ...and one less when its homes but the last have been below this wait...
-    duration shrink_wait = 100ms;
+    /// ...and one less when the load of its homes has filled less than this part of all of them but one...
+    double shrink_fill = 0.6;
     /// ...for this time.
     duration shrink_hold = 30s;
     std::size_t max_homes = 16;
@@ -116,8 +124,9 @@
                                                     const usable_predicate& usable = {});
 
     /// An attempt was sent; every call is followed by one `finished`.
-    void sent(std::string_view endpoint, time_point now);
-    void finished(std::string_view endpoint, duration occupied, time_point now);
+    void sent(std::string_view endpoint);
+    /// `occupied` is the time from the head of the answer to its end; nothing if there was no whole answer.
+    void finished(std::string_view endpoint, std::optional<duration> occupied);
 
     void observe_load(std::string_view endpoint, const wire::load_report& load, time_point now);
     void observe_answer(const answer_report& report, time_point now);
