Add the request runner of an agent and its permit client

Cause: requests have to pass through queue, slots and engine in an order that keeps the pins and the certificates of not having run.

--- a/include/samphiretray/agent/fair_queue.h
+++ b/include/samphiretray/agent/fair_queue.h
@@ -29,6 +29,8 @@
 };
 
 struct queued_request {
+    /// Distinguishes entries, as in `attempt_id`.
+    std::uint64_t peer = 0;
     std::uint64_t request = 0;
     std::uint32_t attempt = 0;
     std::string organisation;
--- /dev/null
+++ b/include/samphiretray/agent/permit_client.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "samphiretray/control/local_load_limit.h"
+#include "samphiretray/control/membership.h"
+#include "samphiretray/net/loop.h"
+#include "samphiretray/node/peer_directory.h"
+#include "samphiretray/platform/engine.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace samphiretray::agent {
+
+/// Asks the holder of the duty `loads` for permits, and falls back to a slow local rate without one.
+class permit_client {
+public:
+    /// `granted` is called with an adapter whose load may start now; it returns false if the load did not
+    /// start, which gives the permit back.
+    permit_client(net::loop& events, std::string endpoint, node::peer_directory& peers,
+                  const control::membership& members,
+                  std::function<bool(const platform::adapter_version&)> granted);
+    ~permit_client();
+    permit_client(const permit_client&) = delete;
+    permit_client& operator=(const permit_client&) = delete;
+
+    struct wanted_load {
+        platform::adapter_version adapter;
+        bool priority = false;
+        std::uint32_t waiting = 0;
+    };
+    /// The loads that are wanted now. Asks for new ones, repeats requests that are due, cancels the others.
+    void update(const std::vector<wanted_load>& wanted);
+    /// The load of a granted permit has ended.
+    void done(const platform::adapter_version& adapter, bool loaded);
+
+    /// Handles a reply; false if `value` is of another kind.
+    [[nodiscard]] bool handle(const wire::message& value);
+
+private:
+    struct request {
+        std::uint64_t round = 0;
+        bool priority = false;
+        time_point first_sent;
+        time_point last_sent;
+        bool in_use = false;
+        bool local = false;
+        node::peer_pointer issuer;
+    };
+
+    void send(const platform::adapter_version& adapter, request& asked, const wanted_load& wanted);
+    static void cancel(const request& asked);
+    void try_local(const platform::adapter_version& adapter, request& asked);
+    void start(const platform::adapter_version& adapter, request& asked, bool local);
+
+    net::loop& loop_;
+    std::string endpoint_;
+    node::peer_directory& peers_;
+    const control::membership& members_;
+    std::function<bool(const platform::adapter_version&)> granted_;
+    std::mt19937_64 random_;
+    control::local_load_limit local_;
+    std::map<platform::adapter_version, request> requests_;
+    std::uint64_t next_round_ = 1;
+    /// Place in the rank order of the entry that is believed to hold the duty.
+    std::size_t issuer_rank_ = 0;
+    /// Last time at which a holder of the duty answered.
+    time_point issuer_seen_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace samphiretray::agent
--- /dev/null
+++ b/include/samphiretray/agent/request_runner-inl.h
@@ -0,0 +1,669 @@
+#pragma once
+
+#include "samphiretray/agent/request_runner.h"
+#include "samphiretray/base/hash.h"
+#include "samphiretray/base/log.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+namespace samphiretray::agent {
+
+/// Concurrent calls of a plain service if the settings name no limit.
+inline constexpr std::uint32_t default_concurrency = 64;
+/// Failed loads in a row after which the requests that wait for the adapter are refused.
+inline constexpr std::uint32_t max_failed_loads = 3;
+/// Longest time that requests of an earlier agent can go on at an engine.
+inline constexpr duration earlier_requests_limit = 60s;
+/// Assumed delay of a load when a request is checked against its deadline.
+inline constexpr duration assumed_load_delay = 250ms;
+inline constexpr duration load_command_timeout = 30s;
+
+template <platform::engine Engine>
+struct request_runner<Engine>::work {
+    attempt_id id;
+    node::peer_pointer from;
+    wire::request_open open;
+    adapter_version adapter;
+    time_point arrived;
+    time_point deadline;
+    time_point started_at;
+    bool waits = false;
+    bool cold = false;
+    bool running = false;
+    bool head_sent = false;
+    int status = 0;
+    std::string content_type;
+    std::uint64_t sent_bytes = 0;
+    std::optional<slot_pin> pin;
+    std::optional<answer_checker> checker;
+    std::unique_ptr<platform::engine_exchange> exchange;
+};
+
+template <platform::engine Engine>
+request_runner<Engine>::request_runner(net::loop& events, const config::agent_settings& settings,
+                                       Engine& endpoint, node::peer_directory& peers,
+                                       const control::membership& members,
+                                       std::function<command_right()> right)
+    : loop_(events), settings_(settings), endpoint_(endpoint), right_(std::move(right)), attempts_({}),
+      queue_({.max_length = settings.max_queue}),
+      permits_(events, settings.endpoint, peers, members,
+               [this](const adapter_version& adapter) { return begin_load(adapter); }),
+      concurrency_(settings.concurrency), rate_since_(events.now()) {}
+
+template <platform::engine Engine>
+request_runner<Engine>::~request_runner() {
+    *alive_ = false;
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::start() {
+    if (!is_engine()) {
+        concurrency_ = concurrency_ == 0 ? default_concurrency : concurrency_;
+        ready_ = true;
+        return;
+    }
+    poll_engine();
+    poll_timer_ = loop_.every(settings_.engine_poll_interval, [this] { poll_engine(); });
+}
+
+template <platform::engine Engine>
+attempt_id request_runner<Engine>::id_of(const node::peer_pointer& from, std::uint64_t request,
+                                         std::uint32_t attempt) {
+    return {hash64(from->identity().vm + "/" + from->identity().incarnation), request, attempt};
+}
+
+template <platform::engine Engine>
+bool request_runner<Engine>::handle(const node::peer_pointer& from, wire::message& value) {
+    if (auto* request = std::get_if<wire::request_open>(&value)) {
+        open(from, std::move(*request));
+    } else if (const auto* cancelled = std::get_if<wire::request_cancel>(&value)) {
+        cancel(from, *cancelled);
+    } else if (!permits_.handle(value)) {
+        return false;
+    }
+    pump();
+    return true;
+}
+
+template <platform::engine Engine>
+std::optional<wire::refusal>
+request_runner<Engine>::reason_to_refuse(const wire::request_open& request) const {
+    if (draining_) {
+        return wire::refusal::draining;
+    }
+    if (!ready_) {
+        return wire::refusal::endpoint_down;
+    }
+    if (!is_engine()) {
+        return request.service == settings_.service ? std::nullopt
+                                                    : std::optional{wire::refusal::unknown_service};
+    }
+    if (request.adapter.empty() || request.version.empty()) {
+        return wire::refusal::bad_request;
+    }
+    return right_().allowed ? std::nullopt : std::optional{wire::refusal::fenced};
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::open(const node::peer_pointer& from, wire::request_open request) {
+    const time_point now = loop_.now();
+    auto fresh = std::make_shared<work>();
+    fresh->id = id_of(from, request.request, request.attempt);
+    fresh->from = from;
+    fresh->open = std::move(request);
+    fresh->adapter = {fresh->open.adapter, fresh->open.version};
+    fresh->arrived = now;
+    fresh->deadline = now + std::chrono::milliseconds{fresh->open.deadline_ms};
+    if (!attempts_.open(fresh->id, now)) {
+        return;
+    }
+    works_.emplace(fresh->id, fresh);
+    if (const auto reason = reason_to_refuse(fresh->open)) {
+        refuse(fresh, *reason, false, "");
+        return;
+    }
+    fresh->cold = is_engine() && !slots_->resident(fresh->adapter);
+    queued_request queued;
+    queued.request = fresh->open.request;
+    queued.attempt = fresh->open.attempt;
+    queued.organisation = fresh->open.organisation;
+    queued.adapter = fresh->adapter;
+    queued.priority = fresh->open.priority;
+    queued.tokens = std::max(fresh->open.tokens, 1U);
+    queued.arrived = now;
+    queued.deadline = fresh->deadline;
+    queued.peer = fresh->id.peer;
+    const push_result pushed = queue_.push(std::move(queued), fresh->cold ? assumed_load_delay : 0s, now);
+    if (pushed.displaced) {
+        refuse_queued(*pushed.displaced, wire::refusal::queue_full, "displaced from the full queue");
+    }
+    if (pushed.refused) {
+        refuse(fresh, *pushed.refused, false, "");
+        return;
+    }
+    if (is_engine()) {
+        // Also for a resident adapter, because it may be evicted before the request runs.
+        fresh->waits = true;
+        slots_->wait_started(fresh->adapter, fresh->open.priority, now);
+    }
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::refuse(const work_pointer& refused, wire::refusal reason, bool forwarded,
+                                    std::string detail) {
+    if (!forwarded && !attempts_.refuse(refused->id, loop_.now())) {
+        forwarded = true;
+    }
+    ++counts_.refused;
+    end_wait(*refused);
+    wire::request_refused message;
+    message.request = refused->open.request;
+    message.attempt = refused->open.attempt;
+    message.reason = reason;
+    message.forwarded = forwarded;
+    message.retry_after_ms = static_cast<std::uint32_t>(
+        std::max<std::int64_t>(milliseconds_in(queue_.estimated_wait(refused->open.priority)), 100));
+    message.detail = std::move(detail);
+    message.load = load();
+    refused->from->send(message);
+    release(refused);
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::refuse_queued(const queued_request& removed, wire::refusal reason,
+                                           std::string detail) {
+    const auto found = works_.find({removed.peer, removed.request, removed.attempt});
+    if (found != works_.end()) {
+        const work_pointer refused = found->second;
+        refuse(refused, reason, false, std::move(detail));
+    }
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::end_wait(work& waiting) {
+    if (!waiting.waits || !slots_) {
+        return;
+    }
+    waiting.waits = false;
+    perform(slots_->wait_ended(waiting.adapter, waiting.open.priority, loop_.now()));
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::cancel(const node::peer_pointer& from, const wire::request_cancel& request) {
+    const auto found = works_.find(id_of(from, request.request, request.attempt));
+    if (found == works_.end()) {
+        return;
+    }
+    const work_pointer cancelled = found->second;
+    if (!cancelled->running) {
+        drop_queued(cancelled->id);
+        refuse(cancelled, wire::refusal::cancelled, false, "cancelled by the entry");
+        return;
+    }
+    finish(cancelled, false, "cancelled by the entry");
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::drop_queued(const attempt_id& id) {
+    (void)queue_.remove_if([&id](const queued_request& each) {
+        return attempt_id{each.peer, each.request, each.attempt} == id;
+    });
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::on_peer_closed(const node::peer_pointer& gone) {
+    std::vector<work_pointer> orphans;
+    for (const work_pointer& each : works_ | std::views::values) {
+        // A call that must not be repeated is left to finish: cancelling cannot undo it.
+        if (each->from == gone && (!each->running || each->open.idempotent)) {
+            orphans.push_back(each);
+        }
+    }
+    for (const work_pointer& orphan : orphans) {
+        cancel(gone, {orphan->open.request, orphan->open.attempt});
+    }
+    pump();
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::on_tick() {
+    attempts_.expire(loop_.now());
+    if (slots_) {
+        perform(slots_->poll(loop_.now()));
+    }
+    learn_rate();
+    pump();
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::pump() {
+    expire_queued();
+    run_queued();
+    want_loads();
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::expire_queued() {
+    for (const queued_request& late : queue_.expire(loop_.now())) {
+        refuse_queued(late, wire::refusal::deadline, "the deadline passed in the queue");
+    }
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::run_queued() {
+    if (!ready_ || (is_engine() && !right_().allowed)) {
+        return;
+    }
+    while (running_ < concurrency_) {
+        const auto next = queue_.pop([this](const queued_request& each) {
+            return !is_engine() || slots_->can_run(each.adapter, each.priority);
+        });
+        if (!next) {
+            return;
+        }
+        const work_pointer started = works_.at({next->peer, next->request, next->attempt});
+        if (is_engine()) {
+            started->pin = slots_->pin(started->adapter, started->open.priority, loop_.now());
+        }
+        if (is_engine() && !started->pin) {
+            refuse(started, wire::refusal::queue_full, false, "the adapter's slot is not available");
+            continue;
+        }
+        end_wait(*started);
+        run(started);
+    }
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::want_loads() {
+    if (!slots_ || !ready_ || !right_().allowed) {
+        return;
+    }
+    std::vector<permit_client::wanted_load> wanted;
+    for (const adapter_version& adapter : slots_->loads_wanted(loop_.now())) {
+        permit_client::wanted_load load;
+        load.adapter = adapter;
+        for (const work_pointer& each : works_ | std::views::values) {
+            if (each->waits && each->adapter == adapter) {
+                ++load.waiting;
+                load.priority = load.priority || each->open.priority;
+                each->cold = true;
+            }
+        }
+        wanted.push_back(std::move(load));
+    }
+    permits_.update(wanted);
+}
+
+template <platform::engine Engine>
+bool request_runner<Engine>::begin_load(const adapter_version& adapter) {
+    const command_right right = right_();
+    if (!right.allowed) {
+        return false;
+    }
+    auto commands = slots_->begin_load(adapter, right.fencing_number, loop_.now());
+    const bool begun = !commands.empty();
+    perform(std::move(commands));
+    return begun;
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::perform(std::vector<slot_command> commands) {
+    for (slot_command& command : commands) {
+        const auto ended = [this, command, alive = alive_](const result<std::string>& incarnation) {
+            if (*alive) {
+                load_ended(command, incarnation);
+            }
+        };
+        switch (command.kind) {
+        case slot_command_kind::load:
+            ++counts_.loads;
+            endpoint_.load(command.order, ended);
+            break;
+        case slot_command_kind::unload:
+            endpoint_.unload(command.order, ended);
+            break;
+        case slot_command_kind::cancel_load:
+            // Engines have no order for this; the load ends by itself and its adapter can be evicted.
+            break;
+        }
+    }
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::load_ended(const slot_command& command, const result<std::string>& incarnation) {
+    const time_point now = loop_.now();
+    if (incarnation) {
+        see_incarnation(*incarnation);
+    }
+    if (command.kind == slot_command_kind::unload) {
+        const bool unloaded = incarnation.has_value() || incarnation.error().code == errc::not_found;
+        perform(slots_->unload_finished(command.id, unloaded, now));
+        pump();
+        return;
+    }
+    load_outcome outcome = load_outcome::loaded;
+    if (!incarnation) {
+        const auto& code = incarnation.error().code;
+        const bool certain = code == errc::load_failed || code == errc::fenced || code == errc::overloaded ||
+                             code == errc::connection_failed;
+        outcome = certain ? load_outcome::failed : load_outcome::unknown;
+        ++counts_.failed_loads;
+        log_event(log_level::warning, "load_failed",
+                  {{"adapter", engine_name(command.order.target)},
+                   {"code", code.message()},
+                   {"detail", incarnation.error().detail}});
+    }
+    perform(slots_->load_finished(command.id, outcome, now));
+    permits_.done(command.order.target, incarnation.has_value());
+    refuse_after_failed_loads(command.order.target);
+    pump();
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::refuse_after_failed_loads(const adapter_version& adapter) {
+    if (slots_->failures(adapter) < max_failed_loads) {
+        return;
+    }
+    for (const queued_request& queued :
+         queue_.remove_if([&adapter](const queued_request& each) { return each.adapter == adapter; })) {
+        refuse_queued(queued, wire::refusal::load_failed, "the adapter could not be loaded");
+    }
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::run(const work_pointer& started) {
+    const time_point now = loop_.now();
+    if (!attempts_.start(started->id)) {
+        if (started->pin) {
+            slots_->unpin(*started->pin, now);
+        }
+        finish(started, false, "the attempt has already run");
+        return;
+    }
+    started->running = true;
+    started->started_at = now;
+    ++running_;
+    ++counts_.started;
+    if (started->cold) {
+        ++counts_.cold_requests;
+        counts_.stall_us += static_cast<std::uint64_t>((now - started->arrived).count());
+    }
+    if (is_engine()) {
+        started->checker.emplace(started->adapter);
+    }
+    platform::engine_call call;
+    call.method = started->open.method;
+    call.path = started->open.path;
+    call.content_type = started->open.content_type;
+    call.body = std::move(started->open.body);
+    call.timeout = std::max<duration>(started->deadline - now, 1ms);
+    const std::weak_ptr<work> weak = started;
+    platform::engine_call_events events;
+    events.on_head = [this, weak](int status, std::string content_type, const std::string& incarnation) {
+        if (const auto running = weak.lock()) {
+            on_head(running, status, std::move(content_type), incarnation);
+        }
+    };
+    events.on_data = [this, weak](std::string_view bytes) {
+        if (const auto running = weak.lock()) {
+            on_data(running, bytes);
+        }
+    };
+    events.on_end = [this, weak](const std::optional<error>& failure) {
+        if (const auto running = weak.lock()) {
+            on_end(running, failure);
+        }
+    };
+    started->exchange = endpoint_.call(std::move(call), std::move(events));
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::on_head(const work_pointer& running, int status, std::string content_type,
+                                     const std::string& incarnation) {
+    if (!running->running) {
+        return;
+    }
+    running->status = status;
+    running->content_type = std::move(content_type);
+    if (running->checker) {
+        running->checker->start(status, running->content_type);
+        see_incarnation(incarnation);
+    }
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::on_data(const work_pointer& running, std::string_view bytes) {
+    if (!running->running) {
+        return;
+    }
+    if (!running->checker) {
+        pass_on(*running, std::string{bytes});
+        return;
+    }
+    auto checked = running->checker->feed(bytes);
+    if (!checked) {
+        finish(running, false, checked.error().detail);
+        return;
+    }
+    pass_on(*running, std::move(*checked));
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::pass_on(work& running, std::string bytes) {
+    if (bytes.empty() || !attempts_.accept_answer(running.id)) {
+        return;
+    }
+    send_head(running);
+    wire::answer_data data;
+    data.request = running.open.request;
+    data.attempt = running.open.attempt;
+    data.offset = running.sent_bytes;
+    running.sent_bytes += bytes.size();
+    data.bytes = std::move(bytes);
+    running.from->send(data);
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::send_head(work& running) {
+    if (running.head_sent) {
+        return;
+    }
+    running.head_sent = true;
+    wire::answer_head head;
+    head.request = running.open.request;
+    head.attempt = running.open.attempt;
+    head.status = static_cast<std::uint16_t>(running.status);
+    head.content_type = running.content_type;
+    head.adapter = running.adapter.adapter;
+    head.version = running.adapter.version;
+    head.cold = running.cold;
+    head.load = load();
+    running.from->send(head);
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::on_end(const work_pointer& running, const std::optional<error>& failure) {
+    if (!running->running) {
+        return;
+    }
+    if (failure && !running->head_sent) {
+        const bool forwarded = running->exchange->may_have_been_sent();
+        if (!forwarded) {
+            log_event(log_level::warning, "endpoint_unreachable", {{"detail", failure->detail}});
+        }
+        const auto reason =
+            failure->code == errc::timeout ? wire::refusal::deadline : wire::refusal::endpoint_down;
+        attempts_.finish(running->id, loop_.now());
+        wire::request_refused message;
+        message.request = running->open.request;
+        message.attempt = running->open.attempt;
+        message.reason = reason;
+        message.forwarded = forwarded;
+        message.retry_after_ms = 1000;
+        message.detail = failure->detail;
+        message.load = load();
+        running->from->send(message);
+        release(running);
+        pump();
+        return;
+    }
+    if (failure) {
+        finish(running, false, failure->detail);
+        return;
+    }
+    if (!running->checker) {
+        finish(running, true, "");
+        return;
+    }
+    if (running->status == 404) {
+        // The engine no longer has the adapter, so it did not run the request; the entry may repeat it.
+        finish(running, false, "the engine has not loaded the adapter");
+        poll_engine();
+        return;
+    }
+    auto rest = running->checker->finish();
+    if (!rest) {
+        finish(running, false, rest.error().detail);
+        return;
+    }
+    pass_on(*running, std::move(*rest));
+    finish(running, true, "");
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::finish(const work_pointer& ended, bool whole, std::string reason) {
+    if (whole) {
+        send_head(*ended);
+    }
+    attempts_.finish(ended->id, loop_.now());
+    ++(whole ? counts_.answered : counts_.cut);
+    wire::answer_end message;
+    message.request = ended->open.request;
+    message.attempt = ended->open.attempt;
+    message.whole = whole;
+    message.length = ended->sent_bytes;
+    message.tokens = ended->checker ? ended->checker->tokens() : std::nullopt;
+    message.reason = std::move(reason);
+    const std::uint32_t bound = std::max(ended->open.tokens, 1U);
+    const std::uint32_t used = message.tokens.value_or(bound);
+    queue_.settle(ended->open.organisation, ended->open.priority, bound, used);
+    recent_tokens_ += used;
+    release(ended);
+    message.load = load();
+    ended->from->send(message);
+    pump();
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::release(const work_pointer& ended) {
+    if (ended->running) {
+        ended->running = false;
+        --running_;
+        if (ended->pin) {
+            slots_->unpin(*ended->pin, loop_.now());
+        }
+    }
+    works_.erase(ended->id);
+    if (ended->exchange) {
+        // The exchange may be running the callback that led here.
+        loop_.post([kept = std::shared_ptr{std::move(ended->exchange)}] {});
+    }
+}
+
+template <platform::engine Engine>
+wire::load_report request_runner<Engine>::load() const {
+    wire::load_report report;
+    report.running = running_;
+    report.queued = static_cast<std::uint32_t>(queue_.size());
+    report.capacity = concurrency_;
+    report.wait_ms = static_cast<std::uint32_t>(milliseconds_in(queue_.estimated_wait(false)));
+    if (slots_) {
+        report.slots = static_cast<std::uint32_t>(slots_->size());
+        report.slots_pinned = static_cast<std::uint32_t>(slots_->pinned());
+    }
+    return report;
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::poll_engine() {
+    if (polling_) {
+        return;
+    }
+    polling_ = true;
+    endpoint_.state([this, alive = alive_](const result<platform::engine_state>& state) {
+        if (!*alive) {
+            return;
+        }
+        polling_ = false;
+        if (state) {
+            on_state(*state);
+        } else {
+            log_event(log_level::warning, "engine_state_failed", {{"detail", state.error().detail}});
+        }
+    });
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::on_state(const platform::engine_state& state) {
+    const time_point now = loop_.now();
+    if (!slots_) {
+        slots_ = std::make_unique<slot_table>(slot_settings{.slots = std::max(state.slots, 1U)});
+        (void)slots_->incarnation_seen(state.incarnation, now);
+        slots_->adopt(state.loaded, now);
+        concurrency_ = concurrency_ == 0 ? std::max(state.batch, 1U) : concurrency_;
+        adopted_at_ = now;
+    }
+    see_incarnation(state.incarnation);
+    // Requests that an earlier agent started hold no pins here, so nothing may be evicted under them.
+    const bool quiet = state.running == 0 || now - *adopted_at_ > earlier_requests_limit;
+    if (!ready_ && quiet) {
+        ready_ = true;
+        log_event(log_level::info, "endpoint_ready",
+                  {{"endpoint", settings_.endpoint}, {"slots", state.slots}, {"batch", state.batch}});
+    }
+    pump();
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::see_incarnation(const std::string& incarnation) {
+    if (!slots_ || incarnation.empty()) {
+        return;
+    }
+    const auto effect = slots_->incarnation_seen(incarnation, loop_.now());
+    if (!effect) {
+        return;
+    }
+    log_event(log_level::warning, "engine_restarted",
+              {{"endpoint", settings_.endpoint},
+               {"incarnation", incarnation},
+               {"lost_adapters", effect->lost.size()}});
+    std::vector<work_pointer> lost;
+    for (const work_pointer& each : works_ | std::views::values) {
+        if (each->running) {
+            lost.push_back(each);
+        }
+    }
+    // The restart may be reported by the answer of a request that runs on the new incarnation. Its pin is
+    // gone as well, so it is repeated like the others.
+    std::ranges::for_each(lost,
+                          [this](const work_pointer& each) { finish(each, false, "the engine restarted"); });
+}
+
+template <platform::engine Engine>
+void request_runner<Engine>::learn_rate() {
+    const time_point now = loop_.now();
+    const duration elapsed = now - rate_since_;
+    if (elapsed < 1s) {
+        return;
+    }
+    if (running_ > 0 && recent_tokens_ > 0) {
+        queue_.served(static_cast<std::uint32_t>(recent_tokens_), elapsed);
+    }
+    recent_tokens_ = 0;
+    rate_since_ = now;
+}
+
+} // namespace samphiretray::agent
--- a/include/samphiretray/platform/engine.h
+++ b/include/samphiretray/platform/engine.h
@@ -43,7 +43,11 @@
 };
 
 struct engine_call {
+    std::string method = "POST";
+    /// Path with query string.
     std::string path;
+    /// Sent as X-Request-Id; empty to send none.
+    std::string request_id;
     std::string content_type;
     std::string body;
     duration timeout = 60s;
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -60,6 +60,9 @@
     bool earlier_may_have_run = false;
     time_point sent_at;
     bool has_head = false;
+    /// Arrival of the head.
+    std::optional<time_point> occupied_from;
+    bool whole = false;
     wire::answer_head head;
     std::uint64_t received = 0;
     /// Body of an answer that is passed on as a whole.
@@ -143,7 +146,7 @@
     started->earlier_may_have_run = request->may_have_run;
     attempts_[request->id] = started;
     ++counts_.attempts;
-    placement_.sent(started->endpoint, now);
+    placement_.sent(started->endpoint);
     ejection_.started(started->endpoint, now);
     if (number == 1) {
         retries_.request_started(request->organisation, started->endpoint, now);
@@ -244,6 +247,7 @@
         return;
     }
     answered->has_head = true;
+    answered->occupied_from = now;
     answered->head = head;
     counts_.cold_starts += head.cold ? 1 : 0;
     placement_.observe_answer(
@@ -334,6 +338,7 @@
         request->response->write(ended->held);
     }
     request->response->finish();
+    ended->whole = true;
     forget(ended);
     request->complete(how);
 }
@@ -401,8 +406,9 @@
     if (found == attempts_.end() || found->second != ended) {
         return;
     }
-    const time_point now = loop_.now();
-    placement_.finished(ended->endpoint, now - ended->sent_at, now);
+    const bool whole = ended->occupied_from && ended->whole;
+    placement_.finished(ended->endpoint,
+                        whole ? std::optional{loop_.now() - *ended->occupied_from} : std::nullopt);
     attempts_.erase(found);
 }
 
