--- a/include/samphiretray/routing/placement.h
+++ b/include/samphiretray/routing/placement.h
@@ -109,6 +109,8 @@
 public:
     placement(placement_settings settings, location here);
     ~placement();
+    placement(const placement&) = delete;
+    placement& operator=(const placement&) = delete;
     placement(placement&&) noexcept;
     placement& operator=(placement&&) noexcept;
 
--- /dev/null
+++ b/src/routing/outlier_ejection.cpp
@@ -0,0 +1,137 @@
+#include "samphiretray/routing/outlier_ejection.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace samphiretray::routing {
+
+namespace {
+
+/// Beyond this exponent every ejection lasts `max_time`; it keeps the shift in range.
+constexpr std::uint32_t max_exponent = 20;
+
+} // namespace
+
+outlier_ejection::outlier_ejection(ejection_settings settings) : settings_(settings) {}
+
+void outlier_ejection::replace_endpoints(std::string_view pool, const std::vector<std::string>& live) {
+    const std::string name{pool};
+    std::erase_if(records_, [&](const auto& known) {
+        return known.second.pool == name && std::ranges::find(live, known.first) == live.end();
+    });
+    for (const std::string& endpoint : live) {
+        records_[endpoint].pool = name;
+    }
+    pools_[name] = {live.size(),
+                    static_cast<std::size_t>(std::ranges::count_if(records_, [&](const auto& known) {
+                        return known.second.pool == name && known.second.now != phase::in_use;
+                    }))};
+}
+
+bool outlier_ejection::usable(std::string_view endpoint, time_point now) const {
+    const auto found = records_.find(std::string{endpoint});
+    if (found == records_.end() || found->second.now == phase::in_use) {
+        return true;
+    }
+    return found->second.now == phase::ejected && now >= found->second.ejected_until;
+}
+
+void outlier_ejection::started(std::string_view endpoint, time_point now) {
+    const auto found = records_.find(std::string{endpoint});
+    if (found == records_.end()) {
+        return;
+    }
+    record& target = found->second;
+    if (target.now == phase::ejected && now >= target.ejected_until) {
+        target.now = phase::trial;
+    }
+}
+
+void outlier_ejection::count(record& target, bool failure, time_point now) const {
+    if (now - target.window_start >= settings_.window) {
+        target.window_start = now;
+        target.attempts = 0;
+        target.failures = 0;
+    }
+    ++target.attempts;
+    target.failures += failure ? 1 : 0;
+    target.consecutive = failure ? target.consecutive + 1 : 0;
+}
+
+bool outlier_ejection::is_outlier(const record& target) const {
+    if (target.consecutive >= settings_.consecutive_failures) {
+        return true;
+    }
+    return target.attempts >= settings_.minimum_attempts &&
+           target.failures >= settings_.failure_rate * target.attempts;
+}
+
+bool outlier_ejection::may_eject(std::string_view pool) const {
+    const auto found = pools_.find(std::string{pool});
+    if (found == pools_.end()) {
+        return false;
+    }
+    const double limit = settings_.max_ejected * static_cast<double>(found->second.endpoints);
+    return static_cast<double>(found->second.ejected + 1) <= limit;
+}
+
+void outlier_ejection::eject(record& target, time_point now) {
+    if (now - target.ejected_until >= settings_.forgiveness) {
+        target.ejections = 0;
+    }
+    const double factor = std::exp2(std::min(target.ejections, max_exponent));
+    const auto time =
+        std::min<std::chrono::duration<double, std::micro>>(settings_.max_time, settings_.base_time * factor);
+    if (target.now == phase::in_use) {
+        ++pools_[target.pool].ejected;
+    }
+    target.now = phase::ejected;
+    target.ejected_until = now + std::chrono::duration_cast<duration>(time);
+    ++target.ejections;
+    target.consecutive = 0;
+    target.attempts = 0;
+    target.failures = 0;
+}
+
+void outlier_ejection::readmit(record& target) {
+    target.now = phase::in_use;
+    --pools_[target.pool].ejected;
+}
+
+void outlier_ejection::succeeded(std::string_view endpoint, time_point now) {
+    const auto found = records_.find(std::string{endpoint});
+    if (found == records_.end()) {
+        return;
+    }
+    count(found->second, false, now);
+    if (found->second.now == phase::trial) {
+        readmit(found->second);
+    }
+}
+
+void outlier_ejection::failed(std::string_view endpoint, time_point now) {
+    const auto found = records_.find(std::string{endpoint});
+    if (found == records_.end() || found->second.now == phase::ejected) {
+        return;
+    }
+    record& target = found->second;
+    count(target, true, now);
+    if (target.now == phase::trial || (is_outlier(target) && may_eject(target.pool))) {
+        eject(target, now);
+    }
+}
+
+void outlier_ejection::abandoned(std::string_view endpoint, time_point now) {
+    const auto found = records_.find(std::string{endpoint});
+    if (found != records_.end() && found->second.now == phase::trial) {
+        found->second.now = phase::ejected;
+        found->second.ejected_until = now;
+    }
+}
+
+std::size_t outlier_ejection::ejected(std::string_view pool) const {
+    const auto found = pools_.find(std::string{pool});
+    return found == pools_.end() ? 0 : found->second.ejected;
+}
+
+} // namespace samphiretray::routing
--- /dev/null
+++ b/src/routing/placement.cpp
@@ -0,0 +1,558 @@
+#include "samphiretray/routing/placement.h"
+
+#include "samphiretray/base/hash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <list>
+#include <optional>
+#include <utility>
+
+namespace samphiretray::routing {
+
+namespace {
+
+using microseconds = std::chrono::duration<double, std::micro>;
+
+struct text_hash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view text) const noexcept { return hash64(text); }
+};
+
+template <typename Value>
+using text_map = std::unordered_map<std::string, Value, text_hash, std::equal_to<>>;
+
+/// Weight of the newest value in moving averages.
+constexpr double average_step = 0.1;
+
+/// Time in which the estimated load delay halves its distance to the configured one without new answers.
+constexpr duration load_delay_half_life = 20s;
+
+std::uint64_t hash_of(const platform::adapter_version& adapter) {
+    return hash64(adapter.version, hash64(adapter.adapter));
+}
+
+/// Mixes two hashes; the finalizer of SplitMix64.
+std::uint64_t mix(std::uint64_t left, std::uint64_t right) {
+    std::uint64_t value = left ^ (right * 0x9E3779B97F4A7C15U);
+    value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9U;
+    value = (value ^ (value >> 27U)) * 0x94D049BB133111EBU;
+    return value ^ (value >> 31U);
+}
+
+/// Score of weighted rendezvous hashing: -weight / ln(u) with u uniform in (0, 1).
+double rendezvous_score(std::uint64_t hash, double weight) {
+    constexpr double scale = 0x1p-53;
+    const double uniform = (static_cast<double>(hash >> 11U) + 0.5) * scale;
+    return -weight / std::log(uniform);
+}
+
+double halved(duration age, duration half_life) {
+    return std::exp2(-microseconds{age} / microseconds{half_life});
+}
+
+double average(double old, double value) {
+    return old + average_step * (value - old);
+}
+
+struct node {
+    endpoint info;
+    std::uint64_t hash = 0;
+    microseconds round_trip{};
+    bool remote = false;
+    wire::load_report report;
+    std::optional<time_point> reported_at;
+    /// Attempts of this entry.
+    std::uint32_t outstanding = 0;
+    std::uint32_t outstanding_at_report = 0;
+    microseconds service_time{};
+};
+
+struct hint {
+    std::uint64_t endpoint = 0;
+    time_point seen;
+};
+
+struct adapter_record {
+    std::vector<hint> hints;
+    std::size_t homes = 1;
+    time_point grown_at;
+    std::optional<time_point> low_since;
+    std::list<std::uint64_t>::iterator recency;
+};
+
+struct scored {
+    std::uint32_t node = 0;
+    bool tried = false;
+    bool beyond_bound = false;
+    bool resident = false;
+    /// Microseconds.
+    double cost = 0.0;
+    double rendezvous = 0.0;
+};
+
+/// True if `left` is a worse choice than `right`; the order of a heap with the best choice on top.
+bool worse(const scored& left, const scored& right) {
+    if (left.tried != right.tried) {
+        return left.tried;
+    }
+    if (left.beyond_bound != right.beyond_bound) {
+        return left.beyond_bound;
+    }
+    if (left.cost != right.cost) {
+        return left.cost > right.cost;
+    }
+    return left.rendezvous < right.rendezvous;
+}
+
+} // namespace
+
+class placement::state {
+public:
+    state(placement_settings settings, location here)
+        : settings_(settings), here_(std::move(here)), load_delay_(settings.load_time) {}
+
+    void replace_endpoints(const std::vector<endpoint>& live);
+    std::vector<candidate> candidates(const placement_request& request, time_point now,
+                                      const usable_predicate& usable);
+    node* find(std::string_view endpoint);
+    void observe_load(std::string_view endpoint, const wire::load_report& load, time_point now);
+    void observe_cold_start(duration time_to_head, time_point now);
+    void add_hint(std::string_view endpoint, const platform::adapter_version& adapter, time_point now);
+    void remove_hint(std::string_view endpoint, const platform::adapter_version& adapter);
+    void forget_residency(std::string_view endpoint);
+    void observe_service_time(node& of, duration occupied) const;
+    [[nodiscard]] std::size_t homes(const platform::adapter_version& adapter) const;
+    [[nodiscard]] duration load_delay() const { return std::chrono::duration_cast<duration>(load_delay_); }
+
+private:
+    struct estimate {
+        double load = 0.0;
+        double capacity = 1.0;
+        microseconds wait{};
+    };
+
+    [[nodiscard]] node make_node(const endpoint& info) const;
+    [[nodiscard]] estimate estimate_of(const node& of, time_point now) const;
+    [[nodiscard]] microseconds price_of(const node& to, std::size_t bytes) const;
+    [[nodiscard]] microseconds cold_cost(const node& at, bool home) const;
+    void estimate_pool(const std::vector<std::uint32_t>& pool, time_point now);
+    void score_pool(const std::vector<std::uint32_t>& pool, const placement_request& request);
+    void place_adapter(std::uint64_t adapter, time_point now);
+    void mark_homes(std::size_t count);
+    void mark_residents(const adapter_record& record, time_point now);
+    void adjust_homes(adapter_record& record, time_point now) const;
+    void decay_load_delay(time_point now);
+    adapter_record& record_of(std::uint64_t adapter);
+    void drop_oldest_records();
+    [[nodiscard]] std::vector<candidate> take_best(const usable_predicate& usable);
+
+    placement_settings settings_;
+    location here_;
+    std::vector<node> nodes_;
+    text_map<std::uint32_t> by_name_;
+    std::unordered_map<std::uint64_t, std::uint32_t> by_hash_;
+    text_map<std::vector<std::uint32_t>> pools_;
+    std::unordered_map<std::uint64_t, adapter_record> adapters_;
+    /// Adapters with records, the most recently used one first.
+    std::list<std::uint64_t> recency_;
+    std::size_t hints_ = 0;
+    microseconds load_delay_;
+    time_point load_delay_at_;
+
+    // Working storage of `candidates`, kept to avoid allocations.
+    std::vector<estimate> estimates_;
+    std::vector<scored> scored_;
+    std::vector<std::uint32_t> home_positions_;
+    /// Belief that the adapter is resident, from 0 to 1; by position in `scored_`.
+    std::vector<double> belief_;
+    std::vector<std::uint32_t> position_of_node_;
+    double mean_load_ = 0.0;
+};
+
+node placement::state::make_node(const endpoint& info) const {
+    node made;
+    made.info = info;
+    made.hash = hash64(info.name);
+    made.remote = info.at.region != here_.region;
+    made.service_time = settings_.service_time;
+    if (made.remote) {
+        made.round_trip = settings_.round_trip_remote;
+    } else if (info.at.data_centre == here_.data_centre) {
+        made.round_trip = settings_.round_trip_data_centre;
+    } else {
+        made.round_trip = settings_.round_trip_region;
+    }
+    return made;
+}
+
+void placement::state::replace_endpoints(const std::vector<endpoint>& live) {
+    std::vector<node> next;
+    next.reserve(live.size());
+    for (const endpoint& info : live) {
+        node made = make_node(info);
+        if (const node* known = find(info.name)) {
+            made.report = known->report;
+            made.reported_at = known->reported_at;
+            made.outstanding = known->outstanding;
+            made.outstanding_at_report = known->outstanding_at_report;
+            made.service_time = known->service_time;
+        }
+        next.push_back(std::move(made));
+    }
+    nodes_ = std::move(next);
+    by_name_.clear();
+    by_hash_.clear();
+    pools_.clear();
+    for (std::uint32_t index = 0; index < nodes_.size(); ++index) {
+        by_name_.emplace(nodes_[index].info.name, index);
+        by_hash_.emplace(nodes_[index].hash, index);
+        pools_[nodes_[index].info.pool].push_back(index);
+    }
+    position_of_node_.assign(nodes_.size(), 0);
+}
+
+node* placement::state::find(std::string_view endpoint) {
+    const auto found = by_name_.find(endpoint);
+    return found == by_name_.end() ? nullptr : &nodes_[found->second];
+}
+
+placement::state::estimate placement::state::estimate_of(const node& of, time_point now) const {
+    estimate result;
+    result.capacity = std::max(1U, of.report.capacity != 0 ? of.report.capacity : settings_.capacity);
+    result.load = of.outstanding;
+    if (of.reported_at) {
+        const double reported = static_cast<double>(of.report.running) + of.report.queued;
+        const double others = std::max(0.0, reported - of.outstanding_at_report);
+        const double trust = halved(now - *of.reported_at, settings_.report_half_life);
+        result.load += others * trust;
+        if (of.report.queued > 0) {
+            result.wait = microseconds{of.report.wait_ms * 1000.0 * trust};
+        }
+    }
+    const double excess = std::max(0.0, result.load - result.capacity + 1.0);
+    result.wait = std::max(result.wait, of.service_time * (excess / result.capacity));
+    return result;
+}
+
+void placement::state::estimate_pool(const std::vector<std::uint32_t>& pool, time_point now) {
+    estimates_.clear();
+    double load = 0.0;
+    for (const std::uint32_t index : pool) {
+        estimates_.push_back(estimate_of(nodes_[index], now));
+        load += estimates_.back().load;
+    }
+    mean_load_ = load / static_cast<double>(pool.size());
+}
+
+microseconds placement::state::price_of(const node& to, std::size_t bytes) const {
+    if (!to.remote) {
+        return to.round_trip;
+    }
+    return to.round_trip + microseconds{static_cast<double>(bytes) * settings_.remote_byte_ns / 1000.0};
+}
+
+microseconds placement::state::cold_cost(const node& at, bool home) const {
+    microseconds cost = load_delay_;
+    if (!home) {
+        cost += settings_.spread_cost;
+    }
+    // One slot is kept for priority customers, so a load waits for a request to end.
+    if (at.report.slots > 0 && at.report.slots_pinned + 1 >= at.report.slots) {
+        cost += at.service_time;
+    }
+    return cost;
+}
+
+void placement::state::score_pool(const std::vector<std::uint32_t>& pool, const placement_request& request) {
+    scored_.clear();
+    for (std::uint32_t position = 0; position < pool.size(); ++position) {
+        const node& at = nodes_[pool[position]];
+        const estimate& expected = estimates_[position];
+        scored entry;
+        entry.node = pool[position];
+        entry.resident = true;
+        entry.tried = std::ranges::find(request.tried, at.info.name) != request.tried.end();
+        const microseconds busy = microseconds{settings_.busy_cost} * (expected.load / expected.capacity);
+        entry.cost = (price_of(at, request.bytes) + expected.wait + busy).count();
+        position_of_node_[entry.node] = position;
+        scored_.push_back(entry);
+    }
+}
+
+void placement::state::mark_homes(std::size_t count) {
+    home_positions_.resize(scored_.size());
+    for (std::uint32_t position = 0; position < scored_.size(); ++position) {
+        home_positions_[position] = position;
+    }
+    const std::size_t homes = std::min(count, home_positions_.size());
+    const auto end = home_positions_.begin() + static_cast<std::ptrdiff_t>(homes);
+    std::partial_sort(home_positions_.begin(), end, home_positions_.end(),
+                      [this](std::uint32_t left, std::uint32_t right) {
+                          return scored_[left].rendezvous > scored_[right].rendezvous;
+                      });
+    home_positions_.resize(homes);
+}
+
+void placement::state::mark_residents(const adapter_record& record, time_point now) {
+    belief_.assign(scored_.size(), 0.0);
+    for (const hint& known : record.hints) {
+        const auto index = by_hash_.find(known.endpoint);
+        if (index == by_hash_.end()) {
+            continue;
+        }
+        const std::uint32_t position = position_of_node_[index->second];
+        if (position < scored_.size() && scored_[position].node == index->second) {
+            belief_[position] = halved(now - known.seen, settings_.hint_half_life);
+        }
+    }
+}
+
+void placement::state::adjust_homes(adapter_record& record, time_point now) const {
+    if (home_positions_.empty()) {
+        return;
+    }
+    microseconds least_wait = microseconds::max();
+    double load = 0.0;
+    double capacity = 0.0;
+    double largest = 0.0;
+    for (const std::uint32_t position : home_positions_) {
+        const estimate& expected = estimates_[position];
+        least_wait = std::min(least_wait, expected.wait);
+        load += expected.load;
+        capacity += expected.capacity;
+        largest = std::max(largest, expected.capacity);
+    }
+    const std::size_t limit = std::min(settings_.max_homes, scored_.size());
+    if (least_wait > settings_.grow_wait) {
+        record.low_since.reset();
+        if (record.homes < limit && now - record.grown_at >= load_delay_) {
+            ++record.homes;
+            record.grown_at = now;
+        }
+        return;
+    }
+    const bool low = record.homes > 1 && load < settings_.shrink_fill * (capacity - largest);
+    if (!low) {
+        record.low_since.reset();
+    } else if (!record.low_since) {
+        record.low_since = now;
+    } else if (now - *record.low_since >= settings_.shrink_hold) {
+        --record.homes;
+        record.low_since = now;
+    }
+}
+
+void placement::state::place_adapter(std::uint64_t adapter, time_point now) {
+    const bool any_local =
+        std::ranges::any_of(scored_, [this](const scored& entry) { return !nodes_[entry.node].remote; });
+    for (scored& entry : scored_) {
+        const node& at = nodes_[entry.node];
+        const double locality = at.remote && any_local ? settings_.remote_weight : 1.0;
+        entry.rendezvous = rendezvous_score(mix(adapter, at.hash), at.info.weight * locality);
+    }
+    adapter_record& record = record_of(adapter);
+    mark_homes(record.homes);
+    adjust_homes(record, now);
+    mark_residents(record, now);
+    for (std::uint32_t position = 0; position < scored_.size(); ++position) {
+        scored& entry = scored_[position];
+        const node& at = nodes_[entry.node];
+        const bool home = std::ranges::find(home_positions_, position) != home_positions_.end();
+        const double belief = belief_[position];
+        const estimate& expected = estimates_[position];
+        entry.resident = belief >= 0.5;
+        entry.cost += cold_cost(at, home).count() * (1.0 - belief);
+        entry.cost += home ? 0.0 : microseconds{settings_.extra_cost}.count() * belief;
+        entry.beyond_bound = !entry.resident && expected.load >= expected.capacity &&
+                             expected.load > settings_.load_bound * mean_load_;
+    }
+    drop_oldest_records();
+}
+
+std::vector<candidate> placement::state::take_best(const usable_predicate& usable) {
+    std::vector<candidate> best;
+    std::ranges::make_heap(scored_, worse);
+    while (!scored_.empty() && best.size() < settings_.max_candidates) {
+        std::ranges::pop_heap(scored_, worse);
+        const scored chosen = scored_.back();
+        scored_.pop_back();
+        const std::string_view name = nodes_[chosen.node].info.name;
+        if (!usable || usable(name)) {
+            const auto cost = std::chrono::duration_cast<duration>(microseconds{chosen.cost});
+            best.push_back({name, cost, chosen.resident});
+        }
+    }
+    return best;
+}
+
+std::vector<candidate> placement::state::candidates(const placement_request& request, time_point now,
+                                                    const usable_predicate& usable) {
+    const auto pool = pools_.find(request.pool);
+    if (pool == pools_.end()) {
+        return {};
+    }
+    decay_load_delay(now);
+    estimate_pool(pool->second, now);
+    score_pool(pool->second, request);
+    if (!request.adapter.adapter.empty()) {
+        place_adapter(hash_of(request.adapter), now);
+    }
+    return take_best(usable);
+}
+
+void placement::state::observe_load(std::string_view endpoint, const wire::load_report& load,
+                                    time_point now) {
+    if (node* at = find(endpoint)) {
+        at->report = load;
+        at->reported_at = now;
+        at->outstanding_at_report = at->outstanding;
+    }
+}
+
+void placement::state::observe_service_time(node& of, duration occupied) const {
+    of.service_time = microseconds{average(of.service_time.count(), microseconds{occupied}.count())};
+}
+
+void placement::state::decay_load_delay(time_point now) {
+    if (now <= load_delay_at_) {
+        return;
+    }
+    const microseconds configured{settings_.load_time};
+    const double trust = halved(now - load_delay_at_, load_delay_half_life);
+    load_delay_ = configured + (load_delay_ - configured) * trust;
+    load_delay_at_ = now;
+}
+
+void placement::state::observe_cold_start(duration time_to_head, time_point now) {
+    decay_load_delay(now);
+    const double observed =
+        std::max(microseconds{time_to_head}.count(), microseconds{settings_.load_time}.count());
+    load_delay_ = microseconds{average(load_delay_.count(), observed)};
+}
+
+adapter_record& placement::state::record_of(std::uint64_t adapter) {
+    const auto [found, added] = adapters_.try_emplace(adapter);
+    if (added) {
+        recency_.push_front(adapter);
+        found->second.recency = recency_.begin();
+    } else {
+        recency_.splice(recency_.begin(), recency_, found->second.recency);
+    }
+    return found->second;
+}
+
+/// An adapter without hints counts as one, so that the number of records is bounded too.
+void placement::state::drop_oldest_records() {
+    while (hints_ + adapters_.size() > settings_.max_hints && recency_.size() > 1) {
+        const auto oldest = adapters_.find(recency_.back());
+        hints_ -= oldest->second.hints.size();
+        adapters_.erase(oldest);
+        recency_.pop_back();
+    }
+}
+
+void placement::state::add_hint(std::string_view endpoint, const platform::adapter_version& adapter,
+                                time_point now) {
+    const std::uint64_t at = hash64(endpoint);
+    std::vector<hint>& hints = record_of(hash_of(adapter)).hints;
+    const auto known = std::ranges::find(hints, at, &hint::endpoint);
+    if (known != hints.end()) {
+        known->seen = now;
+        return;
+    }
+    hints.push_back({at, now});
+    ++hints_;
+    drop_oldest_records();
+}
+
+void placement::state::remove_hint(std::string_view endpoint, const platform::adapter_version& adapter) {
+    const auto record = adapters_.find(hash_of(adapter));
+    if (record != adapters_.end()) {
+        hints_ -= std::erase_if(record->second.hints,
+                                [at = hash64(endpoint)](const hint& known) { return known.endpoint == at; });
+    }
+}
+
+void placement::state::forget_residency(std::string_view endpoint) {
+    const std::uint64_t at = hash64(endpoint);
+    for (auto& [adapter, record] : adapters_) {
+        hints_ -= std::erase_if(record.hints, [at](const hint& known) { return known.endpoint == at; });
+    }
+}
+
+std::size_t placement::state::homes(const platform::adapter_version& adapter) const {
+    const auto record = adapters_.find(hash_of(adapter));
+    return record == adapters_.end() ? 1 : record->second.homes;
+}
+
+placement::placement(placement_settings settings, location here)
+    : state_(std::make_unique<state>(settings, std::move(here))) {}
+
+placement::~placement() = default;
+placement::placement(placement&&) noexcept = default;
+placement& placement::operator=(placement&&) noexcept = default;
+
+void placement::replace_endpoints(const std::vector<endpoint>& live) {
+    state_->replace_endpoints(live);
+}
+
+std::vector<candidate> placement::candidates(const placement_request& request, time_point now,
+                                             const usable_predicate& usable) {
+    return state_->candidates(request, now, usable);
+}
+
+void placement::sent(std::string_view endpoint) {
+    if (node* at = state_->find(endpoint)) {
+        ++at->outstanding;
+    }
+}
+
+void placement::finished(std::string_view endpoint, std::optional<duration> occupied) {
+    node* at = state_->find(endpoint);
+    if (at == nullptr) {
+        return;
+    }
+    at->outstanding -= std::min(at->outstanding, 1U);
+    if (occupied) {
+        state_->observe_service_time(*at, *occupied);
+    }
+}
+
+void placement::observe_load(std::string_view endpoint, const wire::load_report& load, time_point now) {
+    state_->observe_load(endpoint, load, now);
+}
+
+void placement::observe_answer(const answer_report& report, time_point now) {
+    state_->observe_load(report.endpoint, report.load, now);
+    if (report.adapter.adapter.empty()) {
+        return;
+    }
+    state_->add_hint(report.endpoint, report.adapter, now);
+    if (report.cold) {
+        state_->observe_cold_start(report.time_to_head, now);
+    }
+}
+
+void placement::observe_refusal(std::string_view endpoint, const platform::adapter_version& adapter,
+                                wire::refusal reason, const wire::load_report& load, time_point now) {
+    state_->observe_load(endpoint, load, now);
+    if (reason == wire::refusal::load_failed) {
+        state_->remove_hint(endpoint, adapter);
+    }
+}
+
+void placement::forget_residency(std::string_view endpoint) {
+    state_->forget_residency(endpoint);
+}
+
+std::size_t placement::homes(const platform::adapter_version& adapter) const {
+    return state_->homes(adapter);
+}
+
+duration placement::load_delay() const noexcept {
+    return state_->load_delay();
+}
+
+} // namespace samphiretray::routing
--- /dev/null
+++ b/tests/routing/placement_test.cpp
@@ -0,0 +1,189 @@
+#include "samphiretray/routing/placement.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <set>
+
+using namespace samphiretray;
+using namespace samphiretray::routing;
+
+namespace {
+
+const time_point start{1000s};
+
+endpoint make_endpoint(int number, const std::string& region) {
+    return {"e" + std::to_string(number), "base", {region, region + "-1"}, 1.0};
+}
+
+std::vector<endpoint> fleet(int regions, int each) {
+    std::vector<endpoint> live;
+    for (int region = 0; region < regions; ++region) {
+        for (int number = 0; number < each; ++number) {
+            live.push_back(make_endpoint(region * each + number, "r" + std::to_string(region)));
+        }
+    }
+    return live;
+}
+
+placement_request request_for(const std::string& adapter) {
+    placement_request request;
+    request.pool = "base";
+    if (!adapter.empty()) {
+        request.adapter = {adapter, "1"};
+    }
+    return request;
+}
+
+wire::load_report report_of(std::uint32_t running, std::uint32_t queued) {
+    wire::load_report load;
+    load.running = running;
+    load.queued = queued;
+    load.capacity = 8;
+    return load;
+}
+
+void answer(placement& target, std::string_view endpoint, const std::string& adapter, bool cold,
+            duration time_to_head, time_point now) {
+    target.observe_answer({endpoint, {adapter, "1"}, cold, time_to_head, report_of(1, 0)}, now);
+}
+
+} // namespace
+
+TEST_CASE("a cold adapter goes to the same home from every entry of a region") {
+    placement one{{}, {"r0", "r0-1"}};
+    placement other{{}, {"r0", "r0-2"}};
+    one.replace_endpoints(fleet(3, 4));
+    other.replace_endpoints(fleet(3, 4));
+    for (int number = 0; number < 50; ++number) {
+        const auto request = request_for("a" + std::to_string(number));
+        CHECK(one.candidates(request, start).front().endpoint ==
+              other.candidates(request, start).front().endpoint);
+    }
+}
+
+TEST_CASE("an endpoint that leaves moves only its own adapters") {
+    placement target{{}, {"r0", "r0-1"}};
+    auto live = fleet(1, 8);
+    target.replace_endpoints(live);
+    std::vector<std::string> before;
+    for (int number = 0; number < 200; ++number) {
+        before.emplace_back(
+            target.candidates(request_for("a" + std::to_string(number)), start).front().endpoint);
+    }
+    live.pop_back();
+    target.replace_endpoints(live);
+    for (int number = 0; number < 200; ++number) {
+        const auto after = target.candidates(request_for("a" + std::to_string(number)), start);
+        if (before[number] != "e7") {
+            CHECK(after.front().endpoint == before[number]);
+        }
+    }
+}
+
+TEST_CASE("a remote resident adapter beats a slow local load, a local load beats many remote bytes") {
+    placement target{{}, {"r0", "r0-1"}};
+    target.replace_endpoints(fleet(2, 2));
+    answer(target, "e2", "a", false, 40ms, start);
+    CHECK(target.candidates(request_for("a"), start).front().endpoint == "e2");
+    placement_request large = request_for("a");
+    large.bytes = 10'000'000;
+    CHECK(target.candidates(large, start).front().endpoint != "e2");
+}
+
+TEST_CASE("a long queue at the resident engine loses against a load elsewhere") {
+    placement target{{}, {"r0", "r0-1"}};
+    target.replace_endpoints(fleet(1, 3));
+    answer(target, "e1", "a", false, 40ms, start);
+    CHECK(target.candidates(request_for("a"), start).front().endpoint == "e1");
+    target.observe_load("e1", report_of(8, 40), start);
+    CHECK(target.candidates(request_for("a"), start).front().endpoint != "e1");
+}
+
+TEST_CASE("a failed load removes the residency hint") {
+    placement target{{}, {"r0", "r0-1"}};
+    target.replace_endpoints(fleet(2, 1));
+    answer(target, "e1", "a", false, 40ms, start);
+    REQUIRE(target.candidates(request_for("a"), start).front().endpoint == "e1");
+    target.observe_refusal("e1", {"a", "1"}, wire::refusal::load_failed, report_of(0, 0), start);
+    CHECK(target.candidates(request_for("a"), start).front().endpoint == "e0");
+}
+
+TEST_CASE("a hot adapter gets more homes and loses them only after a quiet time") {
+    placement target{{}, {"r0", "r0-1"}};
+    target.replace_endpoints(fleet(1, 4));
+    const auto load_all = [&](const wire::load_report& load, time_point now) {
+        for (const char* name : {"e0", "e1", "e2", "e3"}) {
+            target.observe_load(name, load, now);
+        }
+        (void)target.candidates(request_for("a"), now);
+    };
+    load_all(report_of(8, 8), start);
+    load_all(report_of(8, 8), start + 1s);
+    CHECK(target.homes({"a", "1"}) == 3);
+    load_all(report_of(0, 0), start + 2s);
+    load_all(report_of(0, 0), start + 20s);
+    CHECK(target.homes({"a", "1"}) == 3);
+    load_all(report_of(0, 0), start + 33s);
+    CHECK(target.homes({"a", "1"}) == 2);
+}
+
+TEST_CASE("plain services use the least loaded endpoint of the own region first") {
+    placement target{{}, {"r1", "r1-1"}};
+    target.replace_endpoints(fleet(2, 2));
+    target.observe_load("e2", report_of(4, 0), start);
+    target.observe_load("e3", report_of(2, 0), start);
+    CHECK(target.candidates(request_for(""), start).front().endpoint == "e3");
+    target.observe_load("e2", report_of(8, 8), start);
+    target.observe_load("e3", report_of(8, 8), start);
+    const auto far = target.candidates(request_for(""), start).front().endpoint;
+    CHECK((far == "e0" || far == "e1"));
+}
+
+TEST_CASE("an old load report loses its weight") {
+    placement target{{}, {"r0", "r0-1"}};
+    target.replace_endpoints(fleet(1, 2));
+    target.observe_load("e0", report_of(8, 8), start);
+    target.observe_load("e1", report_of(2, 0), start + 60s);
+    CHECK(target.candidates(request_for(""), start + 60s).front().endpoint == "e0");
+}
+
+TEST_CASE("candidates are distinct, usable and have tried ones last") {
+    REQUIRE(rc::check([](std::vector<std::uint8_t> events) {
+        placement target{{}, {"r0", "r0-1"}};
+        target.replace_endpoints(fleet(2, 3));
+        const std::vector<std::string> tried{"e0", "e3"};
+        time_point now = start;
+        for (const std::uint8_t event : events) {
+            now += std::chrono::milliseconds{event};
+            const std::string name = "e" + std::to_string(event % 6);
+            target.observe_load(name, report_of(event % 16, event % 5), now);
+            target.sent(name);
+            placement_request request = request_for("a" + std::to_string(event % 3));
+            request.tried = tried;
+            const auto usable = [](std::string_view endpoint) { return endpoint != "e1"; };
+            const auto found = target.candidates(request, now, usable);
+            std::set<std::string_view> names;
+            for (const candidate& each : found) {
+                names.insert(each.endpoint);
+            }
+            RC_ASSERT(found.size() == 4U);
+            RC_ASSERT(names.size() == found.size());
+            RC_ASSERT(!names.contains("e1"));
+            RC_ASSERT(std::ranges::find(tried, found[2].endpoint) == tried.end());
+        }
+    }));
+}
+
+TEST_CASE("the number of remembered adapters is bounded") {
+    placement_settings settings;
+    settings.max_hints = 10;
+    placement target{settings, {"r0", "r0-1"}};
+    target.replace_endpoints(fleet(2, 1));
+    answer(target, "e1", "first", false, 40ms, start);
+    REQUIRE(target.candidates(request_for("first"), start).front().endpoint == "e1");
+    for (int number = 0; number < 20; ++number) {
+        answer(target, "e0", "a" + std::to_string(number), false, 40ms, start);
+    }
+    CHECK(target.candidates(request_for("first"), start).front().endpoint == "e0");
+}
