--- /dev/null
+++ b/src/agent/fair_queue.cpp
@@ -0,0 +1,225 @@
+#include "samphiretray/agent/fair_queue.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace samphiretray::agent {
+
+namespace {
+
+/// Weight of the newest observation in the rate's moving average.
+constexpr double rate_step = 0.1;
+
+duration seconds_to_duration(double seconds) {
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds});
+}
+
+} // namespace
+
+fair_queue::fair_queue(queue_settings settings) : settings_(settings), rate_(settings.initial_rate) {}
+
+void fair_queue::set_weight(const std::string& organisation, double weight) {
+    weights_[organisation] = weight;
+}
+
+double fair_queue::weight_of(const std::string& organisation) const {
+    const auto found = weights_.find(organisation);
+    return found == weights_.end() ? 1.0 : found->second;
+}
+
+duration fair_queue::estimated_wait(bool priority) const {
+    const auto tokens = static_cast<double>(priority_.tokens + (priority ? 0 : normal_.tokens));
+    return seconds_to_duration(tokens / rate_);
+}
+
+/// With fair queueing a request waits for its organisation's own tokens and for as many of each other
+/// organisation in proportion to the weights, but never for more than the whole queue.
+duration fair_queue::wait_of(const queued_request& request) const {
+    const service_class& same = request.priority ? priority_ : normal_;
+    const double weight = weight_of(request.organisation);
+    const auto own = same.flows.find(request.organisation);
+    const double own_tokens = own == same.flows.end() ? 0.0 : static_cast<double>(own->second.tokens);
+    const double finish = (own_tokens + request.tokens) / weight;
+    double ahead = own_tokens;
+    for (const auto& [organisation, other] : same.flows) {
+        if (organisation != request.organisation) {
+            ahead += std::min(static_cast<double>(other.tokens), finish * weight_of(organisation));
+        }
+    }
+    if (!request.priority) {
+        ahead += static_cast<double>(priority_.tokens);
+    }
+    return seconds_to_duration(ahead / rate_);
+}
+
+bool fair_queue::has_room(const queued_request& request) const {
+    return size_ < settings_.max_length + (request.priority ? settings_.priority_extra : 0);
+}
+
+std::optional<queued_request> fair_queue::displace_for(const queued_request& request) {
+    if (request.priority) {
+        return std::nullopt;
+    }
+    const auto by_length = [](const auto& left, const auto& right) {
+        return left.second.waiting.size() < right.second.waiting.size();
+    };
+    const auto longest = std::ranges::max_element(normal_.flows, by_length);
+    if (longest == normal_.flows.end()) {
+        return std::nullopt;
+    }
+    const auto own = normal_.flows.find(request.organisation);
+    const std::size_t own_length = own == normal_.flows.end() ? 0 : own->second.waiting.size();
+    if (own_length + 1 >= longest->second.waiting.size()) {
+        return std::nullopt;
+    }
+    flow& shortened = longest->second;
+    queued_request displaced = std::move(shortened.waiting.back());
+    shortened.waiting.pop_back();
+    shortened.tokens -= displaced.tokens;
+    normal_.tokens -= displaced.tokens;
+    --size_;
+    return displaced;
+}
+
+void fair_queue::insert(queued_request request) {
+    service_class& into = class_of(request.priority);
+    flow& of = into.flows[request.organisation];
+    if (of.waiting.empty()) {
+        of.tag = std::max(of.tag, into.virtual_time);
+        of.overtaken = 0;
+    }
+    of.tokens += request.tokens;
+    into.tokens += request.tokens;
+    ++size_;
+    of.waiting.push_back(std::move(request));
+}
+
+push_result fair_queue::push(queued_request request, duration load_delay, time_point now) {
+    const duration left = request.deadline - now;
+    const duration usable =
+        seconds_to_duration(std::chrono::duration<double>{left}.count() * settings_.deadline_part);
+    if (left <= duration::zero() || wait_of(request) + load_delay > usable) {
+        return {wire::refusal::deadline, std::nullopt};
+    }
+    push_result result;
+    if (!has_room(request)) {
+        result.displaced = displace_for(request);
+        if (!result.displaced) {
+            return {wire::refusal::queue_full, std::nullopt};
+        }
+    }
+    insert(std::move(request));
+    return result;
+}
+
+std::optional<queued_request> fair_queue::pop(const runnable_predicate& runnable) {
+    std::optional<queued_request> chosen = pop_from(priority_, runnable);
+    return chosen ? chosen : pop_from(normal_, runnable);
+}
+
+std::optional<queued_request> fair_queue::pop_from(service_class& from, const runnable_predicate& runnable) {
+    flow* best = nullptr;
+    position oldest;
+    for (auto& [organisation, of] : from.flows) {
+        if (best != nullptr && of.tag >= best->tag) {
+            continue;
+        }
+        const position first = std::ranges::find_if(of.waiting, runnable);
+        if (first != of.waiting.end()) {
+            best = &of;
+            oldest = first;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    const position chosen = choose(*best, runnable, oldest);
+    return take(from, *best, chosen, chosen == oldest);
+}
+
+fair_queue::position fair_queue::choose(flow& of, const runnable_predicate& runnable, position oldest) const {
+    if (oldest->adapter == last_adapter_ || of.overtaken >= settings_.max_overtaken) {
+        return oldest;
+    }
+    const position same = std::find_if(oldest, of.waiting.end(), [&](const queued_request& request) {
+        return request.adapter == last_adapter_ && runnable(request);
+    });
+    return same == of.waiting.end() ? oldest : same;
+}
+
+queued_request fair_queue::take(service_class& from, flow& of, position chosen, bool oldest) {
+    queued_request taken = std::move(*chosen);
+    of.waiting.erase(chosen);
+    of.overtaken = oldest ? 0 : of.overtaken + 1;
+    of.tokens -= taken.tokens;
+    from.tokens -= taken.tokens;
+    from.virtual_time = std::max(from.virtual_time, of.tag);
+    of.tag += static_cast<double>(taken.tokens) / weight_of(taken.organisation);
+    last_adapter_ = taken.adapter;
+    --size_;
+    return taken;
+}
+
+void fair_queue::settle(const std::string& organisation, bool priority, std::uint32_t estimated,
+                        std::uint32_t actual) {
+    service_class& in = class_of(priority);
+    const auto found = in.flows.find(organisation);
+    if (found != in.flows.end()) {
+        const double difference = static_cast<double>(actual) - static_cast<double>(estimated);
+        found->second.tag += difference / weight_of(organisation);
+    }
+}
+
+void fair_queue::served(std::uint32_t tokens, duration busy) {
+    const std::chrono::duration<double> seconds = busy;
+    if (seconds.count() > 0.0 && tokens > 0) {
+        rate_ += rate_step * (tokens / seconds.count() - rate_);
+    }
+}
+
+void fair_queue::remove_matching(service_class& from, const runnable_predicate& matches,
+                                 std::vector<queued_request>& removed) {
+    for (auto& [organisation, of] : from.flows) {
+        for (auto at = of.waiting.begin(); at != of.waiting.end();) {
+            if (!matches(*at)) {
+                ++at;
+                continue;
+            }
+            of.tokens -= at->tokens;
+            from.tokens -= at->tokens;
+            --size_;
+            removed.push_back(std::move(*at));
+            at = of.waiting.erase(at);
+        }
+    }
+}
+
+std::vector<queued_request> fair_queue::remove_if(const runnable_predicate& matches) {
+    std::vector<queued_request> removed;
+    remove_matching(priority_, matches, removed);
+    remove_matching(normal_, matches, removed);
+    return removed;
+}
+
+std::vector<queued_request> fair_queue::expire(time_point now) {
+    const auto earliest = next_deadline();
+    if (!earliest || *earliest > now) {
+        return {};
+    }
+    return remove_if([now](const queued_request& request) { return request.deadline <= now; });
+}
+
+std::optional<time_point> fair_queue::next_deadline() const {
+    std::optional<time_point> earliest;
+    for (const service_class* in : {&priority_, &normal_}) {
+        for (const auto& [organisation, of] : in->flows) {
+            for (const queued_request& request : of.waiting) {
+                earliest = earliest ? std::min(*earliest, request.deadline) : request.deadline;
+            }
+        }
+    }
+    return earliest;
+}
+
+} // namespace samphiretray::agent
