Note incarnations once for each link, and count refused answers as free

Cause: every message of a link updated the membership, and an answer with an error status was charged the whole token bound.

Change: peer_directory reports a link when its peer is proven; the settle action charges nothing for answers with status 400 and above.

Measured: compiles; not run yet.

Conclusion: to be covered by the end-to-end tests.

--- a/include/samphiretray/cli/daemon.h
+++ b/include/samphiretray/cli/daemon.h
@@ -10,8 +10,8 @@
     exit_conflict = 3,
 };
 
-/// `samphiretray entry --settings FILE`: runs until a planned stop (SIGTERM, SIGINT or `POST /drain`) is done.
-/// SIGHUP reads the certificates again. `argv[0]` is the subcommand's name.
+/// `samphiretray entry --settings FILE`: runs until a planned stop (SIGTERM, SIGINT or `POST /drain`) is
+/// done. SIGHUP reads the certificates again. `argv[0]` is the subcommand's name.
 [[nodiscard]] int run_entry(int argc, const char** argv);
 
 /// `samphiretray agent --settings FILE`, likewise.
--- a/include/samphiretray/entry/filters-inl.h
+++ b/include/samphiretray/entry/filters-inl.h
@@ -72,8 +72,9 @@
     const time_point deadline = std::min(request->deadline, loop_->now() + max_token_wait);
     request->on_end([rates = rates_, id = request->id, organisation = request->organisation,
                      bound = request->token_bound](const request_end& how) {
-        // Without a report of the endpoint the bound counts, unless nothing ran.
-        const bool ran = how.answered || how.result == outcome::unknown;
+        // Without a report of the endpoint the bound counts, unless nothing ran or the endpoint refused.
+        const bool refused = how.answered && how.status >= 400;
+        const bool ran = !refused && (how.answered || how.result == outcome::unknown);
         rates->settle(id, organisation, ran ? how.tokens.value_or(bound) : 0);
     });
     rates_->reserve(request->id, request->organisation, request->token_bound, deadline,
--- a/include/samphiretray/node/control_plane-inl.h
+++ b/include/samphiretray/node/control_plane-inl.h
@@ -127,7 +127,6 @@
                            return;
                        }
                        if (link) {
-                           on_peer_seen(*link);
                            (*link)->send(value);
                        } else {
                            gossip_.on_peer_failed(loop_.now(), vm);
--- a/include/samphiretray/node/peer_directory.h
+++ b/include/samphiretray/node/peer_directory.h
@@ -44,6 +44,8 @@
 using peer_pointer = std::shared_ptr<peer>;
 
 struct peer_events {
+    /// A link has been opened or accepted, and its peer is known.
+    std::function<void(const peer_pointer& proven)> on_open;
     std::function<void(const peer_pointer& from, wire::message value)> on_message;
     std::function<void(const peer_pointer& gone)> on_closed;
 };
--- a/src/node/peer_directory.cpp
+++ b/src/node/peer_directory.cpp
@@ -185,6 +185,7 @@
     from->proven = std::make_shared<peer>(from->link, peer_identity{value.peer, value.kind, value.region,
                                                                     value.data_centre, value.incarnation});
     proven_[value.peer] = from;
+    handlers_.on_open(from->proven);
     finish_waiting(value.peer, from->proven);
 }
 
