--- a/include/samphiretray/net/http_client.h
+++ b/include/samphiretray/net/http_client.h
@@ -57,7 +57,7 @@
     /// Starts a call. The events run from the loop, never inside this function.
     [[nodiscard]] virtual std::unique_ptr<http_exchange> send(http_call call, http_call_events events) = 0;
 
-    /// Collects the whole answer, at most `max_bytes`; the handle works as for `send`.
+    /// Collects the whole answer, at most `max_bytes` (else `too_large`); the handle works as for `send`.
     [[nodiscard]] std::unique_ptr<http_exchange>
     fetch(http_call call, std::function<void(result<http_answer>)> done, std::size_t max_bytes = 4U << 20U);
 };
--- a/include/samphiretray/net/http_server.h
+++ b/include/samphiretray/net/http_server.h
@@ -47,8 +47,8 @@
     /// Idle keep-alive time.
     duration idle_timeout = 60s;
     /// PEM files; both empty for plain HTTP.
-    std::string certificate_file;
-    std::string private_key_file;
+    std::string certificate_file = {};
+    std::string private_key_file = {};
 };
 
 /// An HTTP/1.1 and HTTP/2 server on h2o.
--- a/include/samphiretray/net/loop.h
+++ b/include/samphiretray/net/loop.h
@@ -37,6 +37,9 @@
     /// Calls `action` from the loop, after the callback that is running now has returned.
     void post(std::function<void()> action);
 
+    /// Destroys `object` after the callback that is running now has returned, at the latest with the loop.
+    void dispose_later(std::shared_ptr<void> object);
+
     /// Calls `action` from the loop when the process receives `signal_number` (self-pipe).
     void on_signal(int signal_number, std::function<void()> action);
 
--- /dev/null
+++ b/src/net/connection_pool.cpp
@@ -0,0 +1,83 @@
+#include "connection_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace samphiretray::net {
+
+namespace {
+
+// Shorter than the idle time of common servers (60 s), so that it is mostly the client that closes. A request
+// that crosses a server's close would fail without an answer.
+constexpr duration idle_limit = 20s;
+constexpr duration cleaning_interval = 5s;
+// For each peer; bounds the descriptors that a burst leaves behind.
+constexpr std::size_t max_idle = 256;
+
+} // namespace
+
+connection_pool::~connection_pool() {
+    for (const auto& [peer, connections] : idle_) {
+        for (const auto& connection : connections) {
+            h2o_socket_close(connection->socket);
+        }
+    }
+}
+
+h2o_socket_t* connection_pool::take(const address& peer) {
+    const auto found = idle_.find(peer);
+    if (found == idle_.end() || found->second.empty()) {
+        return nullptr;
+    }
+    // The one used last is the least likely to be closed by the peer.
+    h2o_socket_t* socket = found->second.back()->socket;
+    found->second.pop_back();
+    h2o_socket_read_stop(socket);
+    return socket;
+}
+
+void connection_pool::put(const address& peer, h2o_socket_t* socket) {
+    auto& connections = idle_[peer];
+    if (connections.size() >= max_idle) {
+        h2o_socket_close(socket);
+        return;
+    }
+    connections.push_back(
+        std::make_unique<idle_connection>(idle_connection{this, peer, socket, events_.now() + idle_limit}));
+    socket->data = connections.back().get();
+    h2o_socket_read_start(socket, on_idle_read);
+    if (!cleaner_) {
+        cleaner_ = events_.every(cleaning_interval, [this] { close_expired(); });
+    }
+}
+
+void connection_pool::on_idle_read(h2o_socket_t* socket, const char*) {
+    // The peer has closed, or has sent bytes that no request asked for.
+    auto* connection = static_cast<idle_connection*>(socket->data);
+    h2o_socket_close(socket);
+    connection->pool->remove(connection);
+}
+
+void connection_pool::remove(idle_connection* connection) {
+    auto& connections = idle_[connection->peer];
+    std::erase_if(connections, [connection](const auto& each) { return each.get() == connection; });
+}
+
+void connection_pool::close_expired() {
+    const time_point now = events_.now();
+    for (auto& [peer, connections] : idle_) {
+        std::erase_if(connections, [now](const auto& connection) {
+            if (connection->expires > now) {
+                return false;
+            }
+            h2o_socket_close(connection->socket);
+            return true;
+        });
+    }
+    std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
+    if (idle_.empty()) {
+        cleaner_.reset();
+    }
+}
+
+} // namespace samphiretray::net
--- /dev/null
+++ b/src/net/h2o_response.cpp
@@ -0,0 +1,307 @@
+#include "h2o_response.h"
+
+#include "http_reason.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace samphiretray::net {
+
+namespace {
+
+// A caller that has sent a part of its next request keeps the socket readable, so whether it is still there
+// is asked at this interval instead.
+constexpr duration leave_check_interval = 200ms;
+// An aborted answer whose caller does not read is cut off after this time.
+constexpr duration abort_time_limit = 2s;
+constexpr int http_1_1 = 0x101;
+constexpr int http_2 = 0x200;
+
+bool same_name(std::string_view left, std::string_view right) {
+    return h2o_lcstris(left.data(), left.size(), right.data(), right.size()) != 0;
+}
+
+std::string lower_case(std::string text) {
+    h2o_strtolower(text.data(), text.size());
+    return text;
+}
+
+bool has_left(int descriptor) {
+    pollfd state{descriptor, POLLRDHUP, 0};
+    return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+} // namespace
+
+h2o_response::h2o_response(server_connection& connection, h2o_req_t* request)
+    : connection_(&connection), core_(connection.core), request_(request),
+      is_head_(h2o_memis(request->input.method.base, request->input.method.len, H2O_STRLIT("HEAD")) != 0) {
+    if (request->version < http_2) {
+        socket_ = connection.socket;
+    }
+    generator_.owner = this;
+    generator_.base.proceed = [](h2o_generator_t* self, h2o_req_t*) {
+        reinterpret_cast<generator*>(self)->owner->on_proceed();
+    };
+}
+
+void h2o_response::attach() {
+    using reference = std::shared_ptr<h2o_response>;
+    void* memory = h2o_mem_alloc_shared(&request_->pool, sizeof(reference), [](void* held) {
+        auto* self = static_cast<reference*>(held);
+        (*self)->on_disposed();
+        self->~reference();
+    });
+    new (memory) reference(shared_from_this());
+    ++connection_->requests;
+    watch();
+}
+
+void h2o_response::watch() {
+    if (socket_ == nullptr) {
+        return;
+    }
+    connection_->current = this;
+    // Bytes of a next request must stay in the kernel: reading them could move the buffer that h2o's request
+    // points into.
+    h2o_socket_dont_read(socket_, 1);
+    h2o_socket_read_start(socket_, [](h2o_socket_t* socket, const char*) {
+        h2o_response* current = static_cast<server_connection*>(socket->on_close.data)->current;
+        if (current != nullptr) {
+            current->shared_from_this()->on_readable();
+        }
+    });
+}
+
+void h2o_response::unwatch() {
+    recheck_.reset();
+    if (socket_ != nullptr) {
+        h2o_socket_read_stop(socket_);
+        h2o_socket_dont_read(socket_, 0);
+    }
+}
+
+void h2o_response::on_readable() {
+    if (request_ == nullptr || socket_ == nullptr) {
+        return;
+    }
+    if (has_left(h2o_socket_get_fd(socket_))) {
+        break_connection();
+        return;
+    }
+    h2o_socket_read_stop(socket_);
+    recheck_ = core_->events().after(leave_check_interval, [this] {
+        const auto self = shared_from_this();
+        on_readable();
+    });
+}
+
+void h2o_response::break_connection() {
+    if (request_ == nullptr) {
+        return;
+    }
+    const auto self = shared_from_this();
+    if (socket_ != nullptr) {
+        unwatch();
+        ::shutdown(h2o_socket_get_fd(socket_), SHUT_RDWR);
+    }
+    if (!ended_) {
+        ended_ = true;
+        notify_closed();
+    }
+    end_state_ = H2O_SEND_STATE_ERROR;
+    started_ = true;
+    flush();
+}
+
+void h2o_response::notify_closed() {
+    if (const auto action = std::exchange(on_closed_, nullptr)) {
+        action();
+    }
+}
+
+void h2o_response::on_disposed() {
+    unwatch();
+    abort_limit_.reset();
+    request_ = nullptr;
+    connection_->current = nullptr;
+    --connection_->requests;
+    connection_->idle_since = core_->events().now();
+    connection_ = nullptr;
+    if (!ended_) {
+        ended_ = true;
+        // The action must not run inside h2o, which is in the middle of closing the connection.
+        core_->events().post([self = shared_from_this()] { self->notify_closed(); });
+    }
+    core_.reset();
+}
+
+void h2o_response::start(int status, const http_headers& headers) {
+    if (!is_open() || started_) {
+        return;
+    }
+    started_ = true;
+    request_->res.status = status;
+    request_->res.reason = http_reason(status);
+    for (const http_header& header : headers) {
+        add_header(header);
+    }
+    schedule_flush();
+}
+
+void h2o_response::add_header(const http_header& header) {
+    if (same_name(header.name, "content-length")) {
+        std::uint64_t length = 0;
+        const char* end = header.value.data() + header.value.size();
+        if (std::from_chars(header.value.data(), end, length).ptr == end) {
+            length_ = length;
+            request_->res.content_length = length;
+        }
+        return;
+    }
+    if (same_name(header.name, "connection") || same_name(header.name, "transfer-encoding")) {
+        if (same_name(header.value, "close")) {
+            request_->http1_is_persistent = 0;
+        }
+        return;
+    }
+    const std::string name = lower_case(header.name);
+    const auto kept_name = h2o_strdup(&request_->pool, name.data(), name.size());
+    const auto kept_value = h2o_strdup(&request_->pool, header.value.data(), header.value.size());
+    h2o_add_header_by_str(&request_->pool, &request_->res.headers, kept_name.base, kept_name.len, 1, nullptr,
+                          kept_value.base, kept_value.len);
+}
+
+void h2o_response::write(std::string_view bytes) {
+    if (!is_open() || !started_) {
+        return;
+    }
+    written_ += bytes.size();
+    if (!is_head_) {
+        pending_ += bytes;
+        schedule_flush();
+    }
+}
+
+void h2o_response::finish() {
+    if (!is_open() || !started_) {
+        return;
+    }
+    const bool complete = is_head_ || !length_ || *length_ == written_;
+    end(complete ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_ERROR);
+}
+
+void h2o_response::abort() {
+    if (!is_open()) {
+        return;
+    }
+    if (!started_) {
+        ended_ = true;
+        break_connection();
+        return;
+    }
+    const bool ends_with_connection = socket_ != nullptr && !length_ && request_->version < http_1_1;
+    if (ends_with_connection) {
+        // To an HTTP/1.0 client an orderly close would mean the end of the body.
+        const linger reset{1, 0};
+        ::setsockopt(h2o_socket_get_fd(socket_), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
+    abort_limit_ = core_->events().after(abort_time_limit, [this] { break_connection(); });
+    end(H2O_SEND_STATE_ERROR);
+}
+
+void h2o_response::end(h2o_send_state_t state) {
+    ended_ = true;
+    on_closed_ = nullptr;
+    end_state_ = state;
+    flush();
+}
+
+std::size_t h2o_response::buffered_bytes() const noexcept {
+    return pending_.size() + (in_flight_ ? sending_.size() : 0);
+}
+
+void h2o_response::schedule_flush() {
+    if (!flush_scheduled_ && !in_flight_) {
+        flush_scheduled_ = true;
+        core_->flush_later(shared_from_this());
+    }
+}
+
+void h2o_response::begin_h2o_response() {
+    if (std::exchange(h2o_started_, true)) {
+        return;
+    }
+    if (request_->res.status == 0) {
+        request_->res.status = 502;
+        request_->res.reason = http_reason(502);
+    }
+    if (core_->is_shutting_down() && socket_ != nullptr) {
+        request_->http1_is_persistent = 0;
+    }
+    const int code = request_->res.status;
+    const bool has_body = !is_head_ && code != 204 && code != 304;
+    is_chunked_ = request_->version == http_1_1 && !length_ && has_body;
+    if (is_chunked_) {
+        h2o_add_header(&request_->pool, &request_->res.headers, H2O_TOKEN_TRANSFER_ENCODING, nullptr,
+                       H2O_STRLIT("chunked"));
+    }
+    // Replaces h2o's filters, of which only the one for chunks is set: it holds back the head of a response
+    // until the first byte of the body is there.
+    h2o_add_prefilter(request_, sizeof(h2o_req_prefilter_t))->on_setup_ostream =
+        [](h2o_req_prefilter_t*, h2o_req_t*, h2o_ostream_t**) {};
+    h2o_start_response(request_, &generator_.base);
+}
+
+void h2o_response::flush() {
+    flush_scheduled_ = false;
+    if (request_ == nullptr || in_flight_ || !started_ || final_sent_) {
+        return;
+    }
+    const bool nothing_new = h2o_started_ && pending_.empty() && !ended_;
+    if (nothing_new) {
+        return;
+    }
+    const auto self = shared_from_this();
+    begin_h2o_response();
+    sending_.clear();
+    sending_.swap(pending_);
+    in_flight_ = !ended_;
+    final_sent_ = ended_;
+    send_parts(ended_ ? end_state_ : H2O_SEND_STATE_IN_PROGRESS);
+}
+
+void h2o_response::send_parts(h2o_send_state_t state) {
+    std::array<h2o_iovec_t, 3> parts{};
+    std::size_t count = 0;
+    if (is_chunked_ && !sending_.empty()) {
+        const int size = std::snprintf(chunk_size_.data(), chunk_size_.size(), "%zx\r\n", sending_.size());
+        parts[count++] = h2o_iovec_init(chunk_size_.data(), static_cast<std::size_t>(size));
+    }
+    if (!sending_.empty()) {
+        parts[count++] = h2o_iovec_init(sending_.data(), sending_.size());
+    }
+    if (is_chunked_) {
+        constexpr std::string_view end_of_chunk = "\r\n";
+        constexpr std::string_view end_of_body = "\r\n0\r\n\r\n";
+        std::string_view end = state == H2O_SEND_STATE_FINAL ? end_of_body : end_of_chunk;
+        // Without data, only the last chunk itself is left to send.
+        end.remove_prefix(sending_.empty() ? end_of_chunk.size() : 0);
+        if (!end.empty()) {
+            parts[count++] = h2o_iovec_init(end.data(), end.size());
+        }
+    }
+    h2o_send(request_, parts.data(), count, state);
+}
+
+void h2o_response::on_proceed() {
+    in_flight_ = false;
+    flush();
+}
+
+} // namespace samphiretray::net
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,355 @@
+#include "samphiretray/net/http_client.h"
+
+#include "connection_pool.h"
+#include "response_parser.h"
+#include "socket_address.h"
+
+#include <h2o.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace samphiretray::net {
+
+namespace {
+
+bool has_line_break(std::string_view text) {
+    return text.find_first_of(std::string_view{"\r\n\0", 3}) != std::string_view::npos;
+}
+
+bool is_well_formed(const http_call& call) {
+    const bool bad_target = call.target.empty() || call.target.find(' ') != std::string::npos;
+    const bool bad_header = std::ranges::any_of(call.headers, [](const http_header& header) {
+        return header.name.empty() || has_line_break(header.name) || has_line_break(header.value);
+    });
+    return !bad_target && !bad_header && !has_line_break(call.target) && !has_line_break(call.method);
+}
+
+bool is_set_by_client(std::string_view name) {
+    constexpr auto names =
+        std::to_array<std::string_view>({"content-length", "transfer-encoding", "connection"});
+    return std::ranges::any_of(names, [name](std::string_view each) {
+        return h2o_lcstris(name.data(), name.size(), each.data(), each.size()) != 0;
+    });
+}
+
+std::string format_head(const http_call& call) {
+    std::string head = call.method + " " + call.target + " HTTP/1.1\r\n";
+    if (find_header(call.headers, "host").empty()) {
+        head += "host: " + to_string(call.peer) + "\r\n";
+    }
+    for (const http_header& header : call.headers) {
+        if (!is_set_by_client(header.name)) {
+            head += header.name + ": " + header.value + "\r\n";
+        }
+    }
+    if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
+        head += "content-length: " + std::to_string(call.body.size()) + "\r\n";
+    }
+    head += "\r\n";
+    return head;
+}
+
+/// One call: connects or takes a pooled connection, writes the request and reads the response.
+class client_call final : public std::enable_shared_from_this<client_call> {
+public:
+    client_call(loop& events, std::shared_ptr<connection_pool> pool, http_call call,
+                http_call_events handlers)
+        : events_(events), pool_(std::move(pool)), call_(std::move(call)), handlers_(std::move(handlers)) {}
+    ~client_call() { cancel(); }
+    client_call(const client_call&) = delete;
+    client_call& operator=(const client_call&) = delete;
+
+    void start();
+    void cancel();
+    [[nodiscard]] bool may_have_been_sent() const noexcept { return sent_; }
+
+private:
+    static client_call& of(h2o_socket_t* socket) { return *static_cast<client_call*>(socket->data); }
+    static void on_connect(h2o_socket_t* socket, const char* failure);
+    static void on_written(h2o_socket_t* socket, const char* failure);
+    static void on_read(h2o_socket_t* socket, const char* failure);
+
+    void connect();
+    void fail_later(errc code, step at, std::string detail);
+    void write_request();
+    void read_head();
+    void read_body();
+    void read_closed(bool orderly);
+    void complete();
+    void fail(errc code, step at, std::string detail);
+    void end(std::optional<error> failure);
+    void on_timeout();
+    [[nodiscard]] bool is_active() const noexcept { return socket_ != nullptr && !ended_; }
+
+    loop& events_;
+    std::shared_ptr<connection_pool> pool_;
+    http_call call_;
+    http_call_events handlers_;
+    std::string head_bytes_;
+    timer_handle timeout_;
+    h2o_socket_t* socket_ = nullptr;
+    response_head head_;
+    body_decoder body_;
+    std::size_t seen_ = 0;
+    bool connected_ = false;
+    bool sent_ = false;
+    bool writing_ = false;
+    bool head_done_ = false;
+    bool ended_ = false;
+};
+
+void client_call::start() {
+    timeout_ = events_.after(call_.timeout, [this] { on_timeout(); });
+    if (!is_well_formed(call_)) {
+        fail_later(errc::protocol_error, step::send, "the request has a malformed target or header");
+        return;
+    }
+    head_bytes_ = format_head(call_);
+    socket_ = pool_->take(call_.peer);
+    if (socket_ != nullptr) {
+        socket_->data = this;
+        write_request();
+        return;
+    }
+    connect();
+}
+
+void client_call::connect() {
+    auto target = to_socket_address(call_.peer);
+    if (target) {
+        socket_ = h2o_socket_connect(events_.native(), target->get(), target->length, on_connect);
+    }
+    if (socket_ == nullptr) {
+        fail_later(errc::connection_failed, step::connect, "no connection can be opened");
+        return;
+    }
+    socket_->data = this;
+}
+
+void client_call::fail_later(errc code, step at, std::string detail) {
+    events_.post([weak = weak_from_this(), code, at, detail = std::move(detail)] {
+        if (const auto self = weak.lock()) {
+            self->fail(code, at, detail);
+        }
+    });
+}
+
+void client_call::on_connect(h2o_socket_t* socket, const char* failure) {
+    const auto self = of(socket).shared_from_this();
+    if (failure != nullptr) {
+        self->fail(errc::connection_failed, step::connect, failure);
+        return;
+    }
+    self->write_request();
+}
+
+void client_call::write_request() {
+    connected_ = true;
+    sent_ = true;
+    writing_ = true;
+    std::array<h2o_iovec_t, 2> parts{h2o_iovec_init(head_bytes_.data(), head_bytes_.size()),
+                                     h2o_iovec_init(call_.body.data(), call_.body.size())};
+    h2o_socket_write(socket_, parts.data(), call_.body.empty() ? 1 : 2, on_written);
+    h2o_socket_read_start(socket_, on_read);
+}
+
+void client_call::on_written(h2o_socket_t* socket, const char* failure) {
+    // After a failed write the peer's response may still be waiting; the end of the call comes from reading.
+    of(socket).writing_ = failure != nullptr;
+}
+
+void client_call::on_read(h2o_socket_t* socket, const char* failure) {
+    const auto self = of(socket).shared_from_this();
+    if (failure != nullptr) {
+        self->read_closed(failure == h2o_socket_error_closed);
+        return;
+    }
+    if (!self->head_done_) {
+        self->read_head();
+    }
+    if (self->is_active() && self->head_done_) {
+        self->read_body();
+    }
+}
+
+void client_call::read_head() {
+    while (is_active() && !head_done_) {
+        const std::string_view input{socket_->input->bytes, socket_->input->size};
+        head_result parsed = parse_response_head(input, seen_, call_.method == "HEAD");
+        seen_ = input.size();
+        if (parsed.progress == parse_progress::incomplete) {
+            return;
+        }
+        if (parsed.progress == parse_progress::malformed || parsed.head.status == 101) {
+            fail(errc::protocol_error, step::receive, "the head of the response is malformed");
+            return;
+        }
+        h2o_buffer_consume(&socket_->input, parsed.head.size);
+        seen_ = 0;
+        // Interim responses such as 100 come before the one that counts.
+        if (parsed.head.status >= 200) {
+            head_done_ = true;
+            head_ = std::move(parsed.head);
+            body_ = body_decoder{head_.framing, head_.length};
+            if (handlers_.on_head) {
+                handlers_.on_head(head_.status, head_.headers);
+            }
+        }
+    }
+}
+
+void client_call::read_body() {
+    const auto decoded = body_.decode(socket_->input->bytes, socket_->input->size);
+    if (decoded.progress == parse_progress::malformed) {
+        fail(errc::protocol_error, step::receive, "a chunk of the response is malformed");
+        return;
+    }
+    if (!decoded.data.empty() && handlers_.on_data) {
+        handlers_.on_data(decoded.data);
+    }
+    if (!is_active()) {
+        return;
+    }
+    h2o_buffer_consume(&socket_->input, decoded.consumed);
+    if (decoded.progress == parse_progress::done) {
+        complete();
+    }
+}
+
+void client_call::read_closed(bool orderly) {
+    if (head_done_ && orderly && body_.may_end_at_close()) {
+        complete();
+        return;
+    }
+    fail(errc::connection_closed, step::receive,
+         head_done_ ? "the connection was closed before the end of the response"
+                    : "the connection was closed before a response came");
+}
+
+void client_call::complete() {
+    const bool reusable = head_.keep_alive && !writing_ && socket_->input->size == 0;
+    if (reusable) {
+        h2o_socket_read_stop(socket_);
+        pool_->put(call_.peer, std::exchange(socket_, nullptr));
+    }
+    end(std::nullopt);
+}
+
+void client_call::fail(errc code, step at, std::string detail) {
+    end(make_error(code, at, to_string(call_.peer), std::move(detail)));
+}
+
+void client_call::end(std::optional<error> failure) {
+    if (ended_) {
+        return;
+    }
+    cancel();
+    if (handlers_.on_end) {
+        const auto action = std::move(handlers_.on_end);
+        action(std::move(failure));
+    }
+}
+
+void client_call::cancel() {
+    ended_ = true;
+    timeout_.reset();
+    if (socket_ != nullptr) {
+        h2o_socket_close(std::exchange(socket_, nullptr));
+    }
+}
+
+void client_call::on_timeout() {
+    const auto self = shared_from_this();
+    const std::string limit = std::to_string(milliseconds_in(call_.timeout)) + " ms";
+    fail(errc::timeout, connected_ ? step::receive : step::connect,
+         connected_ ? "no whole response within " + limit : "no connection within " + limit);
+}
+
+class exchange_handle final : public http_exchange {
+public:
+    explicit exchange_handle(std::shared_ptr<client_call> call) : call_(std::move(call)) {}
+    ~exchange_handle() override { call_->cancel(); }
+    exchange_handle(const exchange_handle&) = delete;
+    exchange_handle& operator=(const exchange_handle&) = delete;
+
+    [[nodiscard]] bool may_have_been_sent() const noexcept override { return call_->may_have_been_sent(); }
+
+private:
+    std::shared_ptr<client_call> call_;
+};
+
+class h2o_client final : public http_client {
+public:
+    explicit h2o_client(loop& events) : events_(events), pool_(std::make_shared<connection_pool>(events)) {}
+
+    std::unique_ptr<http_exchange> send(http_call call, http_call_events handlers) override {
+        auto started = std::make_shared<client_call>(events_, pool_, std::move(call), std::move(handlers));
+        started->start();
+        return std::make_unique<exchange_handle>(std::move(started));
+    }
+
+private:
+    loop& events_;
+    std::shared_ptr<connection_pool> pool_;
+};
+
+/// Collects a response for `http_client::fetch`.
+struct collected_answer {
+    http_answer answer;
+    std::function<void(result<http_answer>)> done;
+    std::size_t max_bytes = 0;
+    std::string peer;
+};
+
+/// Lets `fetch` cancel the exchange from inside its own events.
+class collecting_exchange final : public http_exchange {
+public:
+    std::unique_ptr<http_exchange> inner;
+
+    [[nodiscard]] bool may_have_been_sent() const noexcept override {
+        return inner == nullptr || inner->may_have_been_sent();
+    }
+};
+
+} // namespace
+
+std::unique_ptr<http_client> http_client::create(loop& events) {
+    return std::make_unique<h2o_client>(events);
+}
+
+std::unique_ptr<http_exchange>
+http_client::fetch(http_call call, std::function<void(result<http_answer>)> done, std::size_t max_bytes) {
+    auto collected = std::make_shared<collected_answer>();
+    collected->done = std::move(done);
+    collected->max_bytes = max_bytes;
+    collected->peer = to_string(call.peer);
+    auto handle = std::make_unique<collecting_exchange>();
+    http_call_events handlers;
+    handlers.on_head = [collected](int code, const http_headers& headers) {
+        collected->answer.status = code;
+        collected->answer.headers = headers;
+    };
+    handlers.on_data = [collected, owner = handle.get()](std::string_view bytes) {
+        if (collected->answer.body.size() + bytes.size() <= collected->max_bytes) {
+            collected->answer.body += bytes;
+            return;
+        }
+        owner->inner.reset();
+        collected->done(
+            make_error(errc::too_large, step::receive, collected->peer,
+                       "the response is longer than " + std::to_string(collected->max_bytes) + " bytes"));
+    };
+    handlers.on_end = [collected](std::optional<error> failure) {
+        if (failure) {
+            collected->done(std::move(*failure));
+        } else {
+            collected->done(std::move(collected->answer));
+        }
+    };
+    handle->inner = send(std::move(call), std::move(handlers));
+    return handle;
+}
+
+} // namespace samphiretray::net
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,59 @@
+#include "samphiretray/net/http_server.h"
+
+#include "http_server_core.h"
+#include "listener.h"
+
+#include <utility>
+
+namespace samphiretray::net {
+
+namespace {
+
+class h2o_server final : public http_server {
+public:
+    explicit h2o_server(std::shared_ptr<http_server_core> core) : core_(std::move(core)) {}
+    ~h2o_server() override {
+        listener_.reset();
+        core_->close();
+    }
+    h2o_server(const h2o_server&) = delete;
+    h2o_server& operator=(const h2o_server&) = delete;
+
+    void use_listener(std::unique_ptr<listener> accepting) { listener_ = std::move(accepting); }
+
+    [[nodiscard]] address local_address() const override { return listener_->local_address(); }
+    void stop_accepting() override { listener_->stop(); }
+    void begin_graceful_shutdown() override { core_->begin_graceful_shutdown(); }
+    status reload_certificates() override { return success(); }
+    [[nodiscard]] std::size_t open_connections() const noexcept override { return core_->open_connections(); }
+
+private:
+    std::shared_ptr<http_server_core> core_;
+    std::unique_ptr<listener> listener_;
+};
+
+} // namespace
+
+void http_response::send(int status, const http_headers& headers, std::string_view body) {
+    http_headers with_length = headers;
+    with_length.push_back({"content-length", std::to_string(body.size())});
+    start(status, with_length);
+    write(body);
+    finish();
+}
+
+result<std::unique_ptr<http_server>> http_server::create(loop& events, http_server_options options,
+                                                         http_handler handler) {
+    const address listen = options.listen;
+    auto core = std::make_shared<http_server_core>(events, std::move(options), std::move(handler));
+    auto server = std::make_unique<h2o_server>(core);
+    auto accepting =
+        listener::create(events, listen, [core](h2o_socket_t* socket) { core->add_connection(socket); });
+    if (!accepting) {
+        return accepting.error();
+    }
+    server->use_listener(std::move(accepting).value());
+    return std::unique_ptr<http_server>{std::move(server)};
+}
+
+} // namespace samphiretray::net
--- /dev/null
+++ b/src/net/http_server_core.cpp
@@ -0,0 +1,191 @@
+#include "http_server_core.h"
+
+#include "h2o_response.h"
+#include "lingering_close.h"
+#include "socket_address.h"
+
+#include <h2o/http1.h>
+#include <h2o/http2.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace samphiretray::net {
+
+namespace {
+
+// After a graceful shutdown has begun, idle connections are closed once they have been idle this long. A
+// client that uses its connection within this time learns of the shutdown by "Connection: close" instead of
+// losing a request that crosses the close.
+constexpr duration idle_before_close = 1s;
+constexpr int http_2 = 0x200;
+
+std::string to_text(h2o_iovec_t bytes) {
+    return {bytes.base, bytes.len};
+}
+
+std::string peer_of(h2o_req_t* request) {
+    socket_address peer;
+    request->conn->callbacks->get_peername(request->conn, peer.get());
+    return from_socket_address(peer.get()).host;
+}
+
+http_headers headers_of(const h2o_req_t& request) {
+    http_headers headers;
+    headers.reserve(request.headers.size + 1);
+    headers.push_back({"host", to_text(request.input.authority)});
+    for (std::size_t i = 0; i < request.headers.size; ++i) {
+        const h2o_header_t& header = request.headers.entries[i];
+        headers.push_back({to_text(*header.name), to_text(header.value)});
+    }
+    return headers;
+}
+
+http_request read_request(h2o_req_t* request) {
+    const std::string_view target{request->input.path.base, request->input.path.len};
+    const std::size_t query_at = request->input.query_at;
+    http_request read;
+    read.method = to_text(request->input.method);
+    read.path = target.substr(0, query_at);
+    if (query_at < target.size()) {
+        read.query = target.substr(query_at + 1);
+    }
+    read.headers = headers_of(*request);
+    read.body = to_text(request->entity);
+    read.peer = peer_of(request);
+    return read;
+}
+
+bool has_unread_input(h2o_socket_t* socket) {
+    pollfd state{h2o_socket_get_fd(socket), POLLIN, 0};
+    return socket->input->size != 0 || ::poll(&state, 1, 0) > 0;
+}
+
+} // namespace
+
+http_server_core::http_server_core(loop& events, http_server_options options, http_handler handler)
+    : events_(events), options_(std::move(options)), handler_(std::move(handler)) {
+    configure();
+    h2o_context_init(&context_, events_.native(), &config_);
+    accept_.ctx = &context_;
+    accept_.hosts = config_.hosts;
+}
+
+http_server_core::~http_server_core() {
+    h2o_context_dispose(&context_);
+    h2o_config_dispose(&config_);
+    if (accept_.ssl_ctx != nullptr) {
+        SSL_CTX_free(accept_.ssl_ctx);
+    }
+}
+
+void http_server_core::configure() {
+    h2o_config_init(&config_);
+    config_.server_name = h2o_iovec_init(H2O_STRLIT("samphiretray"));
+    config_.max_request_entity_size = options_.max_body_bytes;
+    const auto idle =
+        static_cast<std::uint64_t>(std::max<std::int64_t>(1, milliseconds_in(options_.idle_timeout)));
+    config_.http1.req_timeout = idle;
+    config_.http2.idle_timeout = idle;
+    h2o_hostconf_t* host = h2o_config_register_host(&config_, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+    h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
+    auto* handler = reinterpret_cast<request_handler*>(h2o_create_handler(path, sizeof(request_handler)));
+    handler->core = this;
+    handler->base.on_req = [](h2o_handler_t* self, h2o_req_t* request) {
+        reinterpret_cast<request_handler*>(self)->core->on_request(request);
+        return 0;
+    };
+    // Requests that h2o refuses itself are bound to the fallback path.
+    auto* logger =
+        reinterpret_cast<request_logger*>(h2o_create_logger(&host->fallback_path, sizeof(request_logger)));
+    logger->core = this;
+    logger->base.log_access = [](h2o_logger_t* self, h2o_req_t* request) {
+        reinterpret_cast<request_logger*>(self)->core->on_request_disposed(request);
+    };
+}
+
+void http_server_core::add_connection(h2o_socket_t* socket) {
+    auto* connection = new server_connection{shared_from_this(), socket, 0, nullptr, events_.now()};
+    connections_.insert(connection);
+    socket->on_close.data = connection;
+    socket->on_close.cb = [](void* data) {
+        auto* closed = static_cast<server_connection*>(data);
+        closed->core->remove_connection(closed);
+    };
+    h2o_accept(&accept_, socket);
+}
+
+void http_server_core::remove_connection(server_connection* connection) {
+    connections_.erase(connection);
+    // h2o still uses its context when this is the last connection.
+    events_.dispose_later(std::move(connection->core));
+    delete connection;
+}
+
+void http_server_core::on_request(h2o_req_t* request) {
+    h2o_socket_t* socket = request->conn->callbacks->get_socket(request->conn);
+    auto& connection = *static_cast<server_connection*>(socket->on_close.data);
+    const auto response = std::make_shared<h2o_response>(connection, request);
+    response->attach();
+    if (handler_) {
+        handler_(read_request(request), response);
+    } else {
+        response->abort();
+    }
+}
+
+void http_server_core::on_request_disposed(h2o_req_t* request) {
+    const bool refused = request->res.status == 400 || request->res.status == 413;
+    if (refused && request->version < http_2 && request->http1_is_persistent == 0) {
+        h2o_socket_t* socket = request->conn->callbacks->get_socket(request->conn);
+        linger_before_close(events_, h2o_socket_get_fd(socket));
+    }
+}
+
+void http_server_core::begin_graceful_shutdown() {
+    h2o_context_request_shutdown(&context_);
+    idle_check_ = events_.every(idle_before_close / 4, [this] { close_idle_connections(); });
+}
+
+void http_server_core::close_idle_connections() {
+    const time_point limit = events_.now() - idle_before_close;
+    for (server_connection* connection : connections_) {
+        const bool idle = connection->requests == 0 && connection->idle_since <= limit;
+        if (idle && !has_unread_input(connection->socket)) {
+            ::shutdown(h2o_socket_get_fd(connection->socket), SHUT_RDWR);
+        }
+    }
+}
+
+void http_server_core::close() {
+    handler_ = nullptr;
+    idle_check_.reset();
+    const auto connections = connections_;
+    for (server_connection* connection : connections) {
+        if (!connections_.contains(connection)) {
+            continue;
+        }
+        ::shutdown(h2o_socket_get_fd(connection->socket), SHUT_RDWR);
+        if (connection->current != nullptr) {
+            connection->current->shared_from_this()->break_connection();
+        }
+    }
+}
+
+void http_server_core::flush_later(std::shared_ptr<h2o_response> response) {
+    if (unflushed_.empty()) {
+        events_.post([self = shared_from_this()] { self->flush_waiting(); });
+    }
+    unflushed_.push_back(std::move(response));
+}
+
+void http_server_core::flush_waiting() {
+    const auto responses = std::exchange(unflushed_, {});
+    for (const auto& response : responses) {
+        response->flush();
+    }
+}
+
+} // namespace samphiretray::net
--- /dev/null
+++ b/src/net/http_server_core.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "samphiretray/net/http_server.h"
+
+#include "listener.h"
+
+#include <h2o.h>
+
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace samphiretray::net {
+
+class h2o_response;
+class http_server_core;
+
+/// One accepted connection; owned by the socket's close callback.
+struct server_connection {
+    std::shared_ptr<http_server_core> core;
+    h2o_socket_t* socket = nullptr;
+    /// Requests given to the handler and not yet ended.
+    std::size_t requests = 0;
+    /// HTTP/1 only: the response that is being made.
+    h2o_response* current = nullptr;
+    time_point idle_since;
+};
+
+/// What outlives the server's handle: h2o's context lives until its last connection has closed.
+class http_server_core : public std::enable_shared_from_this<http_server_core> {
+public:
+    http_server_core(loop& events, http_server_options options, http_handler handler);
+    ~http_server_core();
+    http_server_core(const http_server_core&) = delete;
+    http_server_core& operator=(const http_server_core&) = delete;
+
+    void add_connection(h2o_socket_t* socket);
+    void begin_graceful_shutdown();
+    /// Drops the handler and breaks all connections.
+    void close();
+    /// Runs `h2o_response::flush` at the end of this turn, so that writes of one turn are sent together.
+    void flush_later(std::shared_ptr<h2o_response> response);
+
+    [[nodiscard]] loop& events() noexcept { return events_; }
+    [[nodiscard]] std::size_t open_connections() const noexcept { return connections_.size(); }
+    [[nodiscard]] bool is_shutting_down() const noexcept { return context_.shutdown_requested != 0; }
+    void use_certificate(SSL_CTX* context) noexcept { accept_.ssl_ctx = context; }
+
+private:
+    struct request_handler {
+        h2o_handler_t base;
+        http_server_core* core;
+    };
+    struct request_logger {
+        h2o_logger_t base;
+        http_server_core* core;
+    };
+
+    void configure();
+    void remove_connection(server_connection* connection);
+    void on_request(h2o_req_t* request);
+    void on_request_disposed(h2o_req_t* request);
+    void close_idle_connections();
+    void flush_waiting();
+
+    loop& events_;
+    http_server_options options_;
+    http_handler handler_;
+    h2o_globalconf_t config_{};
+    h2o_context_t context_{};
+    h2o_accept_ctx_t accept_{};
+    std::set<server_connection*> connections_;
+    std::vector<std::shared_ptr<h2o_response>> unflushed_;
+    timer_handle idle_check_;
+};
+
+} // namespace samphiretray::net
--- /dev/null
+++ b/src/net/lingering_close.cpp
@@ -0,0 +1,51 @@
+#include "lingering_close.h"
+
+#include <fcntl.h>
+#include <h2o.h>
+#include <sys/socket.h>
+
+#include <memory>
+
+namespace samphiretray::net {
+
+namespace {
+
+constexpr duration linger_time = 1s;
+
+struct lingering_socket {
+    h2o_socket_t* socket = nullptr;
+    timer_handle limit;
+};
+
+void close_lingering(lingering_socket* lingering) {
+    h2o_socket_close(lingering->socket);
+    delete lingering;
+}
+
+void discard_input(h2o_socket_t* socket, const char* failure) {
+    if (failure != nullptr) {
+        close_lingering(static_cast<lingering_socket*>(socket->data));
+        return;
+    }
+    h2o_buffer_consume(&socket->input, socket->input->size);
+}
+
+} // namespace
+
+void linger_before_close(loop& events, int descriptor) {
+    const int duplicate = ::fcntl(descriptor, F_DUPFD_CLOEXEC, 0);
+    if (duplicate < 0) {
+        return;
+    }
+    ::shutdown(duplicate, SHUT_WR);
+    auto* lingering = new lingering_socket;
+    lingering->socket = h2o_evloop_socket_create(events.native(), duplicate, 0);
+    lingering->socket->data = lingering;
+    lingering->limit = events.after(linger_time, [lingering] {
+        const timer_handle running = std::move(lingering->limit);
+        close_lingering(lingering);
+    });
+    h2o_socket_read_start(lingering->socket, discard_input);
+}
+
+} // namespace samphiretray::net
--- /dev/null
+++ b/src/net/listener.cpp
@@ -0,0 +1,109 @@
+#include "listener.h"
+
+#include "socket_address.h"
+
+#include <h2o.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace samphiretray::net {
+
+namespace {
+
+// Connections accepted in one turn, so that a burst of callers does not hold up the open ones.
+constexpr int accepts_per_turn = 32;
+// Accepting pauses this long when the process has no file descriptor left; the socket stays readable
+// meanwhile, and the loop would spin on it.
+constexpr duration descriptor_shortage_pause = 100ms;
+
+error listen_error(const address& listen, std::string_view call) {
+    return make_error(errc::connection_failed, step::connect, to_string(listen),
+                      std::string{call} + ": " + std::strerror(errno));
+}
+
+result<int> open_socket(const address& listen) {
+    const auto target = to_socket_address(listen);
+    if (!target) {
+        return make_error(errc::connection_failed, step::connect, to_string(listen), "not a numeric address");
+    }
+    const int descriptor = ::socket(target->get()->sa_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (descriptor < 0) {
+        return listen_error(listen, "socket");
+    }
+    const int on = 1;
+    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const bool bound = ::bind(descriptor, target->get(), target->length) == 0;
+    if (!bound || ::listen(descriptor, SOMAXCONN) != 0) {
+        error failure = listen_error(listen, bound ? "listen" : "bind");
+        ::close(descriptor);
+        return failure;
+    }
+    return descriptor;
+}
+
+} // namespace
+
+result<std::unique_ptr<listener>> listener::create(loop& events, const address& listen,
+                                                   std::function<void(st_h2o_socket_t*)> on_socket) {
+    const auto descriptor = open_socket(listen);
+    if (!descriptor) {
+        return descriptor.error();
+    }
+    std::unique_ptr<listener> created{new listener(events, std::move(on_socket))};
+    created->start(*descriptor);
+    return created;
+}
+
+listener::listener(loop& events, std::function<void(st_h2o_socket_t*)> on_socket)
+    : events_(events), on_socket_(std::move(on_socket)) {}
+
+listener::~listener() {
+    stop();
+}
+
+void listener::start(int descriptor) {
+    socket_address local;
+    local.length = sizeof(local.bytes);
+    ::getsockname(descriptor, local.get(), &local.length);
+    local_ = from_socket_address(local.get());
+    socket_ = h2o_evloop_socket_create(events_.native(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
+    socket_->data = this;
+    h2o_socket_read_start(socket_, [](h2o_socket_t* socket, const char*) {
+        static_cast<listener*>(socket->data)->accept_waiting();
+    });
+}
+
+void listener::accept_waiting() {
+    for (int i = 0; i < accepts_per_turn && socket_ != nullptr; ++i) {
+        errno = 0;
+        h2o_socket_t* accepted = h2o_evloop_socket_accept(socket_);
+        if (accepted == nullptr) {
+            if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+                pause();
+            }
+            return;
+        }
+        on_socket_(accepted);
+    }
+}
+
+void listener::pause() {
+    h2o_socket_read_stop(socket_);
+    resume_ = events_.after(descriptor_shortage_pause, [this] {
+        h2o_socket_read_start(socket_, [](h2o_socket_t* socket, const char*) {
+            static_cast<listener*>(socket->data)->accept_waiting();
+        });
+    });
+}
+
+void listener::stop() {
+    resume_.reset();
+    if (socket_ != nullptr) {
+        h2o_socket_close(std::exchange(socket_, nullptr));
+    }
+}
+
+} // namespace samphiretray::net
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,251 @@
+#include "samphiretray/net/loop.h"
+
+#include <fcntl.h>
+#include <h2o.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <csignal>
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+namespace samphiretray::net {
+
+namespace {
+
+// Turns that the destructor gives to sockets that are closing; each close needs at most a few.
+constexpr int closing_turns = 32;
+
+// Write end of the self-pipe of the loop that watches signals; -1 if there is none.
+std::atomic<int> signal_pipe{-1};
+
+void forward_signal(int number) {
+    const int saved = errno;
+    const auto byte = static_cast<unsigned char>(number);
+    // A full pipe already holds enough bytes to wake the loop.
+    [[maybe_unused]] const auto written = ::write(signal_pipe.load(), &byte, 1);
+    errno = saved;
+}
+
+struct timer_entry {
+    std::function<void()> action;
+    // Zero for a timer that fires once.
+    duration interval{0};
+    bool cancelled = false;
+    bool linked = false;
+    std::multimap<time_point, std::shared_ptr<timer_entry>>::iterator place;
+};
+
+class timer_queue {
+public:
+    std::shared_ptr<timer_entry> add(time_point at, duration interval, std::function<void()> action) {
+        auto entry = std::make_shared<timer_entry>();
+        entry->action = std::move(action);
+        entry->interval = interval;
+        link(at, entry);
+        return entry;
+    }
+
+    void cancel(timer_entry& entry) {
+        entry.cancelled = true;
+        if (entry.linked) {
+            entry.linked = false;
+            // The last reference may be the one in the map, so `entry` is not used after this.
+            entries_.erase(entry.place);
+        }
+    }
+
+    void run(time_point now) {
+        while (!entries_.empty() && entries_.begin()->first <= now) {
+            const auto entry = entries_.begin()->second;
+            entries_.erase(entry->place);
+            entry->linked = false;
+            entry->action();
+            if (entry->interval > duration::zero() && !entry->cancelled) {
+                link(now + entry->interval, entry);
+            }
+        }
+    }
+
+    [[nodiscard]] time_point next(time_point otherwise) const {
+        return entries_.empty() ? otherwise : std::min(otherwise, entries_.begin()->first);
+    }
+
+private:
+    void link(time_point at, const std::shared_ptr<timer_entry>& entry) {
+        entry->place = entries_.emplace(at, entry);
+        entry->linked = true;
+    }
+
+    std::multimap<time_point, std::shared_ptr<timer_entry>> entries_;
+};
+
+class queued_timer final : public timer {
+public:
+    queued_timer(std::shared_ptr<timer_queue> queue, std::shared_ptr<timer_entry> entry)
+        : queue_(std::move(queue)), entry_(std::move(entry)) {}
+    ~queued_timer() override { queue_->cancel(*entry_); }
+    queued_timer(const queued_timer&) = delete;
+    queued_timer& operator=(const queued_timer&) = delete;
+
+private:
+    std::shared_ptr<timer_queue> queue_;
+    std::shared_ptr<timer_entry> entry_;
+};
+
+} // namespace
+
+struct loop::implementation {
+    h2o_evloop_t* native = h2o_evloop_create();
+    std::shared_ptr<timer_queue> timers = std::make_shared<timer_queue>();
+    std::vector<std::function<void()>> posted;
+    std::vector<std::shared_ptr<void>> disposed;
+    std::map<int, std::function<void()>> signals;
+    h2o_socket_t* signal_reader = nullptr;
+    bool stopped = false;
+
+    void run_posted() {
+        const auto actions = std::exchange(posted, {});
+        for (const auto& action : actions) {
+            action();
+        }
+        std::exchange(disposed, {}).clear();
+    }
+
+    /// Milliseconds until the next timer or `limit`, rounded up so that a timer never fires early.
+    [[nodiscard]] std::int32_t wait_time(time_point limit) const {
+        // h2o does not look for callbacks that were made ready outside its own turn before it waits.
+        const bool ready = native->_pending_as_client != nullptr || native->_pending_as_server != nullptr;
+        if (ready || stopped || !posted.empty() || !disposed.empty()) {
+            return 0;
+        }
+        const auto wait = timers->next(limit) - monotonic_clock::now();
+        const auto rounded = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
+        return static_cast<std::int32_t>(
+            std::clamp<std::int64_t>(rounded, 0, std::numeric_limits<std::int32_t>::max()));
+    }
+
+    void turn(time_point limit) {
+        // Waiting comes first, so that the callers see the effect of each callback before the next wait.
+        h2o_evloop_run(native, wait_time(limit));
+        timers->run(monotonic_clock::now());
+        run_posted();
+    }
+
+    void read_signals(h2o_socket_t* socket) {
+        const std::string_view bytes{socket->input->bytes, socket->input->size};
+        std::vector<int> numbers;
+        for (const char byte : bytes) {
+            numbers.push_back(static_cast<unsigned char>(byte));
+        }
+        h2o_buffer_consume(&socket->input, socket->input->size);
+        for (const int number : numbers) {
+            if (const auto found = signals.find(number); found != signals.end()) {
+                found->second();
+            }
+        }
+    }
+
+    void open_signal_pipe() {
+        std::array<int, 2> ends{};
+        if (::pipe2(ends.data(), O_CLOEXEC | O_NONBLOCK) != 0) {
+            throw std::runtime_error("no pipe for signals");
+        }
+        signal_pipe = ends[1];
+        signal_reader = h2o_evloop_socket_create(native, ends[0], 0);
+        signal_reader->data = this;
+        h2o_socket_read_start(signal_reader, [](h2o_socket_t* socket, const char* failure) {
+            if (failure == nullptr) {
+                static_cast<implementation*>(socket->data)->read_signals(socket);
+            }
+        });
+    }
+
+    void close_signal_pipe() {
+        if (signal_reader == nullptr) {
+            return;
+        }
+        for (const auto& [number, action] : signals) {
+            std::signal(number, SIG_DFL);
+        }
+        ::close(signal_pipe.exchange(-1));
+        h2o_socket_close(signal_reader);
+    }
+};
+
+loop::loop() : implementation_(std::make_unique<implementation>()) {
+    // Writing to a connection that the peer has closed reports an error instead.
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+loop::~loop() {
+    implementation_->close_signal_pipe();
+    implementation_->posted.clear();
+    for (int i = 0; i < closing_turns; ++i) {
+        std::exchange(implementation_->disposed, {}).clear();
+        h2o_evloop_run(implementation_->native, 0);
+    }
+    h2o_evloop_destroy(implementation_->native);
+}
+
+timer_handle loop::after(duration delay, std::function<void()> action) {
+    auto entry = implementation_->timers->add(now() + delay, duration::zero(), std::move(action));
+    return std::make_unique<queued_timer>(implementation_->timers, std::move(entry));
+}
+
+timer_handle loop::every(duration interval, std::function<void()> action) {
+    const duration at_least = std::max<duration>(interval, 1ms);
+    auto entry = implementation_->timers->add(now() + at_least, at_least, std::move(action));
+    return std::make_unique<queued_timer>(implementation_->timers, std::move(entry));
+}
+
+void loop::post(std::function<void()> action) {
+    implementation_->posted.push_back(std::move(action));
+}
+
+void loop::dispose_later(std::shared_ptr<void> object) {
+    implementation_->disposed.push_back(std::move(object));
+}
+
+void loop::on_signal(int signal_number, std::function<void()> action) {
+    if (implementation_->signal_reader == nullptr) {
+        implementation_->open_signal_pipe();
+    }
+    implementation_->signals[signal_number] = std::move(action);
+    std::signal(signal_number, forward_signal);
+}
+
+void loop::run() {
+    implementation_->stopped = false;
+    while (!implementation_->stopped) {
+        implementation_->turn(time_point::max());
+    }
+}
+
+bool loop::run_until(const std::function<bool()>& done, duration limit) {
+    const time_point end = now() + limit;
+    implementation_->stopped = false;
+    while (!done()) {
+        if (now() >= end || implementation_->stopped) {
+            return done();
+        }
+        implementation_->turn(end);
+    }
+    return true;
+}
+
+void loop::stop() noexcept {
+    implementation_->stopped = true;
+}
+
+st_h2o_evloop_t* loop::native() noexcept {
+    return implementation_->native;
+}
+
+} // namespace samphiretray::net
--- /dev/null
+++ b/src/net/socket_address.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "samphiretray/net/address.h"
+
+#include <sys/socket.h>
+
+#include <optional>
+
+namespace samphiretray::net {
+
+/// An address in the form of the socket calls.
+struct socket_address {
+    sockaddr_storage bytes{};
+    socklen_t length = 0;
+
+    [[nodiscard]] sockaddr* get() noexcept { return reinterpret_cast<sockaddr*>(&bytes); }
+    [[nodiscard]] const sockaddr* get() const noexcept { return reinterpret_cast<const sockaddr*>(&bytes); }
+};
+
+/// Nothing if `value.host` is not numeric.
+[[nodiscard]] std::optional<socket_address> to_socket_address(const address& value);
+
+/// An empty address if the family is neither IPv4 nor IPv6.
+[[nodiscard]] address from_socket_address(const sockaddr* value);
+
+} // namespace samphiretray::net
--- /dev/null
+++ b/tests/net/http_client_test.cpp
@@ -0,0 +1,292 @@
+#include "samphiretray/net/http_client.h"
+#include "samphiretray/net/http_server.h"
+
+#include "tests/net/raw_socket.h"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace samphiretray;
+using namespace samphiretray::net;
+using samphiretray::net::testing::hang_limit;
+using samphiretray::net::testing::raw_listener;
+using samphiretray::net::testing::unused_address;
+
+namespace {
+
+/// One call and what its events said.
+struct recorded_call {
+    int status = 0;
+    http_headers headers;
+    std::string body;
+    bool ended = false;
+    std::optional<error> failure;
+    std::unique_ptr<http_exchange> exchange;
+
+    http_call_events handlers() {
+        return {[this](int code, const http_headers& received) {
+                    status = code;
+                    headers = received;
+                },
+                [this](std::string_view bytes) { body += bytes; },
+                [this](std::optional<error> reason) {
+                    ended = true;
+                    failure = std::move(reason);
+                }};
+    }
+};
+
+struct client_fixture {
+    loop events;
+    raw_listener listener;
+    std::unique_ptr<http_client> client = http_client::create(events);
+
+    bool wait(const std::function<bool()>& done) { return events.run_until(done, hang_limit); }
+
+    void start(recorded_call& call, http_call request) {
+        if (request.peer.port == 0) {
+            request.peer = listener.local_address();
+        }
+        call.exchange = client->send(std::move(request), call.handlers());
+    }
+    void expect_end(recorded_call& call) {
+        REQUIRE(wait([&] { return call.ended; }));
+    }
+    void expect_failure(recorded_call& call, errc code) {
+        expect_end(call);
+        REQUIRE(call.failure);
+        CHECK(call.failure->code == code);
+        CHECK(call.failure->peer == to_string(listener.local_address()));
+    }
+    /// Sends one GET and answers it with `response`; then closes.
+    void exchange_with(recorded_call& call, std::string_view response) {
+        start(call, {});
+        auto peer = listener.accept(events);
+        REQUIRE(peer.receive_until(events, "\r\n\r\n"));
+        peer.send(events, response);
+    }
+};
+
+} // namespace
+
+TEST_CASE("a whole exchange carries method, target, headers and bodies") {
+    client_fixture fixture;
+    recorded_call call;
+    http_call request;
+    request.method = "POST";
+    request.target = "/x?y=1";
+    request.headers = {{"X-A", "b"}, {"Content-Length", "99"}};
+    request.body = "body";
+    fixture.start(call, request);
+    auto peer = fixture.listener.accept(fixture.events);
+    REQUIRE(peer.receive_until(fixture.events, "\r\n\r\nbody"));
+    CHECK(peer.received.rfind("POST /x?y=1 HTTP/1.1\r\n", 0) == 0);
+    CHECK(peer.received.find("X-A: b\r\n") != std::string::npos);
+    CHECK(peer.received.find("content-length: 4\r\n") != std::string::npos);
+    CHECK(peer.received.find("ength: 99") == std::string::npos);
+    peer.send(fixture.events, "HTTP/1.1 201 Created\r\nX-C: d\r\nContent-Length: 2\r\n\r\nok");
+    fixture.expect_end(call);
+    CHECK_FALSE(call.failure);
+    CHECK(call.status == 201);
+    CHECK(find_header(call.headers, "x-c") == "d");
+    CHECK(call.body == "ok");
+}
+
+TEST_CASE("bodies end by length, by chunks, by close and where there can be none") {
+    const auto [response, body] = GENERATE(table<std::string, std::string>({
+        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", "hello"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n", "hello"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-T: 1\r\n\r\n", "hello"},
+        {"HTTP/1.0 200 OK\r\n\r\nhello", "hello"},
+        {"HTTP/1.1 204 No Content\r\n\r\n", ""},
+        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", "a"},
+    }));
+    INFO(response);
+    client_fixture fixture;
+    recorded_call call;
+    fixture.exchange_with(call, response);
+    fixture.expect_end(call);
+    CHECK_FALSE(call.failure);
+    CHECK(call.body == body);
+}
+
+TEST_CASE("a body that ends early is an error") {
+    const std::string response =
+        GENERATE("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhello",
+                 "HTTP/1.1 200 OK\r\nContent-Le", "");
+    INFO(response);
+    client_fixture fixture;
+    recorded_call call;
+    fixture.exchange_with(call, response);
+    fixture.expect_failure(call, errc::connection_closed);
+    CHECK(call.exchange->may_have_been_sent());
+}
+
+TEST_CASE("a close-delimited body that ends with a reset is an error") {
+    client_fixture fixture;
+    recorded_call call;
+    fixture.start(call, {});
+    auto peer = fixture.listener.accept(fixture.events);
+    REQUIRE(peer.receive_until(fixture.events, "\r\n\r\n"));
+    peer.send(fixture.events, "HTTP/1.0 200 OK\r\n\r\nhello");
+    REQUIRE(fixture.wait([&] { return call.body == "hello"; }));
+    peer.reset();
+    fixture.expect_failure(call, errc::connection_closed);
+}
+
+TEST_CASE("malformed responses are protocol errors") {
+    const std::string response =
+        GENERATE("nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 1, 1\r\n\r\na",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\na",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+                 "HTTP/1.1 101 Switching\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n");
+    INFO(response);
+    client_fixture fixture;
+    recorded_call call;
+    fixture.exchange_with(call, response);
+    fixture.expect_failure(call, errc::protocol_error);
+}
+
+TEST_CASE("a head without end is refused instead of filling the memory") {
+    client_fixture fixture;
+    recorded_call call;
+    fixture.exchange_with(call, "HTTP/1.1 200 OK\r\nA: " + std::string(100'000, 'a'));
+    fixture.expect_failure(call, errc::protocol_error);
+}
+
+TEST_CASE("a refused connection certifies that nothing was sent") {
+    client_fixture fixture;
+    recorded_call call;
+    http_call request;
+    request.peer = unused_address();
+    fixture.start(call, request);
+    CHECK_FALSE(call.ended);
+    fixture.expect_end(call);
+    REQUIRE(call.failure);
+    CHECK(call.failure->code == errc::connection_failed);
+    CHECK_FALSE(call.exchange->may_have_been_sent());
+}
+
+TEST_CASE("headers and targets that would split the request are refused without sending") {
+    client_fixture fixture;
+    http_call bad_header;
+    bad_header.headers = {{"X-A", "b\r\nX-C: d"}};
+    http_call bad_target;
+    bad_target.target = "/ HTTP/1.1\r\nX: y";
+    for (const http_call& request : {bad_header, bad_target}) {
+        recorded_call call;
+        fixture.start(call, request);
+        fixture.expect_failure(call, errc::protocol_error);
+        CHECK_FALSE(call.exchange->may_have_been_sent());
+    }
+}
+
+TEST_CASE("a call that takes too long ends with a timeout") {
+    client_fixture fixture;
+    recorded_call call;
+    http_call request;
+    request.timeout = 20ms;
+    fixture.start(call, request);
+    auto peer = fixture.listener.accept(fixture.events);
+    fixture.expect_failure(call, errc::timeout);
+    peer.receive_all(fixture.events);
+}
+
+TEST_CASE("a cancelled call has no events and closes its connection") {
+    client_fixture fixture;
+    recorded_call call;
+    fixture.start(call, {});
+    auto peer = fixture.listener.accept(fixture.events);
+    REQUIRE(peer.receive_until(fixture.events, "\r\n\r\n"));
+    call.exchange.reset();
+    CHECK(peer.receive_all(fixture.events));
+    CHECK_FALSE(call.ended);
+}
+
+TEST_CASE("a handler may cancel its own call") {
+    client_fixture fixture;
+    recorded_call call;
+    http_call_events handlers = call.handlers();
+    handlers.on_data = [&](std::string_view) { call.exchange.reset(); };
+    http_call request;
+    request.peer = fixture.listener.local_address();
+    call.exchange = fixture.client->send(request, handlers);
+    auto peer = fixture.listener.accept(fixture.events);
+    REQUIRE(peer.receive_until(fixture.events, "\r\n\r\n"));
+    peer.send(fixture.events, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+    CHECK(peer.receive_all(fixture.events));
+    CHECK_FALSE(call.ended);
+}
+
+TEST_CASE("connections are reused after whole answers only") {
+    const bool close = GENERATE(false, true);
+    client_fixture fixture;
+    recorded_call first;
+    fixture.start(first, {});
+    auto peer = fixture.listener.accept(fixture.events);
+    REQUIRE(peer.receive_until(fixture.events, "\r\n\r\n"));
+    peer.received.clear();
+    peer.send(fixture.events, close ? "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+                                    : "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    fixture.expect_end(first);
+    recorded_call second;
+    fixture.start(second, {});
+    CHECK(peer.receive_until(fixture.events, "\r\n\r\n") == !close);
+}
+
+TEST_CASE("a pooled connection that the peer closed is not used again") {
+    client_fixture fixture;
+    recorded_call first;
+    fixture.exchange_with(first, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    fixture.expect_end(first);
+    // Lets the client read the end of the connection.
+    fixture.events.run_until([] { return false; }, 10ms);
+    recorded_call second;
+    fixture.exchange_with(second, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    fixture.expect_end(second);
+    CHECK_FALSE(second.failure);
+}
+
+TEST_CASE("large bodies pass both ways through the server") {
+    loop events;
+    const std::string body(3U << 20U, 'b');
+    auto server =
+        http_server::create(events, {{"127.0.0.1", 0}},
+                            [](const http_request& request, const std::shared_ptr<http_response>& response) {
+                                response->start(200, {});
+                                response->write(request.body);
+                                response->write(request.body);
+                                response->finish();
+                            });
+    REQUIRE(server);
+    const auto client = http_client::create(events);
+    http_call request;
+    request.peer = (*server)->local_address();
+    request.method = "POST";
+    request.body = body;
+    request.timeout = hang_limit;
+    std::optional<http_answer> answer;
+    const auto exchange = client->fetch(
+        request, [&](result<http_answer> given) { answer = *given; }, 8U << 20U);
+    REQUIRE(events.run_until([&] { return answer.has_value(); }, hang_limit));
+    CHECK(answer->body == body + body);
+}
+
+TEST_CASE("fetch refuses a body that is larger than its limit") {
+    client_fixture fixture;
+    std::optional<error> failure;
+    http_call request;
+    request.peer = fixture.listener.local_address();
+    const auto exchange = fixture.client->fetch(
+        request, [&](const result<http_answer>& given) { failure = given.error(); }, 4);
+    auto peer = fixture.listener.accept(fixture.events);
+    REQUIRE(peer.receive_until(fixture.events, "\r\n\r\n"));
+    peer.send(fixture.events, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+    REQUIRE(fixture.wait([&] { return failure.has_value(); }));
+    CHECK(failure->code == errc::too_large);
+}
--- /dev/null
+++ b/tests/net/http_server_test.cpp
@@ -0,0 +1,261 @@
+#include "samphiretray/net/http_server.h"
+
+#include "tests/net/raw_socket.h"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace samphiretray;
+using namespace samphiretray::net;
+using samphiretray::net::testing::hang_limit;
+using samphiretray::net::testing::raw_socket;
+
+namespace {
+
+/// A server on a free loopback port that keeps what its handler was given.
+struct server_fixture {
+    loop events;
+    std::vector<http_request> requests;
+    std::vector<std::shared_ptr<http_response>> responses;
+    std::function<void(http_response&)> answer;
+    std::unique_ptr<http_server> server = make({{"127.0.0.1", 0}, 1U << 20U, 60s, "", ""});
+
+    std::unique_ptr<http_server> make(http_server_options options) {
+        auto created =
+            http_server::create(events, std::move(options),
+                                [this](http_request request, const std::shared_ptr<http_response>& response) {
+                                    requests.push_back(std::move(request));
+                                    responses.push_back(response);
+                                    if (answer) {
+                                        answer(*response);
+                                    }
+                                });
+        REQUIRE(created);
+        return std::move(created).value();
+    }
+
+    raw_socket connect() { return raw_socket::connect(server->local_address()); }
+    bool wait(const std::function<bool()>& done) { return events.run_until(done, hang_limit); }
+    bool wait_for_request() {
+        return wait([this] { return !responses.empty(); });
+    }
+};
+
+} // namespace
+
+TEST_CASE("a request reaches the handler whole and its answer the caller") {
+    server_fixture fixture;
+    fixture.answer = [](http_response& response) { response.send(200, {{"X-A", "1"}}, "hello"); };
+    auto caller = fixture.connect();
+    caller.send(fixture.events,
+                "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nX-B: 2\r\nContent-Length: 3\r\n\r\nxyz");
+    REQUIRE(caller.receive_until(fixture.events, "hello"));
+    CHECK(caller.received.rfind("HTTP/1.1 200 OK\r\n", 0) == 0);
+    CHECK(caller.received.find("x-a: 1\r\n") != std::string::npos);
+    CHECK(caller.received.find("Content-Length: 5\r\n") != std::string::npos);
+    const http_request& request = fixture.requests.at(0);
+    CHECK(request.method == "POST");
+    CHECK(request.path == "/a/b");
+    CHECK(request.query == "c=d");
+    CHECK(request.body == "xyz");
+    CHECK(request.peer == "127.0.0.1");
+    CHECK(find_header(request.headers, "x-b") == "2");
+    CHECK(find_header(request.headers, "host") == "h");
+}
+
+TEST_CASE("requests on one connection, sent at once, are answered in order") {
+    server_fixture fixture;
+    fixture.answer = [&](http_response& response) {
+        response.send(200, {}, "n" + std::to_string(fixture.requests.size()) + ";");
+    };
+    auto caller = fixture.connect();
+    caller.send(fixture.events, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(caller.receive_until(fixture.events, "n2;"));
+    CHECK(caller.received.find("n1;") < caller.received.find("n2;"));
+    CHECK(fixture.server->open_connections() == 1);
+}
+
+TEST_CASE("a streamed answer arrives part by part and ends with the last chunk") {
+    server_fixture fixture;
+    auto caller = fixture.connect();
+    caller.send(fixture.events, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(fixture.wait_for_request());
+    const auto response = fixture.responses[0];
+    response->start(200, {{"content-type", "text/event-stream"}});
+    REQUIRE(caller.receive_until(fixture.events, "\r\n\r\n"));
+    response->write("first");
+    REQUIRE(caller.receive_until(fixture.events, "first"));
+    response->write("second");
+    response->finish();
+    REQUIRE(caller.receive_until(fixture.events, "\r\n0\r\n\r\n"));
+    CHECK_FALSE(response->is_open());
+}
+
+TEST_CASE("an aborted chunked answer never looks whole but keeps what was written before") {
+    server_fixture fixture;
+    auto caller = fixture.connect();
+    caller.send(fixture.events, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(fixture.wait_for_request());
+    fixture.responses[0]->start(200, {});
+    fixture.responses[0]->write("event: error\n\n");
+    fixture.responses[0]->abort();
+    caller.receive_all(fixture.events);
+    CHECK(caller.received.find("event: error") != std::string::npos);
+    CHECK(caller.received.find("\r\n0\r\n") == std::string::npos);
+    CHECK(fixture.wait([&] { return fixture.server->open_connections() == 0; }));
+}
+
+TEST_CASE("an aborted answer to an HTTP/1.0 caller ends with a reset, because a close would end it cleanly") {
+    server_fixture fixture;
+    auto caller = fixture.connect();
+    caller.send(fixture.events, "GET / HTTP/1.0\r\n\r\n");
+    REQUIRE(fixture.wait_for_request());
+    fixture.responses[0]->start(200, {});
+    fixture.responses[0]->write("part");
+    REQUIRE(caller.receive_until(fixture.events, "part"));
+    fixture.responses[0]->abort();
+    CHECK_FALSE(caller.receive_all(fixture.events));
+}
+
+TEST_CASE("an answer shorter than its content-length is broken off") {
+    server_fixture fixture;
+    fixture.answer = [](http_response& response) {
+        response.start(200, {{"content-length", "10"}});
+        response.write("12345");
+        response.finish();
+    };
+    auto caller = fixture.connect();
+    caller.send(fixture.events, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    caller.receive_all(fixture.events);
+    CHECK(caller.received.find("Content-Length: 10") != std::string::npos);
+    CHECK(fixture.wait([&] { return fixture.server->open_connections() == 0; }));
+}
+
+TEST_CASE("an answer aborted before its start sends nothing") {
+    server_fixture fixture;
+    fixture.answer = [](http_response& response) { response.abort(); };
+    auto caller = fixture.connect();
+    caller.send(fixture.events, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    caller.receive_all(fixture.events);
+    CHECK(caller.received.empty());
+}
+
+TEST_CASE("a caller that leaves is noticed before start and in mid-stream") {
+    const bool started = GENERATE(false, true);
+    const bool by_reset = GENERATE(false, true);
+    const bool after_next_request = GENERATE(false, true);
+    CAPTURE(started, by_reset, after_next_request);
+    server_fixture fixture;
+    bool closed = false;
+    auto caller = fixture.connect();
+    caller.send(fixture.events, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(fixture.wait_for_request());
+    const auto response = fixture.responses[0];
+    response->on_closed([&] { closed = true; });
+    if (started) {
+        response->start(200, {});
+        response->write("part");
+        REQUIRE(caller.receive_until(fixture.events, "part"));
+    }
+    if (after_next_request) {
+        caller.send(fixture.events, "GET /next HTTP/1.1\r\n");
+    }
+    by_reset ? caller.reset() : caller.close();
+    REQUIRE(fixture.wait([&] { return closed; }));
+    CHECK_FALSE(response->is_open());
+    response->write("ignored");
+    response->finish();
+    CHECK(fixture.wait([&] { return fixture.server->open_connections() == 0; }));
+}
+
+TEST_CASE("a large answer to a slow caller is buffered and arrives whole") {
+    server_fixture fixture;
+    const std::string body(8U << 20U, 'x');
+    fixture.answer = [&](http_response& response) { response.send(200, {}, body); };
+    auto caller = fixture.connect();
+    caller.send(fixture.events, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    CHECK(caller.receive_all(fixture.events));
+    CHECK(caller.received.size() - caller.received.find("\r\n\r\n") - 4 == body.size());
+}
+
+TEST_CASE("malformed requests get 400") {
+    server_fixture fixture;
+    auto caller = fixture.connect();
+    caller.send(fixture.events, "this is not HTTP\r\n\r\n");
+    caller.receive_all(fixture.events);
+    CHECK(caller.received.rfind("HTTP/1.1 400", 0) == 0);
+    CHECK(fixture.requests.empty());
+}
+
+TEST_CASE("an oversized body gets 413 even if the caller goes on sending it") {
+    const bool chunked = GENERATE(false, true);
+    server_fixture fixture;
+    auto caller = fixture.connect();
+    const std::string part(1U << 20U, 'x');
+    if (chunked) {
+        caller.send(fixture.events, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+        caller.send(fixture.events, "200000\r\n");
+    } else {
+        caller.send(fixture.events, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2097152\r\n\r\n");
+    }
+    caller.send(fixture.events, part);
+    caller.send(fixture.events, part);
+    CHECK(caller.receive_all(fixture.events));
+    CHECK(caller.received.rfind("HTTP/1.1 413", 0) == 0);
+    CHECK(fixture.requests.empty());
+}
+
+TEST_CASE("HEAD gets headers only") {
+    server_fixture fixture;
+    fixture.answer = [](http_response& response) { response.send(200, {}, "hello"); };
+    auto caller = fixture.connect();
+    caller.send(fixture.events, "HEAD / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    CHECK(caller.receive_all(fixture.events));
+    CHECK(caller.received.find("Content-Length: 5") != std::string::npos);
+    CHECK(caller.received.find("hello") == std::string::npos);
+}
+
+TEST_CASE("a graceful shutdown finishes running requests and closes idle connections") {
+    server_fixture fixture;
+    auto idle = fixture.connect();
+    auto busy = fixture.connect();
+    busy.send(fixture.events, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(fixture.wait_for_request());
+    fixture.server->begin_graceful_shutdown();
+    CHECK(idle.receive_all(fixture.events));
+    fixture.responses[0]->send(200, {}, "done");
+    CHECK(busy.receive_all(fixture.events));
+    CHECK(busy.received.find("Connection: close") != std::string::npos);
+    CHECK(busy.received.find("done") != std::string::npos);
+}
+
+TEST_CASE("an idle connection is closed after the idle timeout") {
+    server_fixture fixture;
+    fixture.server = fixture.make({{"127.0.0.1", 0}, 1000, 20ms, "", ""});
+    auto caller = fixture.connect();
+    caller.receive_all(fixture.events);
+    CHECK(fixture.wait([&] { return fixture.server->open_connections() == 0; }));
+}
+
+TEST_CASE("a server destroyed with open connections and a running request closes them") {
+    server_fixture fixture;
+    bool closed = false;
+    auto idle = fixture.connect();
+    auto busy = fixture.connect();
+    busy.send(fixture.events, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(fixture.wait_for_request());
+    fixture.responses[0]->on_closed([&] { closed = true; });
+    fixture.server.reset();
+    idle.receive_all(fixture.events);
+    busy.receive_all(fixture.events);
+    CHECK(closed);
+    CHECK(busy.received.empty());
+}
+
+TEST_CASE("an address in use is an error") {
+    server_fixture fixture;
+    const auto second = http_server::create(fixture.events, {fixture.server->local_address()}, {});
+    REQUIRE_FALSE(second);
+    CHECK(second.error().code == errc::connection_failed);
+}
--- /dev/null
+++ b/tests/net/raw_socket.cpp
@@ -0,0 +1,144 @@
+#include "tests/net/raw_socket.h"
+
+#include "src/net/socket_address.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <stdexcept>
+#include <utility>
+
+namespace samphiretray::net::testing {
+
+namespace {
+
+constexpr duration poll_interval = 1ms;
+
+/// Runs the loop until `done`, looking at least once a millisecond.
+bool run_polling(loop& events, const std::function<bool()>& done) {
+    const timer_handle tick = events.every(poll_interval, [] {});
+    return events.run_until(done, hang_limit);
+}
+
+address local_address_of(int descriptor) {
+    socket_address local;
+    local.length = sizeof(local.bytes);
+    ::getsockname(descriptor, local.get(), &local.length);
+    return from_socket_address(local.get());
+}
+
+int bound_socket() {
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto any_port = to_socket_address({"127.0.0.1", 0});
+    if (descriptor < 0 || ::bind(descriptor, any_port->get(), any_port->length) != 0) {
+        throw std::runtime_error("no loopback socket");
+    }
+    return descriptor;
+}
+
+} // namespace
+
+raw_socket::raw_socket(raw_socket&& other) noexcept
+    : received(std::move(other.received)), descriptor_(std::exchange(other.descriptor_, -1)) {}
+
+raw_socket raw_socket::connect(const address& peer) {
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto target = to_socket_address(peer);
+    if (descriptor < 0 || ::connect(descriptor, target->get(), target->length) != 0) {
+        throw std::runtime_error("cannot connect to " + to_string(peer));
+    }
+    return raw_socket{descriptor};
+}
+
+void raw_socket::send(loop& events, std::string_view text) {
+    run_polling(events, [&] {
+        const auto sent = ::send(descriptor_, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (sent > 0) {
+            text.remove_prefix(static_cast<std::size_t>(sent));
+        }
+        return text.empty() || (sent < 0 && errno != EAGAIN);
+    });
+}
+
+raw_socket::read_state raw_socket::read_some() {
+    std::array<char, 65536> buffer{};
+    const auto count = ::recv(descriptor_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (count > 0) {
+        received.append(buffer.data(), static_cast<std::size_t>(count));
+        return read_state::got_bytes;
+    }
+    if (count == 0) {
+        return read_state::closed;
+    }
+    return errno == EAGAIN ? read_state::waiting : read_state::reset;
+}
+
+bool raw_socket::receive_until(loop& events, std::string_view text) {
+    run_polling(events, [&] {
+        const read_state state = read_some();
+        return received.find(text) != std::string::npos || state == read_state::closed ||
+               state == read_state::reset;
+    });
+    return received.find(text) != std::string::npos;
+}
+
+bool raw_socket::receive_all(loop& events) {
+    read_state state = read_state::waiting;
+    run_polling(events, [&] {
+        state = read_some();
+        return state == read_state::closed || state == read_state::reset;
+    });
+    return state == read_state::closed;
+}
+
+void raw_socket::close() {
+    if (descriptor_ >= 0) {
+        ::close(std::exchange(descriptor_, -1));
+    }
+}
+
+void raw_socket::reset() {
+    const linger now{1, 0};
+    ::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    close();
+}
+
+raw_listener::raw_listener() : descriptor_(bound_socket()) {
+    ::listen(descriptor_, 16);
+}
+
+raw_listener::~raw_listener() {
+    ::close(descriptor_);
+}
+
+address raw_listener::local_address() const {
+    return local_address_of(descriptor_);
+}
+
+raw_socket raw_listener::accept(loop& events) {
+    int accepted = -1;
+    const int flags = SOCK_CLOEXEC;
+    // The descriptor is blocking, so its readiness is asked with a non-blocking peek of the queue.
+    run_polling(events, [&] {
+        timeval none{0, 0};
+        fd_set waiting;
+        FD_ZERO(&waiting);
+        FD_SET(descriptor_, &waiting);
+        if (::select(descriptor_ + 1, &waiting, nullptr, nullptr, &none) > 0) {
+            accepted = ::accept4(descriptor_, nullptr, nullptr, flags);
+        }
+        return accepted >= 0;
+    });
+    return raw_socket{accepted};
+}
+
+address unused_address() {
+    const int descriptor = bound_socket();
+    address unused = local_address_of(descriptor);
+    ::close(descriptor);
+    return unused;
+}
+
+} // namespace samphiretray::net::testing
