--- a/include/samphiretray/agent/request_runner-inl.h
+++ b/include/samphiretray/agent/request_runner-inl.h
@@ -397,6 +397,7 @@
     platform::engine_call call;
     call.method = started->open.method;
     call.path = started->open.path;
+    call.request_id = started->open.request_id;
     call.content_type = started->open.content_type;
     call.body = std::move(started->open.body);
     call.timeout = std::max<duration>(started->deadline - now, 1ms);
--- a/include/samphiretray/wire/messages.h
+++ b/include/samphiretray/wire/messages.h
@@ -41,6 +41,8 @@
 struct request_open {
     std::uint64_t request = 0;
     std::uint32_t attempt = 0;
+    /// The caller's X-Request-Id, passed on to endpoints and logs.
+    std::string request_id;
     std::string organisation;
     std::string service;
     /// Empty for plain services.
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -181,6 +181,7 @@
     wire::request_open open;
     open.request = request.id;
     open.attempt = started.number;
+    open.request_id = request.id_text;
     open.organisation = request.organisation;
     open.service = request.service;
     open.adapter = request.adapter.adapter;
--- /dev/null
+++ b/src/entry/entry_process.cpp
@@ -0,0 +1,371 @@
+#include "samphiretray/entry/entry_process.h"
+
+#include "samphiretray/base/hash.h"
+#include "samphiretray/base/log.h"
+#include "samphiretray/entry/claims_controller.h"
+#include "samphiretray/entry/dispatcher.h"
+#include "samphiretray/entry/filters.h"
+#include "samphiretray/entry/load_controller.h"
+#include "samphiretray/entry/rate_controller.h"
+#include "samphiretray/net/http_client.h"
+#include "samphiretray/net/http_server.h"
+#include "samphiretray/node/admin_server.h"
+#include "samphiretray/node/control_plane.h"
+#include "samphiretray/node/peer_directory.h"
+#include "samphiretray/node/process_status.h"
+#include "samphiretray/platform/http_key_value_service.h"
+#include "samphiretray/platform/http_vm_list.h"
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <ranges>
+#include <unordered_map>
+#include <utility>
+
+namespace samphiretray::entry {
+
+namespace {
+
+using key_value = platform::http_key_value_service;
+using vm_list = platform::http_vm_list;
+using control_plane = node::control_plane<key_value, vm_list>;
+using rates = rate_controller<key_value>;
+using claims = claims_controller<key_value>;
+using loads = load_controller<key_value>;
+using request_filters = filter_chain<authenticate_filter<control_plane>, route_filter<control_plane>,
+                                     admit_filter<rates>, claim_filter<claims>, dispatch_filter>;
+
+/// Claims are batched for 20 ms, so the tick is shorter than that.
+constexpr duration tick_interval = 10ms;
+constexpr duration drain_check_interval = 50ms;
+/// Time for the release of duties and the return of grants at the end of a planned stop.
+constexpr duration release_limit = 3s;
+
+node::peer_identity identity_of(const config::common_settings& settings) {
+    return {settings.vm, wire::role::entry, settings.region, settings.data_centre, random_hex(8)};
+}
+
+} // namespace
+
+struct entry_process::implementation {
+    implementation(net::loop& events, config::entry_settings values);
+
+    [[nodiscard]] status start();
+    [[nodiscard]] status start_admin();
+    void on_request(net::http_request request, std::shared_ptr<net::http_response> response);
+    void begin(const request_pointer& request);
+    [[nodiscard]] duration timeout_of(const net::http_request& request) const;
+    void on_request_end(const request_context& request, const request_end& how);
+    void on_message(const node::peer_pointer& from, wire::message value);
+    void on_peer_closed(const node::peer_pointer& gone);
+    void on_configuration();
+    void revoke_requests();
+    void on_members();
+    void on_tick();
+    void drain();
+    void check_drained();
+    void release_all();
+    [[nodiscard]] node::process_status current_status() const;
+
+    net::loop& loop;
+    config::entry_settings settings;
+    node::peer_identity self;
+    std::unique_ptr<net::http_client> http;
+    key_value service;
+    vm_list vms;
+    node::peer_directory peers;
+    control_plane control;
+    rates rate_limits;
+    claims order_claims;
+    loads load_permits;
+    dispatcher requests;
+    request_filters filters;
+    std::unique_ptr<net::http_server> admin;
+    std::unique_ptr<net::http_server> front;
+    std::unordered_map<std::uint64_t, request_pointer> active;
+    std::unordered_map<std::uint64_t, net::timer_handle> deadlines;
+    std::uint64_t next_request = 1;
+    std::map<std::string, std::uint64_t, std::less<>> ends;
+    bool draining = false;
+    bool closing = false;
+    bool releasing = false;
+    time_point drain_started;
+    time_point release_started;
+    net::timer_handle tick_timer;
+    net::timer_handle drain_timer;
+};
+
+entry_process::implementation::implementation(net::loop& events, config::entry_settings values)
+    : loop(events), settings(std::move(values)), self(identity_of(settings.common)),
+      http(net::http_client::create(events)), service(*http, settings.common.key_value_service),
+      vms(*http, settings.common.vm_list),
+      peers(events, self, settings.common.cluster_secret,
+            {.on_open = [this](const node::peer_pointer& proven) { control.on_peer_seen(proven); },
+             .on_message = [this](const node::peer_pointer& from,
+                                  wire::message value) { on_message(from, std::move(value)); },
+             .on_closed = [this](const node::peer_pointer& gone) { on_peer_closed(gone); }}),
+      control(events, settings.common, self, service, vms, peers,
+              {.on_configuration = [this] { on_configuration(); }, .on_members = [this] { on_members(); }}),
+      rate_limits(events, settings, self, service, peers, control.members(), control.evidence()),
+      order_claims(events, service, settings.claim_shards),
+      load_permits(events, settings, self, service, control.members(), control.evidence()),
+      requests(events, self, peers, control.members()),
+      filters(authenticate_filter<control_plane>{control}, route_filter<control_plane>{control},
+              admit_filter<rates>{rate_limits, events}, claim_filter<claims>{order_claims, events},
+              dispatch_filter{requests}) {}
+
+status entry_process::implementation::start() {
+    if (auto listening = peers.listen(settings.common.peer_listen); !listening) {
+        return listening.error();
+    }
+    if (auto started = start_admin(); !started) {
+        return started.error();
+    }
+    net::http_server_options options;
+    options.listen = settings.listen;
+    options.max_body_bytes = settings.max_body_bytes;
+    options.certificate_file = settings.certificate_file;
+    options.private_key_file = settings.private_key_file;
+    auto server = net::http_server::create(
+        loop, std::move(options),
+        [this](net::http_request request, std::shared_ptr<net::http_response> response) {
+            on_request(std::move(request), std::move(response));
+        });
+    if (!server) {
+        return server.error();
+    }
+    front = std::move(*server);
+    control.start();
+    tick_timer = loop.every(tick_interval, [this] { on_tick(); });
+    log_event(log_level::info, "entry_started",
+              {{"vm", self.vm},
+               {"listen", net::to_string(front->local_address())},
+               {"incarnation", self.incarnation}});
+    return success();
+}
+
+status entry_process::implementation::start_admin() {
+    node::admin_sources sources;
+    sources.ready = [this] { return control.is_ready() && !draining; };
+    sources.status = [this] { return node::to_json(current_status()); };
+    sources.metrics = [this] { return node::to_metrics(current_status(), "samphiretray_entry"); };
+    sources.drain = [this] { drain(); };
+    auto server = node::create_admin_server(loop, settings.common.admin_listen, std::move(sources));
+    if (!server) {
+        return server.error();
+    }
+    admin = std::move(*server);
+    return success();
+}
+
+duration entry_process::implementation::timeout_of(const net::http_request& request) const {
+    const std::string_view text = net::find_header(request.headers, "x-timeout-ms");
+    std::int64_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool valid = parsed.ec == std::errc{} && value > 0;
+    const duration asked = valid ? std::chrono::milliseconds{value} : settings.request_timeout;
+    return std::min(asked, settings.request_timeout);
+}
+
+void entry_process::implementation::on_request(net::http_request http_request,
+                                               std::shared_ptr<net::http_response> response) {
+    const time_point now = loop.now();
+    const duration timeout = timeout_of(http_request);
+    auto request =
+        std::make_shared<request_context>(next_request++, std::move(http_request), std::move(response), now);
+    request->deadline = now + timeout;
+    if (active.size() >= settings.max_requests) {
+        request->on_end([this, &ended = *request](const request_end& how) { on_request_end(ended, how); });
+        request->fail(make_error(errc::overloaded, step::admit, self.vm, "the entry holds too many requests"),
+                      1s);
+        return;
+    }
+    begin(request);
+}
+
+void entry_process::implementation::begin(const request_pointer& request) {
+    const std::uint64_t id = request->id;
+    active.emplace(id, request);
+    deadlines.emplace(id, loop.after(request->deadline - loop.now(), [request] {
+        request->fail(make_error(errc::timeout, step::run, "", "the request's deadline has passed"));
+    }));
+    request->on_end([this, id, &ended = *request](const request_end& how) {
+        on_request_end(ended, how);
+        active.erase(id);
+        // The timer may be the one that is running.
+        if (auto timer = deadlines.extract(id)) {
+            loop.post([kept = std::make_shared<decltype(timer)>(std::move(timer))] {});
+        }
+    });
+    const std::weak_ptr<request_context> weak = request;
+    request->response->on_closed([weak] {
+        const auto left = weak.lock();
+        // A call that must not be repeated is left to finish, so that its outcome is recorded.
+        if (left && (left->idempotent || !left->may_have_run)) {
+            left->abandon();
+        }
+    });
+    filters.run(request);
+}
+
+void entry_process::implementation::on_request_end(const request_context& request, const request_end& how) {
+    const auto counted = ends.try_emplace(std::string{how.code}, 0).first;
+    ++counted->second;
+    const time_point now = loop.now();
+    log_event(how.answered ? log_level::debug : log_level::info, "request_ended",
+              {{"request", request.id_text},
+               {"organisation", request.organisation},
+               {"service", request.service},
+               {"adapter", request.adapter.adapter},
+               {"version", request.adapter.version},
+               {"status", how.status},
+               {"code", how.code},
+               {"outcome", how.answered ? "answered" : name_of(how.result)},
+               {"tokens", how.tokens.value_or(0)},
+               {"total_ms", milliseconds_in(now - request.arrived)}});
+}
+
+void entry_process::implementation::on_message(const node::peer_pointer& from, wire::message value) {
+    const bool handled = requests.handle(from, value) || control.handle(from, value) ||
+                         rate_limits.handle(from, value) || load_permits.handle(from, value);
+    if (!handled) {
+        log_event(log_level::warning, "unexpected_message", {{"peer", from->identity().vm}});
+    }
+}
+
+void entry_process::implementation::on_peer_closed(const node::peer_pointer& gone) {
+    requests.on_peer_closed(gone);
+    load_permits.on_peer_closed(gone);
+    control.on_peer_closed(gone);
+}
+
+void entry_process::implementation::on_configuration() {
+    rate_limits.set_configuration(control.configuration());
+    revoke_requests();
+}
+
+void entry_process::implementation::revoke_requests() {
+    const auto configuration = control.configuration();
+    std::vector<request_pointer> revoked;
+    for (const request_pointer& request : active | std::views::values) {
+        if (request->key_digest.empty()) {
+            continue;
+        }
+        const auto key = configuration->find_key(request->key_digest);
+        const bool valid = key && key->organisation->name == request->organisation;
+        const bool must_finish = !request->idempotent && request->may_have_run;
+        if (!valid && !must_finish) {
+            revoked.push_back(request);
+        }
+    }
+    for (const request_pointer& request : revoked) {
+        request->fail(
+            make_error(errc::unauthorized, step::authenticate, "caller", "the key has been revoked"));
+    }
+}
+
+void entry_process::implementation::on_members() {
+    requests.members_changed();
+    rate_limits.members_changed();
+    load_permits.members_changed();
+}
+
+void entry_process::implementation::on_tick() {
+    rate_limits.on_tick();
+    order_claims.on_tick();
+    load_permits.on_tick();
+}
+
+void entry_process::implementation::drain() {
+    if (draining) {
+        return;
+    }
+    draining = true;
+    drain_started = loop.now();
+    log_event(log_level::info, "drain_started", {{"vm", self.vm}, {"requests", active.size()}});
+    control.announce_leaving();
+    drain_timer = loop.every(drain_check_interval, [this] { check_drained(); });
+}
+
+void entry_process::implementation::check_drained() {
+    const time_point now = loop.now();
+    if (now - drain_started < settings.drain_notice) {
+        return;
+    }
+    if (!closing) {
+        closing = true;
+        front->stop_accepting();
+        front->begin_graceful_shutdown();
+    }
+    const bool finished = active.empty() || now - drain_started >= settings.drain_limit;
+    if (!finished) {
+        return;
+    }
+    if (!releasing) {
+        release_all();
+        return;
+    }
+    const bool released = rate_limits.is_stopped() && load_permits.is_stopped() && order_claims.idle();
+    if (!released && now - release_started < release_limit) {
+        return;
+    }
+    log_event(log_level::info, "drain_finished", {{"vm", self.vm}, {"requests_cut", active.size()}});
+    loop.stop();
+}
+
+void entry_process::implementation::release_all() {
+    releasing = true;
+    release_started = loop.now();
+    rate_limits.stop();
+    load_permits.stop();
+}
+
+node::process_status entry_process::implementation::current_status() const {
+    using enum node::value_kind;
+    node::process_status status = node::common_status(self, control, peers, loop.now());
+    status.ready = control.is_ready() && !draining;
+    status.draining = draining;
+    const auto value = [](auto number) { return static_cast<double>(number); };
+    const dispatch_counts& counts = requests.counts();
+    status.values = {{"requests_active", gauge, value(active.size())},
+                     {"connections", gauge, value(front->open_connections())},
+                     {"rate_shards_held", gauge, value(rate_limits.held_shards())},
+                     {"loads_duty_held", gauge, load_permits.is_held() ? 1.0 : 0.0},
+                     {"attempts_total", counter, value(counts.attempts)},
+                     {"retries_total", counter, value(counts.retries)},
+                     {"cold_starts_total", counter, value(counts.cold_starts)},
+                     {"late_answers_total", counter, value(counts.late_answers)},
+                     {"answers_cut_total", counter, value(counts.cut_answers)},
+                     {"wrong_version_total", counter, value(counts.wrong_version)},
+                     {"remote_bytes_total", counter, value(counts.remote_bytes)}};
+    std::ranges::transform(ends, std::back_inserter(status.values), [&](const auto& end) {
+        return node::status_value{"requests_ended_" + end.first + "_total", counter, value(end.second)};
+    });
+    return status;
+}
+
+entry_process::entry_process(std::unique_ptr<implementation> parts) : implementation_(std::move(parts)) {}
+
+entry_process::~entry_process() = default;
+
+result<std::unique_ptr<entry_process>> entry_process::create(net::loop& events,
+                                                             config::entry_settings settings) {
+    auto parts = std::make_unique<implementation>(events, std::move(settings));
+    if (auto started = parts->start(); !started) {
+        return started.error();
+    }
+    return std::unique_ptr<entry_process>{new entry_process{std::move(parts)}};
+}
+
+void entry_process::drain() {
+    implementation_->drain();
+}
+
+void entry_process::reload_certificates() {
+    if (auto reloaded = implementation_->front->reload_certificates(); !reloaded) {
+        log_event(log_level::error, "certificate_reload_failed", {{"detail", reloaded.error().detail}});
+    }
+}
+
+} // namespace samphiretray::entry
