Add the logic of the stand-ins for the outside systems

Cause: tests of the entry and of the agent need a key-value service, engines, a weight store and plain services that follow docs/protocols.md and fail on command.

Change: modules without I/O for each of them: values with compare-and-swap, leases and watches; admission with rate limits, faults and counters; loads that share the weight store's bandwidth; continuous batching with a prefix cache, slots, fencing and a lagging state; orders that are counted per id.

There was no earlier state to compare with.

Conclusion: the modules can be bound to HTTP when the network layer is there.

--- /dev/null
+++ b/standins/adapter_slots.cpp
@@ -0,0 +1,50 @@
+#include "standins/adapter_slots.h"
+
+namespace samphiretray::standins {
+
+load_verdict adapter_slots::begin_load(const std::string& name, std::uint64_t fencing) {
+    if (is_fenced(fencing)) {
+        return load_verdict::fenced;
+    }
+    if (loaded_.contains(name)) {
+        return load_verdict::already_loaded;
+    }
+    if (loading_.contains(name)) {
+        return load_verdict::already_loading;
+    }
+    if (loaded_.size() + loading_.size() >= slots_) {
+        return load_verdict::no_slot;
+    }
+    loading_.insert(name);
+    return load_verdict::start;
+}
+
+void adapter_slots::finish_load(const std::string& name, bool succeeded) {
+    if (loading_.erase(name) > 0 && succeeded) {
+        loaded_.insert(name);
+    }
+}
+
+unload_verdict adapter_slots::unload(const std::string& name, std::uint64_t fencing) {
+    if (is_fenced(fencing)) {
+        return unload_verdict::fenced;
+    }
+    return loaded_.erase(name) > 0 ? unload_verdict::done : unload_verdict::not_loaded;
+}
+
+void adapter_slots::clear() {
+    loaded_.clear();
+    loading_.clear();
+    highest_fencing_ = 0;
+}
+
+bool adapter_slots::is_fenced(std::uint64_t fencing) {
+    if (fencing >= highest_fencing_) {
+        highest_fencing_ = fencing;
+        return false;
+    }
+    ++stale_commands_;
+    return checks_fencing_;
+}
+
+} // namespace samphiretray::standins
