Add links between processes over WebSocket

Cause: entries and agents exchange messages over one connection for each pair. Messages of one loop turn are written together. A ping is sent after 5 s without input, and a link without input for 15 s is closed. The loop drops timer actions before it closes its sockets, so that they may own links.

--- a/include/samphiretray/net/peer_link.h
+++ b/include/samphiretray/net/peer_link.h
@@ -12,18 +12,21 @@
 
 namespace samphiretray::net {
 
-/// A WebSocket connection between two processes of the system; carries binary messages in order.
+/// A WebSocket connection between two processes of the system; carries binary messages in order. Destroying
+/// the last reference drops the connection without events, unless `close` was called before.
 class peer_link {
 public:
     virtual ~peer_link() = default;
 
-    /// Queues a message. Ignored after the link has closed.
+    /// Queues a message; messages of one loop turn are written together. Ignored after the link has closed.
+    /// A message above `max_message_bytes` closes the link with `errc::too_large`.
     virtual void send(std::string_view message) = 0;
     /// Closes after queued messages have been written.
     virtual void close() = 0;
 
     virtual void on_message(std::function<void(std::string_view)> action) = 0;
-    /// Called once, from the loop, when the link has gone, for whatever cause.
+    /// Called once, from the loop, when the link has gone, for whatever cause. Codes: `connection_closed`,
+    /// `timeout` (the peer is silent), `too_large`, `protocol_error`.
     virtual void on_closed(std::function<void(const error&)> action) = 0;
 
     [[nodiscard]] virtual bool is_open() const noexcept = 0;
@@ -36,7 +39,12 @@
 struct peer_link_options {
     /// Links that carry a larger message are closed with `errc::too_large`.
     std::size_t max_message_bytes = 8U << 20U;
+    /// Includes the opening handshake.
     duration connect_timeout = 2s;
+    /// A ping is sent when nothing was received for this long.
+    duration ping_interval = 5s;
+    /// The link is closed with `errc::timeout` when nothing, not even a pong, was received for this long.
+    duration silence_limit = 15s;
 };
 
 /// Connects to a peer. `done` runs from the loop, with the open link or with `connection_failed`, `timeout`
--- a/src/net/http_server_core.cpp
+++ b/src/net/http_server_core.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace samphiretray::net {
@@ -75,6 +76,8 @@
 
 http_server_core::~http_server_core() {
     h2o_context_dispose(&context_);
+    // h2o 2.2.5 closes the queue but does not free it.
+    std::free(context_.queue);
     h2o_config_dispose(&config_);
     if (accept_.ssl_ctx != nullptr) {
         SSL_CTX_free(accept_.ssl_ctx);
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -73,6 +73,14 @@
         }
     }
 
+    /// Destroys all actions without running them.
+    void clear() {
+        for (const auto& [at, entry] : std::exchange(entries_, {})) {
+            entry->linked = false;
+            entry->action = nullptr;
+        }
+    }
+
     [[nodiscard]] time_point next(time_point otherwise) const {
         return entries_.empty() ? otherwise : std::min(otherwise, entries_.begin()->first);
     }
@@ -186,7 +194,8 @@
 
 loop::~loop() {
     implementation_->close_signal_pipe();
-    implementation_->posted.clear();
+    std::exchange(implementation_->posted, {}).clear();
+    implementation_->timers->clear();
     for (int i = 0; i < closing_turns; ++i) {
         std::exchange(implementation_->disposed, {}).clear();
         h2o_evloop_run(implementation_->native, 0);
--- /dev/null
+++ b/src/net/websocket_link.cpp
@@ -0,0 +1,224 @@
+#include "websocket_link.h"
+
+#include <h2o.h>
+
+#include <utility>
+
+namespace samphiretray::net {
+
+namespace {
+
+// A peer that does not answer the closing handshake, or does not read, is dropped after this time.
+constexpr duration close_limit = 2s;
+
+errc code_of(session_end reason) {
+    switch (reason) {
+    case session_end::too_large:
+        return errc::too_large;
+    case session_end::protocol_error:
+        return errc::protocol_error;
+    case session_end::closed:
+        break;
+    }
+    return errc::connection_closed;
+}
+
+} // namespace
+
+websocket_link::websocket_link(loop& events, st_h2o_socket_t* socket, address peer, peer_link_options options)
+    : events_(events), socket_(socket), peer_(std::move(peer)), options_(options),
+      last_received_(events.now()) {}
+
+websocket_link::~websocket_link() {
+    drop_socket();
+}
+
+void websocket_link::start(side role, std::function<void(std::optional<error>)> done) {
+    opened_ = std::move(done);
+    socket_->data = this;
+    limit_ = events_.after(options_.connect_timeout,
+                           [this] { fail(errc::timeout, "the opening handshake took too long"); });
+    session_ = role == side::client
+                   ? make_client_session(to_string(peer_), options_.max_message_bytes, handlers())
+                   : make_server_session(options_.max_message_bytes, handlers());
+    h2o_socket_read_start(socket_, on_read);
+    session_->open();
+}
+
+session_events websocket_link::handlers() {
+    return {[this](std::string_view bytes) { queue(bytes); }, [this] { on_open(); },
+            [this](std::string_view message) {
+                if (on_message_ && socket_ != nullptr) {
+                    on_message_(message);
+                }
+            },
+            [this](session_end reason, const std::string& detail) { on_end(reason, detail); }};
+}
+
+void websocket_link::on_open() {
+    open_ = true;
+    limit_.reset();
+    silence_check_ = events_.every(options_.ping_interval, [this] { check_silence(); });
+    if (const auto done = std::exchange(opened_, nullptr)) {
+        done(std::nullopt);
+    }
+}
+
+void websocket_link::on_read(h2o_socket_t* socket, const char* failure) {
+    const auto self = static_cast<websocket_link*>(socket->data)->shared_from_this();
+    if (failure != nullptr) {
+        self->fail(errc::connection_closed, "the peer closed the connection");
+        return;
+    }
+    self->last_received_ = self->events_.now();
+    // The buffer is taken out, because a handler may close the socket that owns it.
+    h2o_buffer_t* input = socket->input;
+    h2o_buffer_init(&socket->input, &h2o_socket_buffer_prototype);
+    self->session_->receive({input->bytes, input->size});
+    h2o_buffer_dispose(&input);
+}
+
+void websocket_link::send(std::string_view message) {
+    if (!is_open()) {
+        return;
+    }
+    if (message.size() > options_.max_message_bytes) {
+        fail(errc::too_large, "a message of " + std::to_string(message.size()) + " bytes exceeds the limit");
+        return;
+    }
+    session_->send_binary(message);
+}
+
+void websocket_link::close() {
+    if (closing_ || socket_ == nullptr) {
+        return;
+    }
+    closing_ = true;
+    close_after_limit("closed here");
+    if (open_) {
+        session_->close();
+    } else {
+        fail(errc::connection_closed, "closed here");
+    }
+}
+
+void websocket_link::close_after_limit(const std::string& detail) {
+    // The timer keeps the link until its messages are written, even if its user has dropped it.
+    limit_ = events_.after(
+        close_limit, [self = shared_from_this(), detail] { self->fail(errc::connection_closed, detail); });
+}
+
+void websocket_link::on_end(session_end reason, const std::string& detail) {
+    if (socket_ == nullptr || draining_) {
+        return;
+    }
+    draining_ = true;
+    end_ = make_error(code_of(reason), open_ ? step::receive : step::connect, to_string(peer_),
+                      closing_ ? "closed here" : detail);
+    close_after_limit("the peer does not read");
+    if (!flush_posted_ && !in_flight_) {
+        flush_posted_ = true;
+        events_.post([self = shared_from_this()] { self->flush(); });
+    }
+}
+
+void websocket_link::queue(std::string_view bytes) {
+    if (socket_ == nullptr) {
+        return;
+    }
+    pending_ += bytes;
+    if (!flush_posted_ && !in_flight_) {
+        flush_posted_ = true;
+        events_.post([weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->flush();
+            }
+        });
+    }
+}
+
+void websocket_link::flush() {
+    flush_posted_ = false;
+    if (socket_ == nullptr || in_flight_) {
+        return;
+    }
+    if (pending_.empty()) {
+        if (draining_) {
+            fail(errc::connection_closed, "");
+        }
+        return;
+    }
+    sending_.clear();
+    sending_.swap(pending_);
+    in_flight_ = true;
+    h2o_iovec_t buffer = h2o_iovec_init(sending_.data(), sending_.size());
+    h2o_socket_write(socket_, &buffer, 1, on_written);
+}
+
+void websocket_link::on_written(h2o_socket_t* socket, const char* failure) {
+    const auto self = static_cast<websocket_link*>(socket->data)->shared_from_this();
+    self->in_flight_ = false;
+    if (failure != nullptr) {
+        self->fail(errc::connection_closed, "the peer closed the connection");
+        return;
+    }
+    self->flush();
+}
+
+void websocket_link::check_silence() {
+    const duration silent = events_.now() - last_received_;
+    if (silent >= options_.silence_limit) {
+        const auto self = shared_from_this();
+        fail(errc::timeout, "nothing received for " + std::to_string(milliseconds_in(silent)) + " ms");
+        return;
+    }
+    if (silent >= options_.ping_interval / 2 && !closing_) {
+        session_->ping();
+    }
+}
+
+void websocket_link::fail(errc code, std::string detail) {
+    if (socket_ == nullptr) {
+        return;
+    }
+    const auto self = shared_from_this();
+    if (!open_ && code == errc::connection_closed) {
+        code = errc::connection_failed;
+    }
+    error failure = end_.value_or(
+        make_error(code, open_ ? step::receive : step::connect, to_string(peer_), std::move(detail)));
+    drop_socket();
+    // From the loop and not from inside a call of the link's user.
+    events_.post([self, failure = std::move(failure)] { self->report(failure); });
+}
+
+void websocket_link::report(const error& failure) {
+    if (const auto done = std::exchange(opened_, nullptr)) {
+        done(failure);
+    }
+    if (const auto action = std::exchange(on_closed_, nullptr)) {
+        action(failure);
+    }
+    on_message_ = nullptr;
+}
+
+void websocket_link::abandon() {
+    opened_ = nullptr;
+    on_closed_ = nullptr;
+    on_message_ = nullptr;
+    drop_socket();
+}
+
+void websocket_link::drop_socket() {
+    limit_.reset();
+    silence_check_.reset();
+    if (socket_ != nullptr) {
+        h2o_socket_close(std::exchange(socket_, nullptr));
+    }
+}
+
+std::size_t websocket_link::buffered_bytes() const noexcept {
+    return pending_.size() + (in_flight_ ? sending_.size() : 0);
+}
+
+} // namespace samphiretray::net
