--- /dev/null
+++ b/bench/measure/agent_model.cpp
@@ -0,0 +1,314 @@
+#include "bench/measure/agent_model.h"
+
+#include <algorithm>
+
+namespace samphiretray::measure {
+
+namespace {
+
+constexpr duration unload_time = 5ms;
+constexpr std::uint32_t max_load_failures = 4;
+/// Weight of the newest value in the moving average of load delays.
+constexpr double load_delay_step = 0.2;
+
+} // namespace
+
+agent_model::agent_model(event_queue& events, weight_store_model& store, policy kind, std::uint32_t slots,
+                         std::uint32_t batch, permit_port permits)
+    : events_(events), store_(store), kind_(kind), batch_(batch), permits_(std::move(permits)),
+      engine_(events, batch), slots_(slot_settings_of(kind, slots)), queue_(queue_settings_of(kind)),
+      attempts_({}) {
+    (void)slots_.incarnation_seen(std::to_string(incarnation_), events_.now());
+}
+
+void agent_model::count_from(time_point begin) {
+    counted_from_ = begin;
+    engine_.count_from(begin);
+}
+
+duration agent_model::expected_load(const agent::adapter_version& adapter) const {
+    return kind_ != policy::ours || slots_.resident(adapter) ? duration::zero() : load_delay_;
+}
+
+void agent_model::open(const agent::queued_request& request, std::uint32_t prompt, std::uint32_t output,
+                       attempt_events notify) {
+    if (!attempts_.open({0, request.request, request.attempt}, events_.now())) {
+        return;
+    }
+    agent::queued_request queued = request;
+    if (kind_ != policy::ours) {
+        // One flow without priority is a queue in order of arrival.
+        queued.organisation = "all";
+        queued.priority = false;
+    }
+    const auto result = queue_.push(queued, expected_load(queued.adapter), events_.now());
+    if (result.refused) {
+        (void)attempts_.refuse({0, request.request, request.attempt}, events_.now());
+        notify.on_refused(*result.refused, false, load());
+        return;
+    }
+    active& added = active_[request.request];
+    added = {queued, prompt, output, std::move(notify), !slots_.resident(queued.adapter), {}, {}};
+    if (added.cold) {
+        added.stalled_since = events_.now();
+    }
+    slots_.wait_started(queued.adapter, queued.priority, events_.now());
+    if (result.displaced) {
+        refuse({*result.displaced}, wire::refusal::queue_full);
+    }
+    run();
+}
+
+void agent_model::run() {
+    if (down_) {
+        return;
+    }
+    refuse(queue_.expire(events_.now()), wire::refusal::deadline);
+    start_requests();
+    ask_for_permits();
+}
+
+void agent_model::start_requests() {
+    const auto runnable = [this](const agent::queued_request& request) {
+        return slots_.can_run(request.adapter, request.priority);
+    };
+    while (engine_.running() < batch_) {
+        const auto next = queue_.pop(runnable);
+        if (!next) {
+            break;
+        }
+        start(*next);
+    }
+    const bool full = engine_.running() >= batch_;
+    if (full && !full_) {
+        full_since_ = events_.now();
+        full_tokens_ = 0;
+    }
+    full_ = full;
+}
+
+void agent_model::start(const agent::queued_request& request) {
+    active& of = active_.at(request.request);
+    of.pin = slots_.pin(request.adapter, request.priority, events_.now());
+    end_stall(of);
+    carry_out(slots_.wait_ended(request.adapter, request.priority, events_.now()));
+    if (!of.pin || !attempts_.start({0, request.request, request.attempt})) {
+        std::abort();
+    }
+    const std::uint64_t id = request.request;
+    engine_.start(id, {of.prompt, of.output, [this, id] { head(id); }, [this, id] { end(id); }});
+}
+
+void agent_model::head(std::uint64_t request) {
+    const active& of = active_.at(request);
+    of.notify.on_head(of.cold, load());
+}
+
+void agent_model::end(std::uint64_t request) {
+    auto ended = active_.extract(request);
+    active& of = ended.mapped();
+    const std::uint32_t used = of.prompt + of.output;
+    attempts_.finish({0, request, of.request.attempt}, events_.now());
+    slots_.unpin(*of.pin, events_.now());
+    queue_.settle(of.request.organisation, of.request.priority, of.request.tokens, used);
+    full_tokens_ += used;
+    if (full_ && events_.now() - full_since_ >= 2s) {
+        queue_.served(full_tokens_, events_.now() - full_since_);
+        full_since_ = events_.now();
+        full_tokens_ = 0;
+    }
+    of.notify.on_end(load());
+    run();
+}
+
+void agent_model::ask_for_permits() {
+    const auto wanted = slots_.loads_wanted(events_.now());
+    std::set<agent::adapter_version> asked;
+    for (auto at = permits_by_round_.begin(); at != permits_by_round_.end();) {
+        const permit& each = at->second;
+        if (!each.granted && std::ranges::find(wanted, each.adapter) == wanted.end()) {
+            permits_.cancel(at->first);
+            at = permits_by_round_.erase(at);
+            continue;
+        }
+        asked.insert(each.adapter);
+        ++at;
+    }
+    for (const agent::adapter_version& adapter : wanted) {
+        if (asked.contains(adapter)) {
+            continue;
+        }
+        bool priority = false;
+        std::uint32_t waiting = 0;
+        for (const auto& [id, each] : active_) {
+            const bool waits = !each.pin && each.request.adapter == adapter;
+            waiting += waits ? 1 : 0;
+            priority = priority || (waits && each.request.priority);
+        }
+        permits_by_round_[next_round_] = {adapter, false};
+        permits_.request(next_round_++, priority, waiting, adapter);
+    }
+}
+
+void agent_model::granted(std::uint64_t round) {
+    const auto found = permits_by_round_.find(round);
+    if (found == permits_by_round_.end()) {
+        permits_.done(round, false);
+        return;
+    }
+    const auto commands = slots_.begin_load(found->second.adapter, 1, events_.now());
+    if (commands.empty() || down_) {
+        permits_by_round_.erase(found);
+        permits_.done(round, false);
+        return;
+    }
+    found->second.granted = true;
+    carry_out(commands);
+}
+
+void agent_model::carry_out(const std::vector<agent::slot_command>& commands) {
+    const std::uint64_t incarnation = incarnation_;
+    for (const agent::slot_command& command : commands) {
+        if (command.kind == agent::slot_command_kind::load) {
+            load(command);
+        } else if (command.kind == agent::slot_command_kind::unload) {
+            events_.after(unload_time, [this, id = command.id, incarnation] {
+                if (incarnation == incarnation_) {
+                    carry_out(slots_.unload_finished(id, true, events_.now()));
+                    run();
+                }
+            });
+        }
+    }
+}
+
+void agent_model::load(const agent::slot_command& command) {
+    store_.load(
+        [this, command, incarnation = incarnation_](bool success) { loaded(command, success, incarnation); });
+}
+
+void agent_model::loaded(const agent::slot_command& command, bool success, std::uint64_t incarnation) {
+    const agent::adapter_version& adapter = command.order.target;
+    if (incarnation != incarnation_) {
+        return;
+    }
+    const auto outcome = success ? agent::load_outcome::loaded : agent::load_outcome::failed;
+    carry_out(slots_.load_finished(command.id, outcome, events_.now()));
+    finish_permit(adapter, success);
+    if (success) {
+        end_stalls(adapter);
+    } else if (slots_.failures(adapter) >= max_load_failures) {
+        refuse(queue_.remove_if([&](const auto& request) { return request.adapter == adapter; }),
+               wire::refusal::load_failed);
+    }
+    run();
+}
+
+void agent_model::finish_permit(const agent::adapter_version& adapter, bool success) {
+    const auto found = std::ranges::find_if(permits_by_round_, [&](const auto& each) {
+        return each.second.granted && each.second.adapter == adapter;
+    });
+    if (found != permits_by_round_.end()) {
+        permits_.done(found->first, success);
+        permits_by_round_.erase(found);
+    }
+}
+
+void agent_model::end_stalls(const agent::adapter_version& adapter) {
+    for (auto& [id, each] : active_) {
+        if (each.request.adapter == adapter) {
+            end_stall(each);
+        }
+    }
+}
+
+void agent_model::end_stall(active& of) {
+    if (!of.stalled_since) {
+        return;
+    }
+    const duration waited = events_.now() - *of.stalled_since;
+    const auto delay = std::chrono::duration<double, std::micro>{load_delay_};
+    load_delay_ = std::chrono::duration_cast<duration>(delay + load_delay_step * (waited - delay));
+    if (*of.stalled_since >= counted_from_) {
+        ++stalls_.requests;
+        stalls_.seconds += std::chrono::duration<double>{waited}.count();
+    }
+    of.stalled_since.reset();
+}
+
+void agent_model::refuse(const std::vector<agent::queued_request>& removed, wire::refusal reason) {
+    for (const agent::queued_request& request : removed) {
+        auto refused = active_.extract(request.request);
+        if (refused.empty()) {
+            continue;
+        }
+        end_stall(refused.mapped());
+        carry_out(slots_.wait_ended(request.adapter, request.priority, events_.now()));
+        (void)attempts_.refuse({0, request.request, request.attempt}, events_.now());
+        refused.mapped().notify.on_refused(reason, false, load());
+    }
+}
+
+void agent_model::cancel(std::uint64_t request, std::uint32_t attempt) {
+    const auto found = active_.find(request);
+    if (found == active_.end() || found->second.request.attempt != attempt) {
+        return;
+    }
+    if (!found->second.pin) {
+        refuse(queue_.remove_if([=](const auto& each) { return each.request == request; }),
+               wire::refusal::cancelled);
+    } else {
+        engine_.cancel(request);
+        slots_.unpin(*found->second.pin, events_.now());
+        attempts_.finish({0, request, attempt}, events_.now());
+        active_.erase(found);
+    }
+    run();
+}
+
+void agent_model::restart_engine(duration down) {
+    engine_.restart();
+    ++incarnation_;
+    down_ = true;
+    for (const auto& [round, each] : permits_by_round_) {
+        each.granted ? permits_.done(round, false) : permits_.cancel(round);
+    }
+    permits_by_round_.clear();
+    (void)slots_.incarnation_seen(std::to_string(incarnation_), events_.now());
+    std::vector<std::uint64_t> lost;
+    for (auto& [id, each] : active_) {
+        if (each.pin) {
+            lost.push_back(id);
+        } else if (!each.stalled_since) {
+            each.cold = true;
+            each.stalled_since = events_.now();
+        }
+    }
+    for (const std::uint64_t id : lost) {
+        auto ended = active_.extract(id);
+        attempts_.finish({0, id, ended.mapped().request.attempt}, events_.now());
+        ended.mapped().notify.on_refused(wire::refusal::endpoint_down, true, load());
+    }
+    events_.after(down, [this] {
+        down_ = false;
+        run();
+    });
+}
+
+void agent_model::tick() {
+    carry_out(slots_.poll(events_.now()));
+    run();
+}
+
+wire::load_report agent_model::load() const {
+    wire::load_report report;
+    report.running = engine_.running();
+    report.queued = static_cast<std::uint32_t>(queue_.size());
+    report.slots = static_cast<std::uint32_t>(slots_.size());
+    report.slots_pinned = static_cast<std::uint32_t>(slots_.pinned());
+    report.capacity = batch_;
+    report.wait_ms = static_cast<std::uint32_t>(milliseconds_in(queue_.estimated_wait(false)));
+    return report;
+}
+
+} // namespace samphiretray::measure
--- /dev/null
+++ b/bench/measure/agent_model.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "samphiretray/agent/attempt_table.h"
+#include "samphiretray/wire/messages.h"
+
+#include "bench/measure/back_ends.h"
+#include "bench/measure/policy.h"
+
+#include <map>
+#include <set>
+
+namespace samphiretray::measure {
+
+/// What an agent tells an entry about an attempt.
+struct attempt_events {
+    std::function<void(bool cold, wire::load_report load)> on_head;
+    std::function<void(wire::load_report load)> on_end;
+    std::function<void(wire::refusal reason, bool forwarded, wire::load_report load)> on_refused;
+};
+
+/// Where the agent asks for permits to load.
+struct permit_port {
+    std::function<void(std::uint64_t round, bool priority, std::uint32_t waiting,
+                       const agent::adapter_version& adapter)>
+        request;
+    std::function<void(std::uint64_t round)> cancel;
+    std::function<void(std::uint64_t round, bool loaded)> done;
+};
+
+/// Totals of load stalls.
+struct stall_totals {
+    std::uint64_t requests = 0;
+    double seconds = 0.0;
+};
+
+/// The agent's decision modules over a modelled engine.
+class agent_model {
+public:
+    agent_model(event_queue& events, weight_store_model& store, policy kind, std::uint32_t slots,
+                std::uint32_t batch, permit_port permits);
+
+    void open(const agent::queued_request& request, std::uint32_t prompt, std::uint32_t output,
+              attempt_events notify);
+    void cancel(std::uint64_t request, std::uint32_t attempt);
+    void granted(std::uint64_t round);
+    void restart_engine(duration down);
+    void tick();
+
+    [[nodiscard]] wire::load_report load() const;
+    [[nodiscard]] engine_model& engine() { return engine_; }
+    [[nodiscard]] const stall_totals& stalls() const { return stalls_; }
+    void count_from(time_point begin);
+    [[nodiscard]] std::uint64_t evictions() const { return slots_.evictions(); }
+
+private:
+    struct active {
+        agent::queued_request request;
+        std::uint32_t prompt = 0;
+        std::uint32_t output = 0;
+        attempt_events notify;
+        /// Set while the adapter was not resident.
+        bool cold = false;
+        std::optional<time_point> stalled_since;
+        std::optional<agent::slot_pin> pin;
+    };
+    struct permit {
+        agent::adapter_version adapter;
+        bool granted = false;
+    };
+
+    void run();
+    void start_requests();
+    void start(const agent::queued_request& request);
+    void ask_for_permits();
+    void carry_out(const std::vector<agent::slot_command>& commands);
+    void load(const agent::slot_command& command);
+    void loaded(const agent::slot_command& command, bool success, std::uint64_t incarnation);
+    void finish_permit(const agent::adapter_version& adapter, bool success);
+    void end_stalls(const agent::adapter_version& adapter);
+    void end_stall(active& of);
+    void refuse(const std::vector<agent::queued_request>& removed, wire::refusal reason);
+    void head(std::uint64_t request);
+    void end(std::uint64_t request);
+    [[nodiscard]] duration expected_load(const agent::adapter_version& adapter) const;
+
+    event_queue& events_;
+    weight_store_model& store_;
+    policy kind_;
+    std::uint32_t batch_;
+    permit_port permits_;
+    engine_model engine_;
+    agent::slot_table slots_;
+    agent::fair_queue queue_;
+    agent::attempt_table attempts_;
+    std::map<std::uint64_t, active> active_;
+    std::map<std::uint64_t, permit> permits_by_round_;
+    std::uint64_t next_round_ = 1;
+    std::uint64_t incarnation_ = 1;
+    bool down_ = false;
+    time_point counted_from_;
+    stall_totals stalls_;
+    duration load_delay_ = 250ms;
+    std::uint32_t full_tokens_ = 0;
+    time_point full_since_;
+    bool full_ = false;
+};
+
+} // namespace samphiretray::measure
--- /dev/null
+++ b/bench/measure/back_ends.cpp
@@ -0,0 +1,92 @@
+#include "bench/measure/back_ends.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace samphiretray::measure {
+
+namespace {
+
+/// Time of one step, and what each running request adds to it.
+constexpr duration step_base = 28ms;
+constexpr duration step_per_request = 700us;
+/// Prompt tokens that an engine reads in a second.
+constexpr double prompt_rate = 8000.0;
+constexpr double full_speed_loads = 8.0;
+constexpr duration load_time = 250ms;
+
+double seconds(duration time) {
+    return std::chrono::duration<double>{time}.count();
+}
+
+} // namespace
+
+void engine_model::start(std::uint64_t id, call work) {
+    const std::chrono::duration<double> reading{work.prompt / prompt_rate};
+    const time_point ready = events_.now() + std::chrono::duration_cast<duration>(reading);
+    running_.emplace(id, run{std::move(work), ready});
+    schedule_step();
+}
+
+void engine_model::restart() {
+    running_.clear();
+}
+
+void engine_model::schedule_step() {
+    if (stepping_ || running_.empty()) {
+        return;
+    }
+    stepping_ = true;
+    const duration time = step_base + step_per_request * running_.size();
+    events_.after(time, [this, time] { step(time); });
+}
+
+void engine_model::step(duration time) {
+    stepping_ = false;
+    if (!running_.empty() && events_.now() >= counted_from_) {
+        busy_ += seconds(time);
+        filled_ += seconds(time) * static_cast<double>(running_.size()) / batch_;
+    }
+    std::vector<std::function<void()>> notices;
+    for (auto at = running_.begin(); at != running_.end();) {
+        run& each = at->second;
+        if (events_.now() < each.ready_at) {
+            ++at;
+            continue;
+        }
+        ++each.produced;
+        if (each.produced == 1) {
+            notices.push_back(each.work.on_first_token);
+        }
+        if (each.produced < each.work.output) {
+            ++at;
+            continue;
+        }
+        notices.push_back(each.work.on_end);
+        at = running_.erase(at);
+    }
+    for (const auto& notice : notices) {
+        notice();
+    }
+    schedule_step();
+}
+
+void weight_store_model::load(std::function<void(bool loaded)> on_end) {
+    ++in_flight_;
+    ++loads_;
+    const double factor = std::max(1.0, in_flight_ / full_speed_loads) * slowdown_;
+    const bool loaded = std::uniform_real_distribution<double>(0.0, 1.0)(random_) >= failure_rate_;
+    const auto time =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double, std::micro>{load_time} * factor);
+    events_.after(time, [this, loaded, on_end = std::move(on_end)] {
+        --in_flight_;
+        on_end(loaded);
+    });
+}
+
+void weight_store_model::set_fault(double slowdown, double failure_rate) {
+    slowdown_ = slowdown;
+    failure_rate_ = failure_rate;
+}
+
+} // namespace samphiretray::measure
--- /dev/null
+++ b/bench/measure/run.cpp
@@ -0,0 +1,516 @@
+#include "bench/measure/run.h"
+
+#include "samphiretray/routing/outlier_ejection.h"
+#include "samphiretray/routing/retry_policy.h"
+
+#include "bench/measure/agent_model.h"
+#include "bench/measure/permit_desk.h"
+
+#include <algorithm>
+#include <memory>
+#include <numeric>
+
+namespace samphiretray::measure {
+
+namespace {
+
+constexpr duration one_way_region = 500us;
+constexpr duration one_way_remote = 15ms;
+/// Time after which an attempt without connection fails.
+constexpr duration connect_timeout = 1s;
+constexpr duration tick_interval = 100ms;
+constexpr duration restart_time = 5s;
+/// The region that is cut off; the holder of the duty `loads` is in the first one.
+constexpr std::uint32_t cut_region = 2;
+/// Mean tokens of prompt and output together for each token of output, and time of a step at full batch.
+constexpr double tokens_per_output = (500.0 + 208.0) / 208.0;
+constexpr double full_step = 0.028 + 0.0007 * 8.0;
+constexpr const char* pool = "base";
+
+enum class fate { pending, served, refused, broken };
+
+struct request_state {
+    std::uint32_t attempts = 0;
+    std::vector<std::string> tried;
+    std::uint32_t engine = 0;
+    bool open = false;
+    bool streamed = false;
+    time_point sent;
+    std::optional<time_point> head;
+    std::optional<duration> first_token;
+    fate end = fate::pending;
+};
+
+struct entry_model {
+    selector choices;
+    routing::outlier_ejection ejection;
+    routing::retry_policy retries;
+};
+
+class simulation {
+public:
+    simulation(const deployment& of, scenario kind, policy used, std::uint64_t seed)
+        : of_(of), kind_(kind), policy_(used), trace_(make_trace(of, kind, seed)), requests_(trace_.size()),
+          store_(events_, seed + 1), permits_(of.loads_per_second, 8, events_.now()), start_(events_.now()) {
+        make_fleet(seed);
+    }
+
+    figures run() {
+        schedule_arrivals();
+        schedule_changes();
+        tick();
+        events_.run_until(start_ + warm_up + counted + request_timeout + 30s);
+        return collect();
+    }
+
+private:
+    void make_fleet(std::uint64_t seed) {
+        std::vector<routing::endpoint> fleet;
+        std::vector<std::string> names;
+        for (std::uint32_t index = 0; index < of_.regions.size() * of_.engines_per_region; ++index) {
+            const std::string& region = of_.regions[region_of(index)];
+            names.push_back("engine-" + std::to_string(index));
+            fleet.push_back({names.back(), pool, {region, region + "-1"}, 1.0});
+            agents_.push_back(std::make_unique<agent_model>(events_, store_, policy_, of_.slots, of_.batch,
+                                                            make_port(index)));
+            agents_.back()->count_from(start_ + warm_up);
+        }
+        for (const std::string& region : of_.regions) {
+            entries_.push_back({selector{policy_, fleet, {region, region + "-1"}, ++seed},
+                                routing::outlier_ejection{{}}, routing::retry_policy{{}}});
+            entries_.back().ejection.replace_endpoints(pool, names);
+        }
+        names_ = std::move(names);
+        local_loads_.resize(agents_.size());
+    }
+
+    [[nodiscard]] std::uint32_t region_of(std::uint32_t engine) const {
+        return engine / of_.engines_per_region;
+    }
+
+    [[nodiscard]] bool connected(std::uint32_t left, std::uint32_t right) const {
+        return !cut_ || left == right || (left != cut_region && right != cut_region);
+    }
+
+    static duration one_way(std::uint32_t left, std::uint32_t right) {
+        return left == right ? one_way_region : one_way_remote;
+    }
+
+    // Permits.
+
+    permit_port make_port(std::uint32_t engine) {
+        permit_port port;
+        port.request = [this, engine](std::uint64_t round, bool priority, std::uint32_t waiting,
+                                      const agent::adapter_version& adapter) {
+            request_permit(engine, round, priority, waiting, adapter);
+        };
+        port.cancel = [this, engine](std::uint64_t round) {
+            std::erase(local_loads_[engine].waiting, round);
+            events_.after(one_way(region_of(engine), 0),
+                          [this, engine, round] { permits_.cancel(names_[engine], round); });
+        };
+        port.done = [this, engine](std::uint64_t round, bool) {
+            if (local_loads_[engine].running == round) {
+                local_loads_[engine].running = 0;
+                return;
+            }
+            events_.after(one_way(region_of(engine), 0), [this, engine, round] {
+                permits_.done(names_[engine], round);
+                answer_permits();
+            });
+        };
+        return port;
+    }
+
+    void request_permit(std::uint32_t engine, std::uint64_t round, bool priority, std::uint32_t waiting,
+                        const agent::adapter_version& adapter) {
+        if (!connected(region_of(engine), 0)) {
+            local_loads_[engine].waiting.push_back(round);
+            return;
+        }
+        events_.after(one_way(region_of(engine), 0), [=, this] {
+            permits_.request(names_[engine], round, priority, waiting, adapter);
+            answer_permits();
+        });
+    }
+
+    void answer_permits() {
+        for (const permit_desk::grant& each : permits_.take(events_.now())) {
+            const auto engine =
+                static_cast<std::uint32_t>(std::ranges::find(names_, each.holder) - names_.begin());
+            events_.after(one_way(0, region_of(engine)),
+                          [this, engine, round = each.round] { agents_[engine]->granted(round); });
+        }
+    }
+
+    /// Without a holder of the duty an agent loads at its part of half of the store's rate.
+    void load_locally(std::uint32_t engine) {
+        local_load& local = local_loads_[engine];
+        const double rate = 0.5 * of_.loads_per_second / static_cast<double>(agents_.size());
+        const std::chrono::duration<double> interval{1.0 / rate};
+        if (local.waiting.empty() || local.running != 0 || events_.now() - local.last < interval) {
+            return;
+        }
+        local.last = events_.now();
+        local.running = local.waiting.front();
+        local.waiting.erase(local.waiting.begin());
+        agents_[engine]->granted(local.running);
+    }
+
+    // Requests.
+
+    void schedule_arrivals() {
+        for (std::uint32_t id = 0; id < trace_.size(); ++id) {
+            events_.at(start_ + trace_[id].arrival, [this, id] { attempt(id); });
+        }
+    }
+
+    [[nodiscard]] time_point deadline_of(std::uint32_t id) const {
+        return start_ + trace_[id].arrival + request_timeout;
+    }
+
+    [[nodiscard]] agent::adapter_version adapter_of(std::uint32_t id) const {
+        return {"adapter-" + std::to_string(trace_[id].adapter), "1"};
+    }
+
+    void attempt(std::uint32_t id) {
+        const trace_request& request = trace_[id];
+        request_state& state = requests_[id];
+        entry_model& entry = entries_[request.region];
+        routing::placement_request wanted;
+        wanted.pool = pool;
+        wanted.adapter = adapter_of(id);
+        wanted.bytes = request.bytes;
+        wanted.tried = state.tried;
+        const auto usable = [&](std::string_view endpoint) {
+            return entry.ejection.usable(endpoint, events_.now());
+        };
+        const auto chosen = entry.choices.choose(wanted, events_.now(), usable);
+        if (!chosen) {
+            state.end = fate::refused;
+            return;
+        }
+        state.engine = static_cast<std::uint32_t>(std::ranges::find(names_, *chosen) - names_.begin());
+        state.tried.push_back(*chosen);
+        state.open = true;
+        state.sent = events_.now();
+        state.head.reset();
+        ++state.attempts;
+        if (state.attempts == 1) {
+            entry.retries.request_started(organisation_name(id), *chosen, events_.now());
+        }
+        entry.choices.sent(*chosen);
+        entry.ejection.started(*chosen, events_.now());
+        send(id);
+    }
+
+    [[nodiscard]] std::string organisation_name(std::uint32_t id) const {
+        return "organisation-" + std::to_string(trace_[id].organisation);
+    }
+
+    void send(std::uint32_t id) {
+        const trace_request& request = trace_[id];
+        const request_state& state = requests_[id];
+        const std::uint32_t to = region_of(state.engine);
+        const std::uint32_t number = state.attempts;
+        if (!connected(request.region, to)) {
+            events_.after(connect_timeout, [this, id, number] { fail(id, number, false, true); });
+            return;
+        }
+        if (to != request.region && request.arrival >= warm_up) {
+            remote_bytes_ += request.bytes;
+        }
+        agent::queued_request queued;
+        queued.request = id;
+        queued.attempt = number;
+        queued.organisation = organisation_name(id);
+        queued.adapter = adapter_of(id);
+        queued.priority = request.priority;
+        queued.tokens = request.bound;
+        queued.arrived = events_.now();
+        queued.deadline = deadline_of(id);
+        events_.after(one_way(request.region, to), [this, id, queued, number, engine = state.engine] {
+            const trace_request& sent = trace_[id];
+            agents_[engine]->open(queued, sent.prompt, sent.output, notices(id, number, engine));
+        });
+    }
+
+    attempt_events notices(std::uint32_t id, std::uint32_t number, std::uint32_t engine) {
+        const std::uint32_t from = region_of(engine);
+        const std::uint32_t to = trace_[id].region;
+        const auto deliver = [this, id, number, from, to](auto notice) {
+            events_.after(one_way(from, to), [this, id, number, from, to, notice] {
+                const request_state& state = requests_[id];
+                if (state.open && state.attempts == number && connected(from, to)) {
+                    notice();
+                }
+            });
+        };
+        attempt_events events;
+        events.on_head = [this, id, deliver](bool cold, wire::load_report load) {
+            deliver([this, id, cold, load] { head(id, cold, load); });
+        };
+        events.on_end = [this, id, deliver](wire::load_report load) {
+            deliver([this, id, load] { end(id, load); });
+        };
+        events.on_refused = [this, id, number, deliver](wire::refusal reason, bool forwarded,
+                                                        wire::load_report load) {
+            deliver([this, id, number, reason, forwarded, load] {
+                entry_of(id).choices.placement().observe_refusal(names_[requests_[id].engine], adapter_of(id),
+                                                                 reason, load, events_.now());
+                fail(id, number, forwarded, reason == wire::refusal::endpoint_down);
+            });
+        };
+        return events;
+    }
+
+    entry_model& entry_of(std::uint32_t id) { return entries_[trace_[id].region]; }
+
+    void head(std::uint32_t id, bool cold, const wire::load_report& load) {
+        request_state& state = requests_[id];
+        state.streamed = true;
+        state.head = events_.now();
+        state.first_token = events_.now() - (start_ + trace_[id].arrival);
+        entry_of(id).choices.placement().observe_answer(
+            {names_[state.engine], adapter_of(id), cold, events_.now() - state.sent, load}, events_.now());
+    }
+
+    void end(std::uint32_t id, const wire::load_report& load) {
+        request_state& state = requests_[id];
+        entry_model& entry = entry_of(id);
+        state.open = false;
+        state.end = fate::served;
+        entry.choices.placement().observe_load(names_[state.engine], load, events_.now());
+        entry.choices.finished(names_[state.engine], events_.now() - *state.head);
+        entry.ejection.succeeded(names_[state.engine], events_.now());
+    }
+
+    void fail(std::uint32_t id, std::uint32_t number, bool forwarded, bool of_endpoint) {
+        request_state& state = requests_[id];
+        if (!state.open || state.attempts != number) {
+            return;
+        }
+        entry_model& entry = entry_of(id);
+        const std::string& endpoint = names_[state.engine];
+        state.open = false;
+        entry.choices.finished(endpoint, std::nullopt);
+        of_endpoint ? entry.ejection.failed(endpoint, events_.now())
+                    : entry.ejection.succeeded(endpoint, events_.now());
+        const std::string organisation = organisation_name(id);
+        routing::failed_attempt failed;
+        failed.organisation = organisation;
+        failed.endpoint = endpoint;
+        failed.attempts = state.attempts;
+        failed.deadline = deadline_of(id);
+        failed.forwarded = forwarded;
+        failed.streamed = state.streamed;
+        if (entry.retries.decide(failed, events_.now()) == routing::retry_verdict::retry) {
+            attempt(id);
+        } else {
+            state.end = state.streamed ? fate::broken : fate::refused;
+        }
+    }
+
+    // Faults.
+
+    void schedule_changes() {
+        const time_point begin = start_ + change_begins;
+        const time_point finish = start_ + change_ends;
+        if (kind_ == scenario::slow_store) {
+            events_.at(begin, [this] { store_.set_fault(4.0, 0.2); });
+            events_.at(finish, [this] { store_.set_fault(1.0, 0.0); });
+        } else if (kind_ == scenario::restart) {
+            events_.at(begin, [this] { agents_[0]->restart_engine(restart_time); });
+            events_.at(finish, [this] { agents_.back()->restart_engine(restart_time); });
+        } else if (kind_ == scenario::cut_off) {
+            events_.at(begin, [this] { cut(); });
+            events_.at(finish, [this] { join(); });
+        }
+    }
+
+    void cut() {
+        cut_ = true;
+        for (std::uint32_t id = 0; id < requests_.size(); ++id) {
+            const request_state& state = requests_[id];
+            if (state.open && !connected(trace_[id].region, region_of(state.engine))) {
+                const std::uint32_t number = state.attempts;
+                events_.after(connect_timeout, [this, id, number, engine = state.engine] {
+                    agents_[engine]->cancel(id, number);
+                    fail(id, number, true, true);
+                });
+            }
+        }
+    }
+
+    /// Requests for permits that waited for the local limit go to the holder again.
+    void join() {
+        cut_ = false;
+        for (std::uint32_t engine = 0; engine < agents_.size(); ++engine) {
+            for (const std::uint64_t round : std::exchange(local_loads_[engine].waiting, {})) {
+                request_permit(engine, round, false, 1, {});
+            }
+        }
+    }
+
+    void tick() {
+        for (std::uint32_t engine = 0; engine < agents_.size(); ++engine) {
+            agents_[engine]->tick();
+            if (!connected(region_of(engine), 0)) {
+                load_locally(engine);
+            }
+        }
+        answer_permits();
+        if (events_.now() < start_ + warm_up + counted + request_timeout) {
+            events_.after(tick_interval, [this] { tick(); });
+        }
+    }
+
+    // Figures.
+
+    [[nodiscard]] double fleet_capacity() const {
+        const double places = static_cast<double>(agents_.size()) * of_.batch;
+        return places / full_step * tokens_per_output;
+    }
+
+    [[nodiscard]] figures collect() const {
+        figures row;
+        row.deployment = of_.name;
+        row.scenario = name_of(kind_);
+        row.policy = name_of(policy_);
+        count_requests(row);
+        count_engines(row);
+        count_first_tokens(row);
+        row.worst_share = worst_share();
+        row.remote_megabytes = remote_bytes_ / 1e6;
+        row.loads = store_.loads();
+        return row;
+    }
+
+    void count_requests(figures& row) const {
+        double tokens = 0.0;
+        for (std::uint32_t id = 0; id < trace_.size(); ++id) {
+            const trace_request& request = trace_[id];
+            if (request.arrival < warm_up) {
+                continue;
+            }
+            ++row.requests;
+            tokens += request.prompt + request.output;
+            const fate end = requests_[id].end;
+            row.served += end == fate::served ? 1 : 0;
+            row.broken += end == fate::broken ? 1 : 0;
+            row.refused += end == fate::refused || end == fate::pending ? 1 : 0;
+            row.wrongful += request.within_rate && (end == fate::refused || end == fate::pending) ? 1 : 0;
+        }
+        row.fleet_load = tokens / (fleet_capacity() * std::chrono::duration<double>{counted}.count());
+    }
+
+    void count_engines(figures& row) const {
+        double filled = 0.0;
+        double busy = 0.0;
+        for (const auto& each : agents_) {
+            row.stalls += each->stalls().requests;
+            row.stall_seconds += each->stalls().seconds;
+            row.evictions += each->evictions();
+            filled += each->engine().filled_seconds();
+            busy += each->engine().busy_seconds();
+        }
+        row.batch_efficiency = busy > 0.0 ? filled / busy : 0.0;
+    }
+
+    static double percentile(std::vector<double>& values, double part) {
+        if (values.empty()) {
+            return 0.0;
+        }
+        const auto position = static_cast<std::ptrdiff_t>(part * static_cast<double>(values.size() - 1));
+        std::ranges::nth_element(values, values.begin() + position);
+        return values[static_cast<std::size_t>(position)];
+    }
+
+    /// A request that was refused counts with its whole timeout, so that refusals do not improve the figures.
+    void count_first_tokens(figures& row) const {
+        std::vector<double> all;
+        std::vector<double> priority;
+        for (std::uint32_t id = 0; id < trace_.size(); ++id) {
+            if (trace_[id].arrival < warm_up) {
+                continue;
+            }
+            const duration time = requests_[id].first_token.value_or(request_timeout);
+            all.push_back(std::chrono::duration<double>{time}.count());
+            if (trace_[id].priority) {
+                priority.push_back(all.back());
+            }
+        }
+        row.first_token_median = percentile(all, 0.5);
+        row.first_token_95 = percentile(all, 0.95);
+        row.first_token_99 = percentile(all, 0.99);
+        row.priority_95 = percentile(priority, 0.95);
+    }
+
+    /// The least part of its max-min fair share of the fleet's capacity that an organisation was served.
+    [[nodiscard]] double worst_share() const {
+        constexpr std::size_t count = organisation_parts.size();
+        std::array<double, count> demand{};
+        std::array<double, count> served{};
+        for (std::uint32_t id = 0; id < trace_.size(); ++id) {
+            const trace_request& request = trace_[id];
+            if (request.arrival >= warm_up) {
+                const double tokens = request.prompt + request.output;
+                demand[request.organisation] += tokens;
+                served[request.organisation] += requests_[id].end == fate::served ? tokens : 0.0;
+            }
+        }
+        const auto fair = max_min(demand, fleet_capacity() * std::chrono::duration<double>{counted}.count());
+        double worst = 1.0;
+        for (std::size_t each = 0; each < count; ++each) {
+            if (fair[each] > 0.0) {
+                worst = std::min(worst, served[each] / fair[each]);
+            }
+        }
+        return worst;
+    }
+
+    template <std::size_t Count>
+    static std::array<double, Count> max_min(const std::array<double, Count>& demand, double capacity) {
+        std::array<std::size_t, Count> order{};
+        std::iota(order.begin(), order.end(), 0U);
+        std::ranges::sort(order, {}, [&](std::size_t each) { return demand[each]; });
+        std::array<double, Count> fair{};
+        std::size_t left = Count;
+        for (const std::size_t each : order) {
+            fair[each] = std::min(demand[each], capacity / static_cast<double>(left));
+            capacity -= fair[each];
+            --left;
+        }
+        return fair;
+    }
+
+    struct local_load {
+        std::vector<std::uint64_t> waiting;
+        std::uint64_t running = 0;
+        time_point last;
+    };
+
+    const deployment& of_;
+    scenario kind_;
+    policy policy_;
+    std::vector<trace_request> trace_;
+    std::vector<request_state> requests_;
+    event_queue events_;
+    weight_store_model store_;
+    permit_desk permits_;
+    time_point start_;
+    std::vector<std::unique_ptr<agent_model>> agents_;
+    std::vector<entry_model> entries_;
+    std::vector<std::string> names_;
+    std::vector<local_load> local_loads_;
+    bool cut_ = false;
+    double remote_bytes_ = 0.0;
+};
+
+} // namespace
+
+figures run(const deployment& of, scenario kind, policy used, std::uint64_t seed) {
+    return simulation{of, kind, used, seed}.run();
+}
+
+} // namespace samphiretray::measure
