Estimate waits from what competes for the batch, and share homes in the fleet

Cause: the figures showed 40 s queues for the store's permits that the estimates took for queues at the engines. Learnt load delays refused all cold requests and then never recovered; requests waiting for a load counted as load of the engine, so every adapter got more homes; each region had its own home, which tripled the loads; and slots were drained although the permits, not the slots, were the limit, which evicted popular adapters.

Change: the slot table estimates the load delay and forgets it with a half life of 10 s; waits and reports count only requests that could run at once; homes are the same for all regions (remote_weight 1); a slot is drained only if no load can begin.

--- a/bench/measure/agent_model.cpp
+++ b/bench/measure/agent_model.cpp
@@ -8,8 +8,6 @@
 
 constexpr duration unload_time = 5ms;
 constexpr std::uint32_t max_load_failures = 4;
-/// Weight of the newest value in the moving average of load delays.
-constexpr double load_delay_step = 0.2;
 
 } // namespace
 
@@ -27,7 +25,8 @@
 }
 
 duration agent_model::expected_load(const agent::adapter_version& adapter) const {
-    return kind_ != policy::ours || slots_.resident(adapter) ? duration::zero() : load_delay_;
+    return kind_ != policy::ours || slots_.resident(adapter) ? duration::zero()
+                                                             : slots_.load_delay(events_.now());
 }
 
 void agent_model::open(const agent::queued_request& request, std::uint32_t prompt, std::uint32_t output,
@@ -41,7 +40,7 @@
         queued.organisation = "all";
         queued.priority = false;
     }
-    const auto result = queue_.push(queued, expected_load(queued.adapter), events_.now());
+    const auto result = queue_.push(queued, expected_load(queued.adapter), runnable(), events_.now());
     if (result.refused) {
         (void)attempts_.refuse({0, request.request, request.attempt}, events_.now());
         notify.on_refused(*result.refused, false, load());
@@ -68,12 +67,15 @@
     ask_for_permits();
 }
 
-void agent_model::start_requests() {
-    const auto runnable = [this](const agent::queued_request& request) {
+agent::fair_queue::runnable_predicate agent_model::runnable() const {
+    return [this](const agent::queued_request& request) {
         return slots_.can_run(request.adapter, request.priority);
     };
+}
+
+void agent_model::start_requests() {
     while (engine_.running() < batch_) {
-        const auto next = queue_.pop(runnable);
+        const auto next = queue_.pop(runnable());
         if (!next) {
             break;
         }
@@ -227,8 +229,6 @@
         return;
     }
     const duration waited = events_.now() - *of.stalled_since;
-    const auto delay = std::chrono::duration<double, std::micro>{load_delay_};
-    load_delay_ = std::chrono::duration_cast<duration>(delay + load_delay_step * (waited - delay));
     if (*of.stalled_since >= counted_from_) {
         ++stalls_.requests;
         stalls_.seconds += std::chrono::duration<double>{waited}.count();
@@ -303,11 +303,11 @@
 wire::load_report agent_model::load() const {
     wire::load_report report;
     report.running = engine_.running();
-    report.queued = static_cast<std::uint32_t>(queue_.size());
+    report.queued = static_cast<std::uint32_t>(queue_.count_if(runnable()));
     report.slots = static_cast<std::uint32_t>(slots_.size());
     report.slots_pinned = static_cast<std::uint32_t>(slots_.pinned());
     report.capacity = batch_;
-    report.wait_ms = static_cast<std::uint32_t>(milliseconds_in(queue_.estimated_wait(false)));
+    report.wait_ms = static_cast<std::uint32_t>(milliseconds_in(queue_.estimated_wait(false, runnable())));
     return report;
 }
 
--- a/bench/measure/agent_model.h
+++ b/bench/measure/agent_model.h
@@ -81,6 +81,7 @@
     void refuse(const std::vector<agent::queued_request>& removed, wire::refusal reason);
     void head(std::uint64_t request);
     void end(std::uint64_t request);
+    [[nodiscard]] agent::fair_queue::runnable_predicate runnable() const;
     [[nodiscard]] duration expected_load(const agent::adapter_version& adapter) const;
 
     event_queue& events_;
@@ -99,7 +100,6 @@
     bool down_ = false;
     time_point counted_from_;
     stall_totals stalls_;
-    duration load_delay_ = 250ms;
     std::uint32_t full_tokens_ = 0;
     time_point full_since_;
     bool full_ = false;
--- a/include/samphiretray/agent/fair_queue.h
+++ b/include/samphiretray/agent/fair_queue.h
@@ -57,13 +57,15 @@
     /// Weight of an organisation's share; 1 unless set.
     void set_weight(const std::string& organisation, double weight);
 
-    /// Adds a request or refuses it. `load_delay` is the estimated time until the adapter is resident. In a
-    /// full queue an organisation with less than its share of the places displaces the newest request of the
-    /// organisation with the most.
-    [[nodiscard]] push_result push(queued_request request, duration load_delay, time_point now);
-
     using runnable_predicate = std::function<bool(const queued_request&)>;
 
+    /// Adds a request or refuses it. `load_delay` is the estimated time until the adapter is resident. The
+    /// estimated wait counts only requests that `runnable` accepts, since the others leave their places in
+    /// the batch to it. In a full queue an organisation with less than its share of the places displaces the
+    /// newest request of the organisation with the most.
+    [[nodiscard]] push_result push(queued_request request, duration load_delay,
+                                   const runnable_predicate& runnable, time_point now);
+
     /// Removes and returns the request to run next among those that `runnable` accepts: priority first, then
     /// the organisation with the lowest start tag, then the order of arrival. Requests that wait for a load
     /// are skipped and keep their organisation's tag, so they run as soon as they can.
@@ -84,8 +86,11 @@
 
     [[nodiscard]] std::size_t size() const noexcept { return size_; }
     [[nodiscard]] bool empty() const noexcept { return size_ == 0; }
-    /// Estimated wait of a new request of a new organisation, without a load.
-    [[nodiscard]] duration estimated_wait(bool priority) const;
+    /// Number of waiting requests that `matches` accepts.
+    [[nodiscard]] std::size_t count_if(const runnable_predicate& matches) const;
+    /// Estimated wait of a new request of a new organisation, without a load. Counts requests that `runnable`
+    /// accepts.
+    [[nodiscard]] duration estimated_wait(bool priority, const runnable_predicate& runnable) const;
 
 private:
     struct flow {
@@ -93,7 +98,6 @@
         double tag = 0.0;
         double weight = 1.0;
         std::list<queued_request> waiting;
-        std::uint64_t tokens = 0;
         /// Requests in a row that overtook the oldest runnable one.
         std::uint32_t overtaken = 0;
     };
@@ -101,7 +105,6 @@
     struct service_class {
         std::map<std::string, flow> flows;
         double virtual_time = 0.0;
-        std::uint64_t tokens = 0;
     };
 
     using position = std::list<queued_request>::iterator;
@@ -114,7 +117,9 @@
                          std::vector<queued_request>& removed);
     [[nodiscard]] service_class& class_of(bool priority) { return priority ? priority_ : normal_; }
     [[nodiscard]] double weight_of(const std::string& organisation) const;
-    [[nodiscard]] duration wait_of(const queued_request& request) const;
+    [[nodiscard]] duration wait_of(const queued_request& request, const runnable_predicate& runnable) const;
+    [[nodiscard]] static double runnable_tokens(const flow& of, const runnable_predicate& runnable);
+    [[nodiscard]] static double runnable_tokens(const service_class& of, const runnable_predicate& runnable);
     [[nodiscard]] bool has_room(const queued_request& request) const;
     [[nodiscard]] std::optional<queued_request> displace_for(const queued_request& request);
     void insert(queued_request request);
--- a/include/samphiretray/agent/slot_table.h
+++ b/include/samphiretray/agent/slot_table.h
@@ -35,6 +35,10 @@
     /// When an adapter has waited this long and all slots are pinned, one slot takes no new requests until
     /// it can be evicted.
     duration drain_after = 2s;
+    /// Estimated time of a load until others are seen; observed ones lose half of their weight in
+    /// `load_delay_half_life`.
+    duration load_time = 250ms;
+    duration load_delay_half_life = 10s;
 };
 
 enum class slot_state { empty, loading, resident, unloading };
@@ -124,6 +128,8 @@
     [[nodiscard]] std::size_t size() const noexcept { return slots_.size(); }
     [[nodiscard]] std::size_t count(slot_state state) const;
     [[nodiscard]] std::size_t pinned() const;
+    /// Estimated time from the first wait for an adapter to the end of its load, from the loads of late.
+    [[nodiscard]] duration load_delay(time_point now) const;
     /// Failed loads in a row; the process refuses waiting requests after a few.
     [[nodiscard]] std::uint32_t failures(const adapter_version& adapter) const;
     [[nodiscard]] std::uint64_t evictions() const noexcept { return evictions_; }
@@ -177,6 +183,7 @@
     [[nodiscard]] slot_command start_load(slot& into, const adapter_version& adapter);
     [[nodiscard]] slot_command start_unload(slot& of);
     void record_failure(const adapter_version& adapter, time_point now);
+    void observe_load_delay(duration waited, time_point now);
     void forget_idle_demands(time_point now);
 
     slot_settings settings_;
@@ -185,6 +192,8 @@
     std::map<adapter_version, demand> demands_;
     std::string incarnation_;
     std::uint64_t next_command_ = 1;
+    duration load_delay_;
+    time_point load_delay_at_;
     std::uint64_t evictions_ = 0;
     std::uint64_t ignored_reports_ = 0;
 };
--- a/include/samphiretray/routing/placement.h
+++ b/include/samphiretray/routing/placement.h
@@ -51,7 +51,7 @@
     duration busy_cost = 20ms;
     /// Relative weight in rendezvous hashing of endpoints in other regions. Zero: homes are in the own region
     /// while it has live endpoints; one: all entries agree on one home in the fleet.
-    double remote_weight = 0.0;
+    double remote_weight = 1.0;
     /// Requests an endpoint runs at once until it reports its capacity.
     std::uint32_t capacity = 8;
     /// Time that one request occupies a place in the batch until answers show another one.
--- a/include/samphiretray/wire/messages.h
+++ b/include/samphiretray/wire/messages.h
@@ -17,6 +17,7 @@
 /// Load of an endpoint, on every answer. Counts at the time of sending.
 struct load_report {
     std::uint32_t running = 0;
+    /// Requests that wait for a place in the batch, without those that wait for a load.
     std::uint32_t queued = 0;
     std::uint32_t slots = 0;
     std::uint32_t slots_pinned = 0;
--- a/src/agent/fair_queue.cpp
+++ b/src/agent/fair_queue.cpp
@@ -28,31 +28,57 @@
     return found == weights_.end() ? 1.0 : found->second;
 }
 
-duration fair_queue::estimated_wait(bool priority) const {
-    const auto tokens = static_cast<double>(priority_.tokens + (priority ? 0 : normal_.tokens));
-    return seconds_to_duration(tokens / rate_);
+double fair_queue::runnable_tokens(const flow& of, const runnable_predicate& runnable) {
+    double tokens = 0.0;
+    for (const queued_request& request : of.waiting) {
+        tokens += runnable(request) ? request.tokens : 0.0;
+    }
+    return tokens;
+}
+
+double fair_queue::runnable_tokens(const service_class& of, const runnable_predicate& runnable) {
+    double tokens = 0.0;
+    for (const auto& [organisation, each] : of.flows) {
+        tokens += runnable_tokens(each, runnable);
+    }
+    return tokens;
+}
+
+duration fair_queue::estimated_wait(bool priority, const runnable_predicate& runnable) const {
+    const double normal = priority ? 0.0 : runnable_tokens(normal_, runnable);
+    return seconds_to_duration((runnable_tokens(priority_, runnable) + normal) / rate_);
 }
 
 /// With fair queueing a request waits for its organisation's own tokens and for as many of each other
 /// organisation in proportion to the weights, but never for more than the whole queue.
-duration fair_queue::wait_of(const queued_request& request) const {
+duration fair_queue::wait_of(const queued_request& request, const runnable_predicate& runnable) const {
     const service_class& same = request.priority ? priority_ : normal_;
     const double weight = weight_of(request.organisation);
     const auto own = same.flows.find(request.organisation);
-    const double own_tokens = own == same.flows.end() ? 0.0 : static_cast<double>(own->second.tokens);
+    const double own_tokens = own == same.flows.end() ? 0.0 : runnable_tokens(own->second, runnable);
     const double finish = (own_tokens + request.tokens) / weight;
     double ahead = own_tokens;
     for (const auto& [organisation, other] : same.flows) {
         if (organisation != request.organisation) {
-            ahead += std::min(static_cast<double>(other.tokens), finish * weight_of(organisation));
+            ahead += std::min(runnable_tokens(other, runnable), finish * weight_of(organisation));
         }
     }
     if (!request.priority) {
-        ahead += static_cast<double>(priority_.tokens);
+        ahead += runnable_tokens(priority_, runnable);
     }
     return seconds_to_duration(ahead / rate_);
 }
 
+std::size_t fair_queue::count_if(const runnable_predicate& matches) const {
+    std::size_t count = 0;
+    for (const service_class* in : {&priority_, &normal_}) {
+        for (const auto& [organisation, of] : in->flows) {
+            count += static_cast<std::size_t>(std::ranges::count_if(of.waiting, matches));
+        }
+    }
+    return count;
+}
+
 bool fair_queue::has_room(const queued_request& request) const {
     return size_ < settings_.max_length + (request.priority ? settings_.priority_extra : 0);
 }
@@ -76,8 +102,6 @@
     flow& shortened = longest->second;
     queued_request displaced = std::move(shortened.waiting.back());
     shortened.waiting.pop_back();
-    shortened.tokens -= displaced.tokens;
-    normal_.tokens -= displaced.tokens;
     --size_;
     return displaced;
 }
@@ -89,17 +113,16 @@
         of.tag = std::max(of.tag, into.virtual_time);
         of.overtaken = 0;
     }
-    of.tokens += request.tokens;
-    into.tokens += request.tokens;
     ++size_;
     of.waiting.push_back(std::move(request));
 }
 
-push_result fair_queue::push(queued_request request, duration load_delay, time_point now) {
+push_result fair_queue::push(queued_request request, duration load_delay, const runnable_predicate& runnable,
+                             time_point now) {
     const duration left = request.deadline - now;
     const duration usable =
         seconds_to_duration(std::chrono::duration<double>{left}.count() * settings_.deadline_part);
-    if (left <= duration::zero() || wait_of(request) + load_delay > usable) {
+    if (left <= duration::zero() || wait_of(request, runnable) + load_delay > usable) {
         return {wire::refusal::deadline, std::nullopt};
     }
     push_result result;
@@ -152,8 +175,6 @@
     queued_request taken = std::move(*chosen);
     of.waiting.erase(chosen);
     of.overtaken = oldest ? 0 : of.overtaken + 1;
-    of.tokens -= taken.tokens;
-    from.tokens -= taken.tokens;
     from.virtual_time = std::max(from.virtual_time, of.tag);
     of.tag += static_cast<double>(taken.tokens) / weight_of(taken.organisation);
     last_adapter_ = taken.adapter;
@@ -186,8 +207,6 @@
                 ++at;
                 continue;
             }
-            of.tokens -= at->tokens;
-            from.tokens -= at->tokens;
             --size_;
             removed.push_back(std::move(*at));
             at = of.waiting.erase(at);
--- a/src/agent/slot_table.cpp
+++ b/src/agent/slot_table.cpp
@@ -6,10 +6,17 @@
 
 namespace samphiretray::agent {
 
+namespace {
+
+/// A new load delay counts one part in this many of the moving average.
+constexpr int load_delay_weight = 4;
+
+} // namespace
+
 slot_table::slot_table(slot_settings settings)
     : settings_(settings),
       reserved_(std::min(settings.reserved, std::max<std::size_t>(settings.slots, 1) - 1)),
-      slots_(settings.slots) {}
+      slots_(settings.slots), load_delay_(settings.load_time) {}
 
 slot_table::slot* slot_table::find(const adapter_version& adapter) {
     const auto found = std::ranges::find_if(
@@ -220,7 +227,7 @@
         const bool room = wanted.size() + (priority ? 0 : reserved_) < free;
         if (room && choose_slot(entry->second, now) != nullptr) {
             wanted.push_back(entry->first);
-        } else if (priority || now - entry->second.since >= settings_.drain_after) {
+        } else if (wanted.empty() && (priority || now - entry->second.since >= settings_.drain_after)) {
             starving = true;
         }
     }
@@ -310,6 +317,7 @@
         of->promised = waited_for(of->holds);
         if (const auto wanted = demands_.find(of->holds); wanted != demands_.end()) {
             wanted->second.failures = 0;
+            observe_load_delay(now - wanted->second.since, now);
         }
         return {};
     }
@@ -411,6 +419,21 @@
         std::ranges::count_if(slots_, [](const slot& of) { return of.pins > 0; }));
 }
 
+/// Without new loads the estimate returns to the configured time, so that refusals because of a past queue
+/// for the store end by themselves.
+duration slot_table::load_delay(time_point now) const {
+    const std::chrono::duration<double> age = now - load_delay_at_;
+    const double trust = std::exp2(-age / std::chrono::duration<double>{settings_.load_delay_half_life});
+    const std::chrono::duration<double, std::micro> above = load_delay_ - settings_.load_time;
+    return settings_.load_time + std::chrono::duration_cast<duration>(above * trust);
+}
+
+void slot_table::observe_load_delay(duration waited, time_point now) {
+    const duration old = load_delay(now);
+    load_delay_ = std::max(settings_.load_time, old + (waited - old) / load_delay_weight);
+    load_delay_at_ = now;
+}
+
 std::uint32_t slot_table::failures(const adapter_version& adapter) const {
     const auto found = demands_.find(adapter);
     return found == demands_.end() ? 0 : found->second.failures;
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -223,10 +223,11 @@
     result.capacity = std::max(1U, of.report.capacity != 0 ? of.report.capacity : settings_.capacity);
     result.load = of.outstanding;
     if (of.reported_at) {
+        // Own attempts that wait for a load are outstanding, but not in the report.
         const double reported = static_cast<double>(of.report.running) + of.report.queued;
-        const double others = std::max(0.0, reported - of.outstanding_at_report);
+        const std::uint32_t since = of.outstanding - std::min(of.outstanding, of.outstanding_at_report);
         const double trust = halved(now - *of.reported_at, settings_.report_half_life);
-        result.load += others * trust;
+        result.load = trust * (reported + since) + (1.0 - trust) * of.outstanding;
         if (of.report.queued > 0) {
             result.wait = microseconds{of.report.wait_ms * 1000.0 * trust};
         }
--- a/tests/agent/agent_property_test.cpp
+++ b/tests/agent/agent_property_test.cpp
@@ -40,7 +40,10 @@
         request.priority = is_priority(request.adapter);
         request.tokens = 10 + number;
         request.deadline = now_ + 1h;
-        const bool refused = queue_.push(request, 0ms, now_).refused.has_value();
+        const bool refused = queue_
+                                 .push(
+                                     request, 0ms, [](const queued_request&) { return true; }, now_)
+                                 .refused.has_value();
         RC_ASSERT(!refused);
         table_.wait_started(request.adapter, request.priority, now_);
         run_all();
--- a/tests/agent/fair_queue_test.cpp
+++ b/tests/agent/fair_queue_test.cpp
@@ -30,7 +30,7 @@
 }
 
 bool queued(fair_queue& queue, queued_request request) {
-    return !queue.push(std::move(request), 0ms, start).refused;
+    return !queue.push(std::move(request), 0ms, any, start).refused;
 }
 
 } // namespace
@@ -116,14 +116,28 @@
     REQUIRE(queued(queue, make_request(1, "one", 1000)));
     queued_request late = make_request(2, "one", 10);
     late.deadline = start + 5s;
-    CHECK(queue.push(late, 0ms, start).refused == wire::refusal::deadline);
+    CHECK(queue.push(late, 0ms, any, start).refused == wire::refusal::deadline);
     late.organisation = "other";
-    CHECK_FALSE(queue.push(late, 0ms, start).refused.has_value());
+    CHECK_FALSE(queue.push(late, 0ms, any, start).refused.has_value());
     late.organisation = "third";
-    CHECK(queue.push(late, 6s, start).refused == wire::refusal::deadline);
+    CHECK(queue.push(late, 6s, any, start).refused == wire::refusal::deadline);
     queue.served(100'000, 1s);
     late.organisation = "one";
-    CHECK_FALSE(queue.push(late, 0ms, start).refused.has_value());
+    CHECK_FALSE(queue.push(late, 0ms, any, start).refused.has_value());
+}
+
+TEST_CASE("requests that wait for a load do not count in estimated waits") {
+    queue_settings settings;
+    settings.initial_rate = 100.0;
+    fair_queue queue{settings};
+    REQUIRE(queued(queue, make_request(1, "one", 1000, "cold")));
+    const auto warm = [](const queued_request& request) { return request.adapter.adapter == "warm"; };
+    CHECK(queue.estimated_wait(false, warm) == 0ms);
+    CHECK(queue.estimated_wait(false, any) == 10s);
+    CHECK(queue.count_if(warm) == 0);
+    queued_request brief = make_request(2, "one", 10, "warm");
+    brief.deadline = start + 1s;
+    CHECK_FALSE(queue.push(brief, 0ms, warm, start).refused.has_value());
 }
 
 TEST_CASE("in a full queue the longest organisation gives way") {
@@ -133,11 +147,11 @@
     for (std::uint64_t id = 0; id < 4; ++id) {
         REQUIRE(queued(queue, make_request(id, "large", 10)));
     }
-    const auto result = queue.push(make_request(10, "small", 10), 0ms, start);
+    const auto result = queue.push(make_request(10, "small", 10), 0ms, any, start);
     CHECK_FALSE(result.refused.has_value());
     REQUIRE(result.displaced.has_value());
     CHECK(result.displaced->request == 3);
-    CHECK(queue.push(make_request(11, "large", 10), 0ms, start).refused == wire::refusal::queue_full);
+    CHECK(queue.push(make_request(11, "large", 10), 0ms, any, start).refused == wire::refusal::queue_full);
     CHECK(queue.size() == 4);
 }
 
@@ -165,7 +179,7 @@
     const auto of_one = [](const queued_request& request) { return request.organisation == "one"; };
     CHECK(queue.remove_if(of_one).size() == 1);
     CHECK(queue.empty());
-    CHECK(queue.estimated_wait(false) == 0ms);
+    CHECK(queue.estimated_wait(false, any) == 0ms);
     CHECK_FALSE(queue.pop(any).has_value());
 }
 
--- a/tests/agent/slot_table_test.cpp
+++ b/tests/agent/slot_table_test.cpp
@@ -143,6 +143,25 @@
     CHECK(table.count(slot_state::empty) == 1);
 }
 
+TEST_CASE("no slot is drained while adapters wait for permits only") {
+    slot_table table{small(4)};
+    (void)load_and_pin(table, name(0), start);
+    for (int number = 1; number < 6; ++number) {
+        table.wait_started(name(number), false, start);
+    }
+    CHECK(table.loads_wanted(start + 30s).size() == 2);
+    CHECK(table.can_run(name(0), false));
+}
+
+TEST_CASE("the estimated load delay follows slow loads and forgets them") {
+    slot_table table{small(4)};
+    table.wait_started(name(0), false, start);
+    const auto command = table.begin_load(name(0), 1, start + 40s);
+    CHECK(table.load_finished(command.front().id, load_outcome::loaded, start + 40s).empty());
+    CHECK(table.load_delay(start + 40s) > 9s);
+    CHECK(table.load_delay(start + 120s) < 300ms);
+}
+
 TEST_CASE("failed loads are repeated after growing pauses") {
     slot_table table{small(2)};
     table.wait_started(name(0), false, start);
--- a/tests/routing/placement_test.cpp
+++ b/tests/routing/placement_test.cpp
@@ -43,6 +43,13 @@
     return load;
 }
 
+/// Homes in the own region, so that tests know which endpoints are cold.
+placement_settings local_homes() {
+    placement_settings settings;
+    settings.remote_weight = 0.0;
+    return settings;
+}
+
 void answer(placement& target, std::string_view endpoint, const std::string& adapter, bool cold,
             duration time_to_head, time_point now) {
     target.observe_answer({endpoint, {adapter, "1"}, cold, time_to_head, report_of(1, 0)}, now);
@@ -63,7 +70,7 @@
 }
 
 TEST_CASE("an endpoint that leaves moves only its own adapters") {
-    placement target{{}, {"r0", "r0-1"}};
+    placement target{local_homes(), {"r0", "r0-1"}};
     auto live = fleet(1, 8);
     target.replace_endpoints(live);
     std::vector<std::string> before;
@@ -82,7 +89,7 @@
 }
 
 TEST_CASE("a remote resident adapter beats a slow local load, a local load beats many remote bytes") {
-    placement target{{}, {"r0", "r0-1"}};
+    placement target{local_homes(), {"r0", "r0-1"}};
     target.replace_endpoints(fleet(2, 2));
     answer(target, "e2", "a", false, 40ms, start);
     CHECK(target.candidates(request_for("a"), start).front().endpoint == "e2");
@@ -92,7 +99,7 @@
 }
 
 TEST_CASE("a long queue at the resident engine loses against a load elsewhere") {
-    placement target{{}, {"r0", "r0-1"}};
+    placement target{local_homes(), {"r0", "r0-1"}};
     target.replace_endpoints(fleet(1, 3));
     answer(target, "e1", "a", false, 40ms, start);
     CHECK(target.candidates(request_for("a"), start).front().endpoint == "e1");
@@ -101,7 +108,7 @@
 }
 
 TEST_CASE("a failed load removes the residency hint") {
-    placement target{{}, {"r0", "r0-1"}};
+    placement target{local_homes(), {"r0", "r0-1"}};
     target.replace_endpoints(fleet(2, 1));
     answer(target, "e1", "a", false, 40ms, start);
     REQUIRE(target.candidates(request_for("a"), start).front().endpoint == "e1");
@@ -110,7 +117,7 @@
 }
 
 TEST_CASE("a hot adapter gets more homes and loses them only after a quiet time") {
-    placement target{{}, {"r0", "r0-1"}};
+    placement target{local_homes(), {"r0", "r0-1"}};
     target.replace_endpoints(fleet(1, 4));
     const auto load_all = [&](const wire::load_report& load, time_point now) {
         for (const char* name : {"e0", "e1", "e2", "e3"}) {
@@ -141,7 +148,7 @@
 }
 
 TEST_CASE("an old load report loses its weight") {
-    placement target{{}, {"r0", "r0-1"}};
+    placement target{local_homes(), {"r0", "r0-1"}};
     target.replace_endpoints(fleet(1, 2));
     target.observe_load("e0", report_of(8, 8), start);
     target.observe_load("e1", report_of(2, 0), start + 60s);
@@ -150,7 +157,7 @@
 
 TEST_CASE("candidates are distinct, usable and have tried ones last") {
     REQUIRE(rc::check([](std::vector<std::uint8_t> events) {
-        placement target{{}, {"r0", "r0-1"}};
+        placement target{local_homes(), {"r0", "r0-1"}};
         target.replace_endpoints(fleet(2, 3));
         const std::vector<std::string> tried{"e0", "e3"};
         time_point now = start;
@@ -176,7 +183,7 @@
 }
 
 TEST_CASE("the number of remembered adapters is bounded") {
-    placement_settings settings;
+    placement_settings settings = local_homes();
     settings.max_hints = 10;
     placement target{settings, {"r0", "r0-1"}};
     target.replace_endpoints(fleet(2, 1));
