--- /dev/null
+++ b/include/samphiretray/base/split.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <charconv>
+#include <concepts>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace samphiretray {
+
+/// The parts of `text` between separators. An empty text has no parts; a trailing separator adds none.
+[[nodiscard]] inline std::vector<std::string_view> split(std::string_view text, char separator) {
+    std::vector<std::string_view> parts;
+    while (!text.empty()) {
+        const std::size_t end = text.find(separator);
+        parts.push_back(text.substr(0, end));
+        text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
+    }
+    return parts;
+}
+
+/// The decimal number that `text` consists of, or nothing if it is anything else or out of range.
+template <std::integral Number>
+[[nodiscard]] std::optional<Number> parse_number(std::string_view text) {
+    Number value{};
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (failure != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+} // namespace samphiretray
--- a/include/samphiretray/rate/grant_holder.h
+++ b/include/samphiretray/rate/grant_holder.h
@@ -21,6 +21,8 @@
     duration reply_timeout = 250ms;
     /// Wait before asking again after a reply without tokens or from a peer that is not the issuer.
     duration retry = 20ms;
+    /// Longest such wait, whatever the issuer estimates.
+    duration max_retry = 500ms;
     /// Reservations that wait at most; more are refused.
     std::size_t max_waiting = 10'000;
 };
@@ -87,8 +89,8 @@
     };
     struct granted_reservation {
         std::uint64_t bound = 0;
-        /// Until then unused tokens of the reservation are spendable again.
-        time_point refundable_until;
+        /// True while unused tokens of the reservation are spendable again.
+        bool refundable = false;
     };
     struct refundable {
         std::uint64_t id = 0;
@@ -100,19 +102,23 @@
     };
 
     void advance(time_point now);
+    void end_refund(std::uint64_t id);
     void observe(std::uint64_t tokens, time_point now);
     void decay_demand(time_point now);
     void pay_debt();
-    void serve_waiting();
-    void grant(std::uint64_t id, std::uint64_t bound);
-    [[nodiscard]] std::uint64_t waiting_tokens() const noexcept { return waiting_tokens_; }
-    [[nodiscard]] std::uint64_t tokens_of(duration span) const;
+    void serve_waiting(time_point now);
+    void refuse_expired(time_point now);
+    void grant(std::uint64_t id, std::uint64_t bound, time_point now);
+    [[nodiscard]] std::uint64_t target_tokens(duration span) const;
+    [[nodiscard]] std::uint64_t surplus(std::uint64_t wanted, std::uint64_t target) const;
     [[nodiscard]] bool request_due(time_point now) const;
+    [[nodiscard]] time_point renew_at() const;
     [[nodiscard]] wire::grant_request make_request(time_point now);
 
     std::string organisation_;
     grant_holder_options options_;
     std::uint64_t available_ = 0;
+    /// Bounds of the reservations that are still refundable.
     std::uint64_t refundable_tokens_ = 0;
     std::uint64_t debt_ = 0;
     std::uint64_t waiting_tokens_ = 0;
@@ -120,11 +126,15 @@
     duration validity_ = 0us;
     double demand_ = 0;
     time_point demand_at_;
+    double last_size_ = 0;
+    double typical_size_ = 0;
+    time_point earliest_deadline_ = time_point::max();
     std::uint64_t round_ = 0;
     std::optional<in_flight_request> in_flight_;
     time_point next_ask_;
     duration retry_after_ = 0us;
     bool last_reply_empty_ = false;
+    bool peer_refused_ = false;
     bool stopped_ = false;
     std::deque<waiting_reservation> waiting_;
     std::unordered_map<std::uint64_t, granted_reservation> granted_;
--- a/include/samphiretray/rate/grant_issuer.h
+++ b/include/samphiretray/rate/grant_issuer.h
@@ -41,7 +41,8 @@
     [[nodiscard]] wire::grant_reply answer(std::string_view holder, const wire::grant_request& request,
                                            bool may_act, time_point now);
 
-    /// True once level and accounts fit the limits, so that a lowered part may be published.
+    /// True once level and accounts fit the limits, so that a lowered part may be published. False before
+    /// `act_from`, while grants of the previous issuer may be in use.
     [[nodiscard]] bool within_limits(time_point now);
 
     [[nodiscard]] region_demand demand(time_point now);
@@ -54,7 +55,7 @@
         std::uint64_t round = 0;
         double held = 0;
         double demand = 0;
-        /// Tokens that the holder's first waiting reservation lacks; 0 if none waits.
+        /// Tokens set aside for the holder's next turn; 0 if it does not wait.
         double lacking = 0;
         time_point waiting_since;
         time_point expires;
@@ -62,17 +63,25 @@
     };
 
     void advance(time_point now);
+    [[nodiscard]] account* first_ended(time_point now);
     void settle(account& of, const wire::grant_request& request);
-    [[nodiscard]] double entitlement(const account& of) const;
+    [[nodiscard]] double share_of(const account& of) const;
     [[nodiscard]] double promised_to_others(const account& of) const;
     [[nodiscard]] std::uint64_t choose_grant(const account& of, const wire::grant_request& request) const;
-    void note_waiting(account& of, std::uint64_t least, std::uint64_t granted, time_point now);
+    void note_waiting(account& of, const wire::grant_request& request, std::uint64_t granted);
+    void give(account& of, std::uint64_t tokens);
+    void count_use(double tokens);
     [[nodiscard]] duration validity() const;
+    [[nodiscard]] std::uint32_t retry_after_ms(const account& of) const;
 
     std::string organisation_;
     time_point act_from_;
+    time_point now_;
     token_bucket bucket_;
     double outstanding_ = 0;
+    /// Tokens granted and not returned, a second.
+    double use_ = 0;
+    time_point use_at_;
     double largest_ = 0;
     time_point largest_at_;
     std::map<std::string, account, std::less<>> accounts_;
--- a/include/samphiretray/rate/region_shares.h
+++ b/include/samphiretray/rate/region_shares.h
@@ -44,12 +44,12 @@
 struct region_shares_options {
     /// Least time between two writes of this object, except for the first one.
     duration write_interval = 5s;
-    duration read_interval = 5s;
+    duration read_interval = 2s;
     /// Wait after a failed call.
     duration retry = 1s;
     /// Least part of a region, divided by the number of regions.
-    std::uint32_t floor = whole_part / 10;
-    /// Least change of the own part that is worth a write.
+    std::uint32_t floor = whole_part / 20;
+    /// Least change of the own part that is worth a write. A region below its want takes any amount.
     std::uint32_t hysteresis = whole_part / 20;
 };
 
@@ -74,10 +74,10 @@
     region_shares(std::string organisation, std::string region, std::uint64_t owner, std::size_t regions,
                   region_shares_options options = {});
 
-    /// The next call to the service, if one is due. `limits` are the organisation's over the whole fleet;
-    /// `lowered` tells that `part()` is in force locally (`grant_issuer::within_limits`). One call is pending
-    /// at a time.
-    [[nodiscard]] std::optional<shares_call> next_call(const region_demand& demand, bucket_limits limits,
+    /// The next call to the service, if one is due. `whole` are the organisation's limits over the whole
+    /// fleet; `lowered` tells that `part()` is in force locally (`grant_issuer::within_limits`). One call is
+    /// pending at a time.
+    [[nodiscard]] std::optional<shares_call> next_call(const region_demand& demand, bucket_limits whole,
                                                        bool lowered, time_point now);
     /// Results; those of other than the pending call are dropped.
     void on_read(std::uint64_t call, const result<platform::versioned_value>& answer, time_point now);
@@ -97,13 +97,15 @@
     };
 
     [[nodiscard]] const region_part* own() const;
-    [[nodiscard]] shares_record with_own(std::uint32_t part, std::uint32_t wanted) const;
-    [[nodiscard]] std::uint32_t needed(const region_demand& demand, bucket_limits limits) const;
+    [[nodiscard]] std::uint32_t floor() const;
+    [[nodiscard]] std::uint32_t wanted(const region_demand& demand, bucket_limits whole, time_point now);
     [[nodiscard]] std::uint32_t target(std::uint32_t wanted) const;
-    [[nodiscard]] std::optional<shares_call> propose(std::uint32_t wanted, bool lowered, time_point now);
+    [[nodiscard]] std::uint32_t reachable(std::uint32_t goal) const;
+    void propose(std::uint32_t wanted, time_point now);
+    void prepare(std::uint32_t part, std::uint32_t wanted);
+    [[nodiscard]] bool write_lowers() const;
     [[nodiscard]] shares_call start_read();
     [[nodiscard]] shares_call start_write();
-    void prepare(shares_record record);
     void adopt(shares_record record, std::uint64_t revision);
 
     std::string organisation_;
@@ -120,6 +122,8 @@
     std::optional<pending_write> write_;
     std::optional<std::uint64_t> pending_call_;
     std::uint64_t last_call_ = 0;
+    double smoothed_ = 0;
+    time_point smoothed_at_;
     time_point next_write_;
     time_point next_read_;
     time_point retry_at_;
