Adapt the request runner to the fair queue's wait estimate

Cause: the estimate now counts only requests that could run.

Change: the runner passes a predicate on slots.

Measured: compiles; no behaviour measured yet.

--- a/include/samphiretray/agent/request_runner-inl.h
+++ b/include/samphiretray/agent/request_runner-inl.h
@@ -135,7 +135,8 @@
     queued.arrived = now;
     queued.deadline = fresh->deadline;
     queued.peer = fresh->id.peer;
-    const push_result pushed = queue_.push(std::move(queued), fresh->cold ? assumed_load_delay : 0s, now);
+    const push_result pushed =
+        queue_.push(std::move(queued), fresh->cold ? assumed_load_delay : 0s, runnable(), now);
     if (pushed.displaced) {
         refuse_queued(*pushed.displaced, wire::refusal::queue_full, "displaced from the full queue");
     }
@@ -163,14 +164,21 @@
     message.attempt = refused->open.attempt;
     message.reason = reason;
     message.forwarded = forwarded;
-    message.retry_after_ms = static_cast<std::uint32_t>(
-        std::max<std::int64_t>(milliseconds_in(queue_.estimated_wait(refused->open.priority)), 100));
+    message.retry_after_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(
+        milliseconds_in(queue_.estimated_wait(refused->open.priority, runnable())), 100));
     message.detail = std::move(detail);
     message.load = load();
     refused->from->send(message);
     release(refused);
 }
 
+template <platform::engine Engine>
+fair_queue::runnable_predicate request_runner<Engine>::runnable() const {
+    return [this](const queued_request& each) {
+        return !slots_ || slots_->can_run(each.adapter, each.priority);
+    };
+}
+
 template <platform::engine Engine>
 void request_runner<Engine>::refuse_queued(const queued_request& removed, wire::refusal reason,
                                            std::string detail) {
@@ -257,9 +265,7 @@
         return;
     }
     while (running_ < concurrency_) {
-        const auto next = queue_.pop([this](const queued_request& each) {
-            return !is_engine() || slots_->can_run(each.adapter, each.priority);
-        });
+        const auto next = queue_.pop(runnable());
         if (!next) {
             return;
         }
@@ -580,7 +586,7 @@
     report.running = running_;
     report.queued = static_cast<std::uint32_t>(queue_.size());
     report.capacity = concurrency_;
-    report.wait_ms = static_cast<std::uint32_t>(milliseconds_in(queue_.estimated_wait(false)));
+    report.wait_ms = static_cast<std::uint32_t>(milliseconds_in(queue_.estimated_wait(false, runnable())));
     if (slots_) {
         report.slots = static_cast<std::uint32_t>(slots_->size());
         report.slots_pinned = static_cast<std::uint32_t>(slots_->pinned());
--- a/include/samphiretray/agent/request_runner.h
+++ b/include/samphiretray/agent/request_runner.h
@@ -78,6 +78,8 @@
     void drop_queued(const attempt_id& id);
     void refuse(const work_pointer& refused, wire::refusal reason, bool forwarded, std::string detail);
 
+    /// Whether a queued request could run now.
+    [[nodiscard]] fair_queue::runnable_predicate runnable() const;
     void refuse_queued(const queued_request& removed, wire::refusal reason, std::string detail);
 
     void pump();
