--- a/include/samphiretray/wire/messages.h
+++ b/include/samphiretray/wire/messages.h
@@ -25,6 +25,8 @@
     std::uint32_t capacity = 0;
     /// Estimated wait of a new request without a load, in milliseconds.
     std::uint32_t wait_ms = 0;
+
+    bool operator==(const load_report&) const = default;
 };
 
 /// Opens a link. `cluster_proof` shows knowledge of the cluster secret without sending it.
@@ -37,6 +39,8 @@
     std::string incarnation;
     std::string nonce;
     std::string cluster_proof;
+
+    bool operator==(const hello&) const = default;
 };
 
 struct request_open {
@@ -60,11 +64,15 @@
     std::string path;
     std::string content_type;
     std::string body;
+
+    bool operator==(const request_open&) const = default;
 };
 
 struct request_cancel {
     std::uint64_t request = 0;
     std::uint32_t attempt = 0;
+
+    bool operator==(const request_cancel&) const = default;
 };
 
 struct answer_head {
@@ -78,6 +86,8 @@
     /// True if the request waited for a load of its adapter.
     bool cold = false;
     load_report load;
+
+    bool operator==(const answer_head&) const = default;
 };
 
 struct answer_data {
@@ -86,6 +96,8 @@
     /// Offset of `bytes` in the body.
     std::uint64_t offset = 0;
     std::string bytes;
+
+    bool operator==(const answer_data&) const = default;
 };
 
 struct answer_end {
@@ -99,6 +111,8 @@
     std::optional<std::uint32_t> tokens;
     std::string reason;
     load_report load;
+
+    bool operator==(const answer_end&) const = default;
 };
 
 enum class refusal {
@@ -123,12 +137,16 @@
     std::uint32_t retry_after_ms = 0;
     std::string detail;
     load_report load;
+
+    bool operator==(const request_refused&) const = default;
 };
 
 /// Asks a peer for its state; the sender notes its own time of sending under `round`.
 struct state_pull {
     std::uint64_t round = 0;
     std::uint64_t revision = 0;
+
+    bool operator==(const state_pull&) const = default;
 };
 
 /// Ages, not times, so that no synchronized clocks are needed.
@@ -138,12 +156,16 @@
     std::optional<std::uint32_t> contact_age_ms;
     /// Age of the newest evidence that calls of a watcher of the region failed.
     std::optional<std::uint32_t> failure_age_ms;
+
+    bool operator==(const region_evidence&) const = default;
 };
 
 /// A VM that announced its planned stop.
 struct leaving_vm {
     std::string vm;
     std::string incarnation;
+
+    bool operator==(const leaving_vm&) const = default;
 };
 
 struct state_reply {
@@ -153,23 +175,31 @@
     std::optional<std::uint32_t> contact_age_ms;
     std::vector<region_evidence> regions;
     std::vector<leaving_vm> leaving;
+
+    bool operator==(const state_reply&) const = default;
 };
 
 /// Asks for the manifest in force and for the chunks that the sender lacks.
 struct config_request {
     std::uint64_t revision = 0;
     std::vector<std::string> chunks;
+
+    bool operator==(const config_request&) const = default;
 };
 
 struct config_chunk {
     std::string digest;
     std::string text;
+
+    bool operator==(const config_chunk&) const = default;
 };
 
 struct config_reply {
     std::uint64_t revision = 0;
     std::string manifest;
     std::vector<config_chunk> chunks;
+
+    bool operator==(const config_reply&) const = default;
 };
 
 struct grant_request {
@@ -185,6 +215,8 @@
     std::optional<std::uint64_t> held;
     /// Tokens that the first waiting reservation lacks; less is of no use to the sender. 0 if none waits.
     std::uint64_t least = 0;
+
+    bool operator==(const grant_request&) const = default;
 };
 
 struct grant_reply {
@@ -197,6 +229,8 @@
     bool issuer = true;
     /// Time until tokens will be there, as a hint.
     std::uint32_t retry_after_ms = 0;
+
+    bool operator==(const grant_reply&) const = default;
 };
 
 struct permit_request {
@@ -206,6 +240,8 @@
     std::string version;
     bool priority = false;
     std::uint32_t waiting = 0;
+
+    bool operator==(const permit_request&) const = default;
 };
 
 struct permit_reply {
@@ -214,15 +250,21 @@
     /// False if the receiver does not hold the `loads` duty.
     bool issuer = true;
     std::uint32_t valid_ms = 0;
+
+    bool operator==(const permit_reply&) const = default;
 };
 
 struct permit_cancel {
     std::uint64_t round = 0;
+
+    bool operator==(const permit_cancel&) const = default;
 };
 
 struct permit_done {
     std::uint64_t round = 0;
     bool loaded = false;
+
+    bool operator==(const permit_done&) const = default;
 };
 
 using message =
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -36,6 +36,7 @@
 void visit_fields(auto& visit, maybe_const<request_open> auto& m) {
     visit("request", m.request);
     visit("attempt", m.attempt);
+    visit("request_id", m.request_id);
     visit("organisation", m.organisation);
     visit("service", m.service);
     visit("adapter", m.adapter);
@@ -140,6 +141,8 @@
     visit("tokens", m.tokens);
     visit("demand", m.demand);
     visit("returned", m.returned);
+    visit("held", m.held);
+    visit("least", m.least);
 }
 
 void visit_fields(auto& visit, maybe_const<grant_reply> auto& m) {
