--- a/standins/call_gate.cpp
+++ b/standins/call_gate.cpp
@@ -21,16 +21,19 @@
 
 } // namespace
 
-gate_verdict call_gate::admit(call_kind kind, std::string_view listener, std::size_t pending_watches,
-                              time_point now) {
-    ++counters_[std::string{name_of(kind)}];
+gate_verdict call_gate::reachability(std::string_view listener) const {
     if (is_cut(listener) || faults_.down == down_mode::silent) {
-        ++counters_["silent"];
         return gate_verdict::silent;
     }
-    if (faults_.down == down_mode::refusing) {
-        ++counters_["unavailable"];
-        return gate_verdict::unavailable;
+    return faults_.down == down_mode::refusing ? gate_verdict::unavailable : gate_verdict::pass;
+}
+
+gate_verdict call_gate::admit(call_kind kind, std::string_view listener, std::size_t pending_watches,
+                              time_point now) {
+    ++counters_[std::string{name_of(kind)}];
+    if (const gate_verdict reached = reachability(listener); reached != gate_verdict::pass) {
+        ++counters_[reached == gate_verdict::silent ? "silent" : "unavailable"];
+        return reached;
     }
     const bool admitted =
         is_write(kind) ? writes_.admit(now) : reads_.admit(now, static_cast<double>(pending_watches));
--- a/standins/call_gate.h
+++ b/standins/call_gate.h
@@ -47,6 +47,8 @@
     call_gate(call_limits limits, std::uint64_t seed)
         : reads_(limits.reads), writes_(limits.writes), random_(seed) {}
 
+    /// Whether calls through `listener` get through at all, as far as faults go.
+    [[nodiscard]] gate_verdict reachability(std::string_view listener) const;
     /// `pending_watches` count as that many reads a second.
     [[nodiscard]] gate_verdict admit(call_kind kind, std::string_view listener, std::size_t pending_watches,
                                      time_point now);
--- a/standins/completion_form.cpp
+++ b/standins/completion_form.cpp
@@ -37,7 +37,9 @@
 
 std::string prompt_of(completion_kind kind, const nlohmann::json& body) {
     if (kind == completion_kind::text) {
-        return body.at("prompt").get<std::string>();
+        const nlohmann::json& prompt = body.at("prompt");
+        const bool is_list = prompt.is_array() && prompt.size() == 1;
+        return is_list ? prompt.at(0).get<std::string>() : prompt.get<std::string>();
     }
     std::string prompt;
     for (const nlohmann::json& message : body.at("messages")) {
--- a/tests/standins/engine_model_test.cpp
+++ b/tests/standins/engine_model_test.cpp
@@ -12,7 +12,7 @@
 
 constexpr time_point start{1000s};
 
-engine_model loaded_engine(engine_options options, const std::vector<std::string>& names) {
+engine_model loaded_engine(const engine_options& options, const std::vector<std::string>& names) {
     engine_model engine{options};
     for (const std::string& name : names) {
         REQUIRE(engine.begin_load(name, 1) == load_verdict::start);
