Order loads by waiting requests and remember the use of evicted adapters

Cause: with a saturated store, popular adapters waited behind adapters with one request: the schedule and loads_wanted went by age. An adapter that came back started with no popularity and was evicted first.

Change: loads_wanted orders by waiting requests plus a little for age; popularity belongs to adapters, not slots; the driver asks for permits again when the number of waiting requests changes, wakes exactly, ranks permits by waiting requests with 0.05 a second of age, for all policies, and warms up for 600 s.

--- a/bench/measure/agent_model.cpp
+++ b/bench/measure/agent_model.cpp
@@ -123,9 +123,21 @@
     run();
 }
 
+agent_model::permit agent_model::wanted_permit(const agent::adapter_version& adapter) const {
+    permit wanted{adapter, false, false, 0};
+    for (const auto& [id, each] : active_) {
+        if (!each.pin && each.request.adapter == adapter) {
+            ++wanted.waiting;
+            wanted.priority = wanted.priority || each.request.priority;
+        }
+    }
+    return wanted;
+}
+
+/// Asks again when the number of waiting requests changes; the schedule keeps the age of the first request.
 void agent_model::ask_for_permits() {
     const auto wanted = slots_.loads_wanted(events_.now());
-    std::set<agent::adapter_version> asked;
+    std::map<agent::adapter_version, std::uint64_t> asked;
     for (auto at = permits_by_round_.begin(); at != permits_by_round_.end();) {
         const permit& each = at->second;
         if (!each.granted && std::ranges::find(wanted, each.adapter) == wanted.end()) {
@@ -133,22 +145,20 @@
             at = permits_by_round_.erase(at);
             continue;
         }
-        asked.insert(each.adapter);
+        asked.emplace(each.adapter, at->first);
         ++at;
     }
     for (const agent::adapter_version& adapter : wanted) {
-        if (asked.contains(adapter)) {
-            continue;
-        }
-        bool priority = false;
-        std::uint32_t waiting = 0;
-        for (const auto& [id, each] : active_) {
-            const bool waits = !each.pin && each.request.adapter == adapter;
-            waiting += waits ? 1 : 0;
-            priority = priority || (waits && each.request.priority);
+        const permit now_wanted = wanted_permit(adapter);
+        if (const auto known = asked.find(adapter); known != asked.end()) {
+            const permit& before = permits_by_round_.at(known->second);
+            if (before.granted || before.waiting == now_wanted.waiting) {
+                continue;
+            }
+            permits_by_round_.erase(known->second);
         }
-        permits_by_round_[next_round_] = {adapter, false};
-        permits_.request(next_round_++, priority, waiting, adapter);
+        permits_by_round_[next_round_] = now_wanted;
+        permits_.request(next_round_++, now_wanted.priority, now_wanted.waiting, adapter);
     }
 }
 
--- a/bench/measure/agent_model.h
+++ b/bench/measure/agent_model.h
@@ -7,7 +7,7 @@
 #include "bench/measure/policy.h"
 
 #include <map>
-#include <set>
+#include <optional>
 
 namespace samphiretray::measure {
 
@@ -66,12 +66,15 @@
     struct permit {
         agent::adapter_version adapter;
         bool granted = false;
+        bool priority = false;
+        std::uint32_t waiting = 0;
     };
 
     void run();
     void start_requests();
     void start(const agent::queued_request& request);
     void ask_for_permits();
+    [[nodiscard]] permit wanted_permit(const agent::adapter_version& adapter) const;
     void carry_out(const std::vector<agent::slot_command>& commands);
     void load(const agent::slot_command& command);
     void loaded(const agent::slot_command& command, bool success, std::uint64_t incarnation);
--- a/bench/measure/main.cpp
+++ b/bench/measure/main.cpp
@@ -54,11 +54,12 @@
 
 } // namespace
 
-/// Usage: measure [SEED [JSON_FILE [SCENARIO]]]
+/// Usage: measure [SEED [JSON_FILE [SCENARIO [POLICY]]]]
 int main(int argc, char** argv) {
     const std::uint64_t seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
     std::ofstream lines(argc > 2 ? argv[2] : "/dev/null");
     const std::string only = argc > 3 ? argv[3] : "";
+    const std::string only_policy = argc > 4 ? argv[4] : "";
     print_header();
     for (const deployment& of : deployments()) {
         for (const scenario kind : scenarios) {
@@ -66,6 +67,9 @@
                 continue;
             }
             for (const policy used : policies) {
+                if (!only_policy.empty() && name_of(used) != only_policy) {
+                    continue;
+                }
                 const figures row = run(of, kind, used, seed);
                 print_row(row);
                 lines << to_json(row, seed).dump() << '\n';
--- a/bench/measure/permit_desk.h
+++ b/bench/measure/permit_desk.h
@@ -16,7 +16,7 @@
     permit_desk(double loads_per_second, std::uint32_t in_flight, time_point now);
 
     void request(const std::string& holder, std::uint64_t round, bool priority, std::uint32_t waiting,
-                 const platform::adapter_version& adapter);
+                 const platform::adapter_version& adapter, time_point now);
     void cancel(const std::string& holder, std::uint64_t round);
     void done(const std::string& holder, std::uint64_t round);
 
@@ -26,11 +26,18 @@
     };
     [[nodiscard]] std::vector<grant> take(time_point now);
 
+    /// Time until `take` can give a grant if one of those in flight does not prevent it.
+    [[nodiscard]] duration time_to_next(time_point now) const;
+    [[nodiscard]] bool waiting() const { return !waiting_.empty(); }
+
 private:
     struct entry {
         std::string holder;
         std::uint64_t round = 0;
         bool priority = false;
+        std::uint32_t waiting = 0;
+        platform::adapter_version adapter;
+        time_point since;
     };
 
     double rate_;
--- a/bench/measure/run.cpp
+++ b/bench/measure/run.cpp
@@ -129,7 +129,7 @@
             return;
         }
         events_.after(one_way(region_of(engine), 0), [=, this] {
-            permits_.request(names_[engine], round, priority, waiting, adapter);
+            permits_.request(names_[engine], round, priority, waiting, adapter, events_.now());
             answer_permits();
         });
     }
@@ -141,6 +141,17 @@
             events_.after(one_way(0, region_of(engine)),
                           [this, engine, round = each.round] { agents_[engine]->granted(round); });
         }
+        wake_for_permits();
+    }
+
+    void wake_for_permits() {
+        const time_point next = events_.now() + permits_.time_to_next(events_.now());
+        const bool planned = wake_at_ && *wake_at_ > events_.now() && *wake_at_ <= next;
+        if (!permits_.waiting() || planned) {
+            return;
+        }
+        wake_at_ = next;
+        events_.at(next, [this] { answer_permits(); });
     }
 
     /// Without a holder of the duty an agent loads at its part of half of the store's rate.
@@ -503,6 +514,7 @@
     std::vector<entry_model> entries_;
     std::vector<std::string> names_;
     std::vector<local_load> local_loads_;
+    std::optional<time_point> wake_at_;
     bool cut_ = false;
     double remote_bytes_ = 0.0;
 };
--- a/bench/measure/scenario.h
+++ b/bench/measure/scenario.h
@@ -43,7 +43,7 @@
 inline constexpr double greedy_factor = 5.0;
 
 /// Warm-up that is not counted, then the counted time; faults and changes take the middle third of it.
-inline constexpr duration warm_up = 120s;
+inline constexpr duration warm_up = 600s;
 inline constexpr duration counted = 300s;
 inline constexpr duration change_begins = warm_up + counted / 3;
 inline constexpr duration change_ends = warm_up + counted * 2 / 3;
--- a/include/samphiretray/agent/slot_table.h
+++ b/include/samphiretray/agent/slot_table.h
@@ -35,6 +35,9 @@
     /// When an adapter has waited this long and all slots are pinned, one slot takes no new requests until
     /// it can be evicted.
     duration drain_after = 2s;
+    /// Loads are wanted in the order of the number of waiting requests, with this many added for each second
+    /// of the longest wait.
+    double rank_per_second = 0.05;
     /// Estimated time of a load until others are seen; observed ones lose half of their weight in
     /// `load_delay_half_life`.
     duration load_time = 250ms;
@@ -100,7 +103,8 @@
     [[nodiscard]] std::vector<slot_command> wait_ended(const adapter_version& adapter, bool priority,
                                                        time_point now);
 
-    /// Adapters with waiting requests for which a load can begin now, priority first, then the longest wait.
+    /// Adapters with waiting requests for which a load can begin now, priority first, then by
+    /// `rank_per_second`.
     /// At most as many as there are slots for. Also begins and ends draining; called after other events and
     /// from time to time.
     [[nodiscard]] std::vector<adapter_version> loads_wanted(time_point now);
@@ -145,8 +149,6 @@
         std::uint64_t fencing_number = 0;
         time_point loaded_at;
         time_point used_at;
-        /// Uses, each halved after every `popularity_half_life`, as of `used_at`.
-        double popularity = 0.0;
         bool draining = false;
         bool cancelling = false;
         /// Loaded for waiting requests and not used yet; it may not be evicted without use.
@@ -157,6 +159,13 @@
         std::optional<time_point> repeat_at;
     };
 
+    /// Use of an adapter, also while it is not resident.
+    struct use {
+        /// Uses, each halved after every `popularity_half_life`, as of `at`.
+        double popularity = 0.0;
+        time_point at;
+    };
+
     struct demand {
         std::uint32_t waiting = 0;
         std::uint32_t waiting_priority = 0;
@@ -174,7 +183,8 @@
     [[nodiscard]] bool any_draining() const;
     [[nodiscard]] bool is_victim(const slot& of, const demand& wanted, time_point now) const;
     [[nodiscard]] slot* choose_slot(const demand& wanted, time_point now);
-    [[nodiscard]] double popularity_of(const slot& of, time_point now) const;
+    [[nodiscard]] double popularity_of(const use& of, time_point now) const;
+    void count_use(const adapter_version& adapter, time_point now);
     [[nodiscard]] double value_of(const slot& of, time_point now) const;
     [[nodiscard]] bool may_begin(const adapter_version& adapter, const demand& wanted, time_point now) const;
     [[nodiscard]] std::vector<const std::pair<const adapter_version, demand>*>
@@ -190,6 +200,8 @@
     std::size_t reserved_;
     std::vector<slot> slots_;
     std::map<adapter_version, demand> demands_;
+    std::map<adapter_version, use> uses_;
+    time_point uses_pruned_at_;
     std::string incarnation_;
     std::uint64_t next_command_ = 1;
     duration load_delay_;
--- a/src/agent/slot_table.cpp
+++ b/src/agent/slot_table.cpp
@@ -11,6 +11,9 @@
 /// A new load delay counts one part in this many of the moving average.
 constexpr int load_delay_weight = 4;
 
+/// Adapters used less than this are forgotten; it bounds the table to those used in a few half lives.
+constexpr double least_popularity = 0.1;
+
 } // namespace
 
 slot_table::slot_table(slot_settings settings)
@@ -151,11 +154,8 @@
     return wanted.waiting > 0 && now >= wanted.not_before && !assigned(adapter);
 }
 
-double slot_table::popularity_of(const slot& of, time_point now) const {
-    if (settings_.popularity_half_life == duration::zero()) {
-        return 0.0;
-    }
-    const std::chrono::duration<double> age = now - of.used_at;
+double slot_table::popularity_of(const use& of, time_point now) const {
+    const std::chrono::duration<double> age = now - of.at;
     return of.popularity * std::exp2(-age / std::chrono::duration<double>{settings_.popularity_half_life});
 }
 
@@ -164,7 +164,21 @@
     if (settings_.popularity_half_life == duration::zero()) {
         return std::chrono::duration<double>{of.used_at.time_since_epoch()}.count();
     }
-    return popularity_of(of, now);
+    const auto found = uses_.find(of.holds);
+    return found == uses_.end() ? 0.0 : popularity_of(found->second, now);
+}
+
+void slot_table::count_use(const adapter_version& adapter, time_point now) {
+    if (settings_.popularity_half_life == duration::zero()) {
+        return;
+    }
+    if (now - uses_pruned_at_ >= settings_.popularity_half_life) {
+        std::erase_if(uses_,
+                      [&](const auto& each) { return popularity_of(each.second, now) < least_popularity; });
+        uses_pruned_at_ = now;
+    }
+    use& of = uses_[adapter];
+    of = {popularity_of(of, now) + 1.0, now};
 }
 
 bool slot_table::is_victim(const slot& of, const demand& wanted, time_point now) const {
@@ -210,10 +224,12 @@
             order.push_back(&entry);
         }
     }
-    std::ranges::stable_sort(order, [](const auto* left, const auto* right) {
-        return std::tuple{left->second.waiting_priority == 0, left->second.since} <
-               std::tuple{right->second.waiting_priority == 0, right->second.since};
-    });
+    const auto rank = [&](const auto* entry) {
+        const std::chrono::duration<double> age = now - entry->second.since;
+        return std::tuple{entry->second.waiting_priority > 0,
+                          entry->second.waiting + settings_.rank_per_second * age.count()};
+    };
+    std::ranges::stable_sort(order, std::ranges::greater{}, rank);
     return order;
 }
 
@@ -381,7 +397,7 @@
         return std::nullopt;
     }
     slot& of = *find(adapter);
-    of.popularity = popularity_of(of, now) + 1.0;
+    count_use(adapter, now);
     of.used_at = now;
     of.promised = false;
     ++of.pins;
@@ -396,7 +412,6 @@
     if (of.state != slot_state::resident || of.command != pin.generation || of.pins == 0) {
         return;
     }
-    of.popularity = popularity_of(of, now);
     of.used_at = now;
     --of.pins;
 }
