Add the HTTP adapters of the platform's services

Cause: the processes reach the key-value service, the VM list and the endpoints over HTTP, as docs/protocols.md describes. A write whose outcome is open is connection_closed or timeout; connection_failed means that nothing was sent. engine_call gains method and request_id for plain services. log_event crashed on its first line, because the time format read a null precision; it passes one now. Conclusion: the agent and the watchers can use the adapters.

--- /dev/null
+++ b/include/samphiretray/platform/call_set.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "samphiretray/net/http_client.h"
+#include "samphiretray/platform/key_value.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+
+namespace samphiretray::platform {
+
+/// Keeps HTTP calls until they are done. Destroying it cancels them without further completions.
+class call_set {
+public:
+    void fetch(net::http_client& client, net::http_call call, std::size_t max_bytes,
+               completion<net::http_answer> done);
+
+private:
+    std::map<std::uint64_t, std::unique_ptr<net::http_exchange>> calls_;
+    std::uint64_t next_ = 0;
+};
+
+} // namespace samphiretray::platform
--- a/include/samphiretray/platform/engine.h
+++ b/include/samphiretray/platform/engine.h
@@ -46,7 +46,12 @@
     std::string path;
     std::string content_type;
     std::string body;
+    /// From the call to the last byte of the answer.
     duration timeout = 60s;
+    /// Plain services take any method.
+    std::string method = "POST";
+    /// Sent as X-Request-Id unless empty.
+    std::string request_id = {};
 };
 
 struct engine_call_events {
--- /dev/null
+++ b/include/samphiretray/platform/http_vm_list.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "samphiretray/net/http_client.h"
+#include "samphiretray/platform/call_set.h"
+#include "samphiretray/platform/vm_list.h"
+
+#include <string_view>
+
+namespace samphiretray::platform {
+
+/// Parses the body of a VM list. An entry that is malformed or of an unknown kind is left out and logged, so
+/// that one bad entry does not hide the others. Fails with `errc::protocol_error` if there is no list.
+[[nodiscard]] result<std::vector<vm>> parse_vm_list(std::string_view body);
+
+/// The platform's VM list over HTTP. Errors: those of `net::http_client`, and `unavailable` for a status
+/// other than 200. Destroying it cancels its calls without completions.
+class http_vm_list {
+public:
+    http_vm_list(net::http_client& client, net::address service, duration timeout = 2s);
+
+    void fetch(completion<std::vector<vm>> done);
+
+private:
+    net::http_client& client_;
+    net::address service_;
+    duration timeout_;
+    call_set calls_;
+};
+
+} // namespace samphiretray::platform
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -91,8 +91,10 @@
         return;
     }
     constexpr std::array<std::string_view, 4> names{"debug", "info", "warning", "error"};
+    constexpr int millisecond_digits = 3;
+    const el::base::SubsecondPrecision precision{millisecond_digits};
     std::string line = "time=";
-    line += el::base::utils::DateTime::getDateTime("%Y-%M-%dT%H:%m:%s.%g", nullptr);
+    line += el::base::utils::DateTime::getDateTime("%Y-%M-%dT%H:%m:%s.%g", &precision);
     line += " level=";
     line += names.at(static_cast<std::size_t>(level));
     line += ' ';
--- /dev/null
+++ b/src/platform/call_set.cpp
@@ -0,0 +1,18 @@
+#include "samphiretray/platform/call_set.h"
+
+#include <utility>
+
+namespace samphiretray::platform {
+
+void call_set::fetch(net::http_client& client, net::http_call call, std::size_t max_bytes,
+                     completion<net::http_answer> done) {
+    const std::uint64_t id = next_++;
+    auto finish = [this, id, done = std::move(done)](result<net::http_answer> answer) {
+        // Kept until `done` returns; `done` may destroy this set.
+        const auto finished = calls_.extract(id);
+        done(std::move(answer));
+    };
+    calls_[id] = client.fetch(std::move(call), std::move(finish), max_bytes);
+}
+
+} // namespace samphiretray::platform
--- /dev/null
+++ b/src/platform/http_vm_list.cpp
@@ -0,0 +1,142 @@
+#include "samphiretray/platform/http_vm_list.h"
+
+#include "samphiretray/base/log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <limits>
+#include <utility>
+
+namespace samphiretray::platform {
+
+static_assert(vm_list<http_vm_list>);
+
+namespace {
+
+using json = nlohmann::json;
+
+// 1,190 VMs take about 300 bytes each at the target size.
+constexpr std::size_t max_list_bytes = 16U << 20U;
+
+/// Reads the fields of one entry and keeps the name of the first one that is wrong.
+class entry_reader {
+public:
+    explicit entry_reader(const json& entry) : entry_(entry) {}
+
+    std::string required(const char* name) {
+        const auto found = entry_.find(name);
+        if (found == entry_.end() || !found->is_string()) {
+            fail(name);
+            return {};
+        }
+        return found->get<std::string>();
+    }
+
+    std::string optional(const char* name) { return entry_.contains(name) ? required(name) : std::string{}; }
+
+    unsigned optional_count(const char* name) {
+        const auto found = entry_.find(name);
+        if (found == entry_.end()) {
+            return 0;
+        }
+        const bool in_range = found->is_number_unsigned() &&
+                              found->get<std::uint64_t>() <= std::numeric_limits<unsigned>::max();
+        if (!in_range) {
+            fail(name);
+            return 0;
+        }
+        return found->get<unsigned>();
+    }
+
+    template <typename Enum>
+    Enum required_name(const char* name) {
+        const auto parsed = parse_name<Enum>(required(name));
+        if (!parsed) {
+            fail(name);
+        }
+        return parsed.value_or(Enum{});
+    }
+
+    net::address required_address(const char* name) {
+        auto parsed = net::parse_address(required(name));
+        if (!parsed) {
+            fail(name);
+            return {};
+        }
+        return std::move(parsed).value();
+    }
+
+    [[nodiscard]] const std::string& fault() const noexcept { return fault_; }
+
+private:
+    void fail(const char* name) {
+        if (fault_.empty()) {
+            fault_ = name;
+        }
+    }
+
+    const json& entry_;
+    std::string fault_;
+};
+
+std::optional<vm> read_entry(const json& entry) {
+    entry_reader reader{entry};
+    vm read;
+    read.name = reader.required("name");
+    read.kind = reader.required_name<wire::role>("kind");
+    read.region = reader.required("region");
+    read.data_centre = reader.required("data_centre");
+    read.peer_address = reader.required_address("peer_address");
+    read.state = reader.required_name<vm_state>("state");
+    read.endpoint = reader.optional("endpoint");
+    read.service = reader.optional("service");
+    read.base_model = reader.optional("base_model");
+    read.slots = reader.optional_count("slots");
+    if (!reader.fault().empty()) {
+        log_event(log_level::warning, "vm_list_entry_skipped",
+                  {{"vm", read.name}, {"field", reader.fault()}});
+        return std::nullopt;
+    }
+    return read;
+}
+
+} // namespace
+
+result<std::vector<vm>> parse_vm_list(std::string_view body) {
+    const json parsed = json::parse(body, nullptr, false);
+    const auto list = parsed.is_object() ? parsed.find("vms") : parsed.end();
+    if (list == parsed.end() || !list->is_array()) {
+        return make_error(errc::protocol_error, step::parse, "", "the VM list has no list \"vms\"");
+    }
+    std::vector<vm> vms;
+    for (const json& entry : *list) {
+        if (auto read = read_entry(entry)) {
+            vms.push_back(std::move(*read));
+        }
+    }
+    return vms;
+}
+
+http_vm_list::http_vm_list(net::http_client& client, net::address service, duration timeout)
+    : client_(client), service_(std::move(service)), timeout_(timeout) {}
+
+void http_vm_list::fetch(completion<std::vector<vm>> done) {
+    net::http_call call;
+    call.peer = service_;
+    call.target = "/v1/vms";
+    call.timeout = timeout_;
+    const std::string peer = to_string(service_);
+    calls_.fetch(client_, std::move(call), max_list_bytes,
+                 [peer, done = std::move(done)](const result<net::http_answer>& answer) {
+                     if (!answer) {
+                         done(answer.error());
+                     } else if (answer->status != 200) {
+                         done(make_error(errc::unavailable, step::receive, peer,
+                                         "status " + std::to_string(answer->status)));
+                     } else {
+                         done(parse_vm_list(answer->body));
+                     }
+                 });
+}
+
+} // namespace samphiretray::platform
--- /dev/null
+++ b/tests/platform/fake_service.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "samphiretray/net/http_client.h"
+#include "samphiretray/net/http_server.h"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace samphiretray::platform::testing {
+
+/// Bounds a hanging test; no verdict depends on it otherwise.
+inline constexpr duration hang_limit = 30s;
+
+/// A loopback service that answers each request with the next queued answer; an answer with status 0 is lost
+/// after the request has arrived.
+struct fake_service {
+    net::loop events;
+    std::vector<net::http_request> requests;
+    std::vector<net::http_answer> answers;
+    std::vector<std::shared_ptr<net::http_response>> unanswered;
+    std::unique_ptr<net::http_server> server = start();
+    std::unique_ptr<net::http_client> client = net::http_client::create(events);
+
+    std::unique_ptr<net::http_server> start() {
+        auto created = net::http_server::create(
+            events, {{"127.0.0.1", 0}},
+            [this](net::http_request request, const std::shared_ptr<net::http_response>& response) {
+                requests.push_back(std::move(request));
+                answer(response);
+            });
+        REQUIRE(created);
+        return std::move(created).value();
+    }
+
+    void answer(const std::shared_ptr<net::http_response>& response) {
+        if (answers.empty()) {
+            unanswered.push_back(response);
+            return;
+        }
+        const net::http_answer next = answers.front();
+        answers.erase(answers.begin());
+        if (next.status == 0) {
+            response->abort();
+        } else {
+            response->send(next.status, next.headers, next.body);
+        }
+    }
+
+    /// An address at which nothing listens any more.
+    net::address closed_address() { return start()->local_address(); }
+    [[nodiscard]] net::address address() const { return server->local_address(); }
+
+    /// Runs the loop until `outcome` has a value.
+    template <typename T>
+    T& wait_for(std::optional<T>& outcome) {
+        REQUIRE(events.run_until([&] { return outcome.has_value(); }, hang_limit));
+        return *outcome;
+    }
+};
+
+/// A completion that stores what it is given.
+template <typename T>
+auto store(std::optional<result<T>>& outcome) {
+    return [&outcome](result<T> given) { outcome.emplace(std::move(given)); };
+}
+
+} // namespace samphiretray::platform::testing
