--- a/src/agent/agent_process.cpp
+++ b/src/agent/agent_process.cpp
@@ -10,7 +10,7 @@
 #include "samphiretray/node/peer_directory.h"
 #include "samphiretray/node/process_status.h"
 #include "samphiretray/platform/http_engine.h"
-#include "samphiretray/platform/http_key_value_service.h"
+#include "samphiretray/platform/http_key_value.h"
 #include "samphiretray/platform/http_vm_list.h"
 
 #include <utility>
@@ -64,8 +64,8 @@
 
 agent_process::implementation::implementation(net::loop& events, config::agent_settings values)
     : loop(events), settings(std::move(values)), self(identity_of(settings.common)),
-      http(net::http_client::create(events)), service(*http, settings.common.key_value_service),
-      vms(*http, settings.common.vm_list), endpoint(*http, settings.endpoint_address),
+      http(net::http_client::create(events)), service(*http, {.service = settings.common.key_value_service}),
+      vms(*http, settings.common.vm_list), endpoint(*http, {.endpoint = settings.endpoint_address}),
       peers(events, self, settings.common.cluster_secret,
             {.on_open = [this](const node::peer_pointer& proven) { control.on_peer_seen(proven); },
              .on_message = [this](const node::peer_pointer& from,
