--- a/include/samphiretray/orders/claim_batcher.h
+++ b/include/samphiretray/orders/claim_batcher.h
@@ -117,21 +117,23 @@
     };
     struct pending_write {
         platform::swap_request swap;
-        claim_ledger ledger;
+        /// How many of `outcomes_` it contains.
         std::size_t outcomes = 0;
+        /// True if an attempt may have taken effect, or may still do so.
+        bool perhaps_done = false;
     };
 
-    [[nodiscard]] bool write_due(time_point now) const;
+    [[nodiscard]] time_point write_at() const;
     [[nodiscard]] claims_call start_read();
     [[nodiscard]] claims_call start_write();
-    [[nodiscard]] std::optional<claims_call> merge(time_point now, std::int64_t now_seconds);
-    [[nodiscard]] bool merge_claims(claim_ledger& into, std::int64_t now_seconds);
-    [[nodiscard]] bool merge_outcomes(claim_ledger& into);
+    [[nodiscard]] std::optional<claims_call> merge(std::int64_t now_seconds);
+    [[nodiscard]] bool merge_outcomes();
+    [[nodiscard]] bool merge_claims(std::int64_t now_seconds);
     [[nodiscard]] bool answer_from(const claim& found, const waiting_claim& asked);
-    void adopt(claim_ledger ledger, std::uint64_t revision, time_point now);
-    void resolve_write();
-    void confirm_claims();
-    void refuse_expired(time_point now);
+    [[nodiscard]] bool adopt(const std::string& text);
+    void succeed(std::uint64_t revision, time_point now);
+    void drop_write();
+    void confirm_write();
     void on_failure(errc reason, time_point now);
     void answer(const waiting_claim& asked, claim_result result, errc reason = errc::unavailable);
 
@@ -141,13 +143,15 @@
     std::vector<waiting_claim> claims_;
     std::vector<waiting_outcome> outcomes_;
     std::vector<claim_answer> answers_;
-    std::optional<claim_ledger> ledger_;
+    /// As of `revision_`, with the changes of `write_` if there is one.
+    claim_ledger ledger_;
     std::uint64_t revision_ = 0;
     time_point read_at_;
     bool must_read_ = true;
     std::optional<pending_write> write_;
     std::optional<std::uint64_t> pending_call_;
     std::uint64_t last_call_ = 0;
+    int failures_ = 0;
     duration backoff_ = 0us;
     time_point retry_at_;
     errc last_failure_ = errc::timeout;
--- a/include/samphiretray/orders/claim_ledger.h
+++ b/include/samphiretray/orders/claim_ledger.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <string>
 #include <string_view>
@@ -68,6 +69,11 @@
 class claim_ledger {
 public:
     explicit claim_ledger(ledger_limits limits = {}) : limits_(limits) {}
+    claim_ledger(const claim_ledger&) = delete;
+    claim_ledger& operator=(const claim_ledger&) = delete;
+    claim_ledger(claim_ledger&&) = default;
+    claim_ledger& operator=(claim_ledger&&) = default;
+    ~claim_ledger() = default;
 
     /// Fails with `errc::protocol_error` (step `claim`) naming the line. An empty text is an empty ledger.
     [[nodiscard]] static result<claim_ledger> parse(std::string_view text, ledger_limits limits = {});
@@ -76,8 +82,8 @@
 
     /// The claim of a key, or null.
     [[nodiscard]] const claim* find(std::string_view key) const;
-    /// Adds a claim, or replaces one that is `not_run`. Returns false if there is no room; live claims are
-    /// never dropped for room.
+    /// Adds a claim, or replaces one that is `not_run`. Returns false if the key has another claim, or if
+    /// there is no room; only claims that are `not_run` are dropped for room.
     [[nodiscard]] bool add(claim added);
     /// Sets the outcome of a claim that is still `claimed` by `request`. Returns false if there is none. A
     /// body for which there is no room is omitted.
@@ -88,18 +94,28 @@
 
     [[nodiscard]] std::size_t size() const noexcept { return claims_.size(); }
     /// Length of `format()`.
-    [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
+    [[nodiscard]] std::size_t bytes() const noexcept;
 
 private:
     using position = std::list<claim>::iterator;
 
+    struct text_hash {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view text) const noexcept {
+            return std::hash<std::string_view>{}(text);
+        }
+    };
+
     [[nodiscard]] claim* find_live(std::string_view key, std::string_view request);
+    void insert(claim added, std::size_t line_bytes);
     void erase(position at);
+    template <typename Predicate>
+    void drop_if(Predicate dropped);
 
     ledger_limits limits_;
     std::list<claim> claims_;
-    std::unordered_map<std::string, position> by_key_;
-    std::size_t bytes_ = 0;
+    std::unordered_map<std::string, position, text_hash, std::equal_to<>> by_key_;
+    std::size_t claim_bytes_ = 0;
 };
 
 } // namespace samphiretray::orders
--- a/tests/rate/world.cpp
+++ b/tests/rate/world.cpp
@@ -131,10 +131,13 @@
     }
     // A call whose answer was lost ends with a timeout.
     const std::uint64_t id = std::visit([](const auto& each) { return each.call; }, made);
-    events_.emplace(now + 500ms, [this, by, id] {
+    events_.emplace(now + 500ms, [this, by, id, reads = std::holds_alternative<read_shares>(made)] {
         const auto timeout = make_error(errc::timeout, step::lease, "kv", "no answer");
-        by->shares.on_read(id, timeout, now + by->clock_offset);
-        by->shares.on_written(id, timeout, now + by->clock_offset);
+        if (reads) {
+            by->shares.on_read(id, timeout, now + by->clock_offset);
+        } else {
+            by->shares.on_written(id, timeout, now + by->clock_offset);
+        }
         return true;
     });
 }
