Use the real load schedule in the driver and choose settings of placement

Cause: the driver had its own schedule of loads; popular adapters got copies whenever a queue was a little longer than a load, which costs the scarce loads of others.

Change: control::load_permits and local_load_limit run in the driver; spread_cost 20 s, grow_wait 5 s, half life of popularity 120 s.

--- a/bench/measure/agent_model.cpp
+++ b/bench/measure/agent_model.cpp
@@ -8,6 +8,8 @@
 
 constexpr duration unload_time = 5ms;
 constexpr std::uint32_t max_load_failures = 4;
+/// The schedule drops requests that are not repeated within ten seconds.
+constexpr duration repeat_interval = 3s;
 
 } // namespace
 
@@ -124,7 +126,7 @@
 }
 
 agent_model::permit agent_model::wanted_permit(const agent::adapter_version& adapter) const {
-    permit wanted{adapter, false, false, 0};
+    permit wanted{adapter, false, false, 0, events_.now()};
     for (const auto& [id, each] : active_) {
         if (!each.pin && each.request.adapter == adapter) {
             ++wanted.waiting;
@@ -134,7 +136,6 @@
     return wanted;
 }
 
-/// Asks again when the number of waiting requests changes; the schedule keeps the age of the first request.
 void agent_model::ask_for_permits() {
     const auto wanted = slots_.loads_wanted(events_.now());
     std::map<agent::adapter_version, std::uint64_t> asked;
@@ -151,23 +152,35 @@
     for (const agent::adapter_version& adapter : wanted) {
         const permit now_wanted = wanted_permit(adapter);
         if (const auto known = asked.find(adapter); known != asked.end()) {
-            const permit& before = permits_by_round_.at(known->second);
-            if (before.granted || before.waiting == now_wanted.waiting) {
-                continue;
-            }
-            permits_by_round_.erase(known->second);
+            repeat_request(known->second, now_wanted);
+            continue;
         }
         permits_by_round_[next_round_] = now_wanted;
         permits_.request(next_round_++, now_wanted.priority, now_wanted.waiting, adapter);
     }
 }
 
+/// Asks again when the number of waiting requests changes and from time to time; the schedule keeps the age
+/// of the first request.
+void agent_model::repeat_request(std::uint64_t round, const permit& wanted) {
+    permit& before = permits_by_round_.at(round);
+    const bool due = before.waiting != wanted.waiting || events_.now() - before.asked_at >= repeat_interval;
+    if (before.granted || !due) {
+        return;
+    }
+    before = wanted;
+    permits_.request(round, wanted.priority, wanted.waiting, wanted.adapter);
+}
+
 void agent_model::granted(std::uint64_t round) {
     const auto found = permits_by_round_.find(round);
     if (found == permits_by_round_.end()) {
         permits_.done(round, false);
         return;
     }
+    if (found->second.granted) {
+        return;
+    }
     const auto commands = slots_.begin_load(found->second.adapter, 1, events_.now());
     if (commands.empty() || down_) {
         permits_by_round_.erase(found);
--- a/bench/measure/agent_model.h
+++ b/bench/measure/agent_model.h
@@ -68,12 +68,14 @@
         bool granted = false;
         bool priority = false;
         std::uint32_t waiting = 0;
+        time_point asked_at;
     };
 
     void run();
     void start_requests();
     void start(const agent::queued_request& request);
     void ask_for_permits();
+    void repeat_request(std::uint64_t round, const permit& wanted);
     [[nodiscard]] permit wanted_permit(const agent::adapter_version& adapter) const;
     void carry_out(const std::vector<agent::slot_command>& commands);
     void load(const agent::slot_command& command);
--- a/bench/measure/policy.cpp
+++ b/bench/measure/policy.cpp
@@ -6,23 +6,6 @@
 
 namespace samphiretray::measure {
 
-static long ev(const char* n, long d) {
-    return getenv(n) ? atol(getenv(n)) : d;
-}
-static routing::placement_settings ps() {
-    routing::placement_settings s;
-    using m = std::chrono::milliseconds;
-    s.spread_cost = m{ev("SC", 1000)};
-    s.grow_wait = m{ev("GW", 500)};
-    s.remote_weight = ev("RW", 100) / 100.0;
-    s.extra_cost = m{ev("EC", 50)};
-    s.busy_cost = m{ev("BC", 20)};
-    s.hint_half_life = m{ev("HH", 120000)};
-    s.service_time = m{ev("ST", 2000)};
-    s.load_bound = ev("LB", 125) / 100.0;
-    s.max_homes = ev("MH", 16);
-    return s;
-}
 std::string_view name_of(policy of) {
     switch (of) {
     case policy::ours:
@@ -40,9 +23,6 @@
 agent::slot_settings slot_settings_of(policy of, std::size_t slots) {
     agent::slot_settings settings;
     settings.slots = slots;
-    settings.popularity_half_life = std::chrono::milliseconds{ev("HL", 30000)};
-    settings.minimum_residence = std::chrono::milliseconds{ev("MR", 3000)};
-    settings.drain_after = std::chrono::milliseconds{ev("DA", 2000)};
     if (of != policy::ours) {
         settings.minimum_residence = 0s;
         settings.reserved = 0;
@@ -61,7 +41,7 @@
 
 selector::selector(policy kind, const std::vector<routing::endpoint>& fleet, routing::location here,
                    std::uint64_t seed)
-    : kind_(kind), placement_(ps(), std::move(here)), outstanding_(fleet.size(), 0), random_(seed) {
+    : kind_(kind), placement_({}, std::move(here)), outstanding_(fleet.size(), 0), random_(seed) {
     placement_.replace_endpoints(fleet);
     std::ranges::transform(fleet, std::back_inserter(names_), &routing::endpoint::name);
 }
--- a/bench/measure/run.cpp
+++ b/bench/measure/run.cpp
@@ -1,14 +1,17 @@
 #include "bench/measure/run.h"
 
+#include "samphiretray/control/load_permits.h"
+#include "samphiretray/control/local_load_limit.h"
 #include "samphiretray/routing/outlier_ejection.h"
 #include "samphiretray/routing/retry_policy.h"
 
 #include "bench/measure/agent_model.h"
-#include "bench/measure/permit_desk.h"
 
 #include <algorithm>
 #include <memory>
 #include <numeric>
+#include <random>
+#include <utility>
 
 namespace samphiretray::measure {
 
@@ -25,6 +28,8 @@
 /// Mean tokens of prompt and output together for each token of output, and time of a step at full batch.
 constexpr double tokens_per_output = (500.0 + 208.0) / 208.0;
 constexpr double full_step = 0.028 + 0.0007 * 8.0;
+/// Rank of a waiting load for each second of age; see docs/decisions/load-order.md.
+constexpr double load_rank_per_second = 0.05;
 constexpr const char* pool = "base";
 
 enum class fate { pending, served, refused, broken };
@@ -51,7 +56,8 @@
 public:
     simulation(const deployment& of, scenario kind, policy used, std::uint64_t seed)
         : of_(of), kind_(kind), policy_(used), trace_(make_trace(of, kind, seed)), requests_(trace_.size()),
-          store_(events_, seed + 1), permits_(of.loads_per_second, 8, events_.now()), start_(events_.now()) {
+          store_(events_, seed + 1), permits_(permit_options(of), events_.now()), random_(seed + 2),
+          start_(events_.now()) {
         make_fleet(seed);
     }
 
@@ -81,7 +87,20 @@
             entries_.back().ejection.replace_endpoints(pool, names);
         }
         names_ = std::move(names);
-        local_loads_.resize(agents_.size());
+        const auto count = static_cast<std::uint32_t>(agents_.size());
+        control::local_load_limit_options options;
+        options.loads_per_second = of_.loads_per_second;
+        for (std::uint32_t index = 0; index < count; ++index) {
+            local_loads_.push_back(
+                {{}, 0, control::local_load_limit{options, count, random_, events_.now()}});
+        }
+    }
+
+    static control::load_permits_options permit_options(const deployment& of) {
+        control::load_permits_options options;
+        options.loads_per_second = of.loads_per_second;
+        options.rank_per_second = load_rank_per_second;
+        return options;
     }
 
     [[nodiscard]] std::uint32_t region_of(std::uint32_t engine) const {
@@ -107,15 +126,16 @@
         port.cancel = [this, engine](std::uint64_t round) {
             std::erase(local_loads_[engine].waiting, round);
             events_.after(one_way(region_of(engine), 0),
-                          [this, engine, round] { permits_.cancel(names_[engine], round); });
+                          [this, engine, round] { permits_.cancel(names_[engine], round, events_.now()); });
         };
         port.done = [this, engine](std::uint64_t round, bool) {
             if (local_loads_[engine].running == round) {
                 local_loads_[engine].running = 0;
+                local_loads_[engine].limit.done();
                 return;
             }
             events_.after(one_way(region_of(engine), 0), [this, engine, round] {
-                permits_.done(names_[engine], round);
+                permits_.done(names_[engine], round, events_.now());
                 answer_permits();
             });
         };
@@ -125,44 +145,49 @@
     void request_permit(std::uint32_t engine, std::uint64_t round, bool priority, std::uint32_t waiting,
                         const agent::adapter_version& adapter) {
         if (!connected(region_of(engine), 0)) {
-            local_loads_[engine].waiting.push_back(round);
+            std::vector<std::uint64_t>& waits = local_loads_[engine].waiting;
+            if (std::ranges::find(waits, round) == waits.end()) {
+                waits.push_back(round);
+            }
             return;
         }
         events_.after(one_way(region_of(engine), 0), [=, this] {
-            permits_.request(names_[engine], round, priority, waiting, adapter, events_.now());
+            const wire::permit_request asked{round,           names_[engine], adapter.adapter,
+                                             adapter.version, priority,       waiting};
+            permits_.request(names_[engine], asked, events_.now());
             answer_permits();
         });
     }
 
     void answer_permits() {
-        for (const permit_desk::grant& each : permits_.take(events_.now())) {
+        for (const control::permit_answer& each : permits_.take_answers(true, events_.now())) {
+            if (!each.reply.granted) {
+                continue;
+            }
             const auto engine =
                 static_cast<std::uint32_t>(std::ranges::find(names_, each.holder) - names_.begin());
             events_.after(one_way(0, region_of(engine)),
-                          [this, engine, round = each.round] { agents_[engine]->granted(round); });
+                          [this, engine, round = each.reply.round] { agents_[engine]->granted(round); });
         }
         wake_for_permits();
     }
 
     void wake_for_permits() {
-        const time_point next = events_.now() + permits_.time_to_next(events_.now());
-        const bool planned = wake_at_ && *wake_at_ > events_.now() && *wake_at_ <= next;
-        if (!permits_.waiting() || planned) {
+        const auto next = permits_.wake_at(events_.now());
+        const bool planned = next && wake_at_ && *wake_at_ > events_.now() && *wake_at_ <= *next;
+        if (!next || planned) {
             return;
         }
-        wake_at_ = next;
-        events_.at(next, [this] { answer_permits(); });
+        wake_at_ = std::max(*next, events_.now() + 1us);
+        events_.at(*wake_at_, [this] { answer_permits(); });
     }
 
-    /// Without a holder of the duty an agent loads at its part of half of the store's rate.
+    /// Without a holder of the duty an agent loads at its own slow rate.
     void load_locally(std::uint32_t engine) {
         local_load& local = local_loads_[engine];
-        const double rate = 0.5 * of_.loads_per_second / static_cast<double>(agents_.size());
-        const std::chrono::duration<double> interval{1.0 / rate};
-        if (local.waiting.empty() || local.running != 0 || events_.now() - local.last < interval) {
+        if (local.waiting.empty() || !local.limit.try_start(false, events_.now())) {
             return;
         }
-        local.last = events_.now();
         local.running = local.waiting.front();
         local.waiting.erase(local.waiting.begin());
         agents_[engine]->granted(local.running);
@@ -353,14 +378,10 @@
         }
     }
 
-    /// Requests for permits that waited for the local limit go to the holder again.
+    /// Agents ask the holder again by themselves.
     void join() {
         cut_ = false;
-        for (std::uint32_t engine = 0; engine < agents_.size(); ++engine) {
-            for (const std::uint64_t round : std::exchange(local_loads_[engine].waiting, {})) {
-                request_permit(engine, round, false, 1, {});
-            }
-        }
+        std::ranges::for_each(local_loads_, [](local_load& each) { each.waiting.clear(); });
     }
 
     void tick() {
@@ -498,7 +519,7 @@
     struct local_load {
         std::vector<std::uint64_t> waiting;
         std::uint64_t running = 0;
-        time_point last;
+        control::local_load_limit limit;
     };
 
     const deployment& of_;
@@ -508,7 +529,8 @@
     std::vector<request_state> requests_;
     event_queue events_;
     weight_store_model store_;
-    permit_desk permits_;
+    control::load_permits permits_;
+    std::mt19937_64 random_;
     time_point start_;
     std::vector<std::unique_ptr<agent_model>> agents_;
     std::vector<entry_model> entries_;
--- a/include/samphiretray/agent/slot_table.h
+++ b/include/samphiretray/agent/slot_table.h
@@ -26,7 +26,7 @@
     std::size_t reserved = 1;
     /// A use of an adapter counts half after this time when slots are compared for eviction. Zero: least
     /// recently used, without popularity.
-    duration popularity_half_life = 30s;
+    duration popularity_half_life = 120s;
     /// Wait after a failed load; doubles with each further failure of the adapter.
     duration load_backoff = 200ms;
     duration max_load_backoff = 10s;
--- a/include/samphiretray/routing/placement.h
+++ b/include/samphiretray/routing/placement.h
@@ -43,7 +43,7 @@
     duration load_time = 250ms;
     /// Added to a cold start outside an adapter's home endpoints: the store's rate is scarce, and the load
     /// evicts another adapter.
-    duration spread_cost = 1s;
+    duration spread_cost = 20s;
     /// Added to a resident adapter outside its home endpoints, so that an extra copy falls idle and is
     /// evicted.
     duration extra_cost = 50ms;
@@ -65,7 +65,7 @@
     /// An endpoint beyond its capacity and beyond this multiple of the pool's mean load comes last.
     double load_bound = 1.25;
     /// An adapter gets one more home endpoint when all of its homes are estimated to wait longer than this...
-    duration grow_wait = 500ms;
+    duration grow_wait = 5s;
     /// ...and one less when the load of its homes has filled less than this part of all of them but one...
     double shrink_fill = 0.6;
     /// ...for this time.
