Correct the order body and the token count of the process tests

Cause: the order stand-in names its field "order"; error bodies have no usage.

Change: the tests use the stand-in's field and count no tokens of refusals.

--- a/tests/process/invariants_test.cpp
+++ b/tests/process/invariants_test.cpp
@@ -40,12 +40,12 @@
 
 std::string text_of(const call_result& answer) {
     const json body = json::parse(answer.body, nullptr, false);
-    return body.is_object() ? body["choices"][0].value("text", "") : "";
+    return body.contains("choices") ? body["choices"][0].value("text", "") : "";
 }
 
 std::uint64_t tokens_of(const call_result& answer) {
     const json body = json::parse(answer.body, nullptr, false);
-    return body.is_object() ? body["usage"].value("total_tokens", 0U) : 0;
+    return body.contains("usage") ? body["usage"].value("total_tokens", 0U) : 0;
 }
 
 bool holds(const json& value, const std::string& text) {
@@ -96,7 +96,7 @@
               .status == 404);
 
     const auto order = system.run(system.call(
-        "entry-2", "/services/orders/orders?api_key=" + homes_key.substr(4), R"({"id":"o-1"})", homes_key));
+        "entry-2", "/services/orders/orders?api_key=" + homes_key.substr(4), R"({"order":"o-1"})", homes_key));
     CHECK(order.status == 200);
     for (const char* const endpoint : {"engine-1", "engine-2", "orders-1"}) {
         const json seen = system.fetch(system.endpoint_address(endpoint), "/admin/seen");
@@ -215,7 +215,7 @@
         std::vector<std::shared_ptr<tests::pending_call>> calls;
         for (std::size_t repeat = 0; repeat < 2; ++repeat) {
             auto call = system.call(entries[(static_cast<std::size_t>(i) + repeat) % 3],
-                                    "/services/orders/orders", R"({"id":")" + id + "\"}", homes_key);
+                                    "/services/orders/orders", R"({"order":")" + id + "\"}", homes_key);
             call.headers.push_back({"idempotency-key", id});
             calls.push_back(system.send(std::move(call)));
         }
