--- a/include/samphiretray/control/load_permits.h
+++ b/include/samphiretray/control/load_permits.h
@@ -17,12 +17,15 @@
     /// Loads in flight fleet-wide at most. The last one is kept free for priority customers if there are two.
     std::uint32_t max_in_flight = 8;
     double loads_per_second = 2.0;
-    /// Loads that may start at once after a pause; the last one is kept free for priority customers.
+    /// Loads that may start at once after a pause. Of two or more, one is kept free for priority customers.
     double burst = 2.0;
     /// A permit without `permit_done` ends after this time.
-    duration validity = 3s;
-    /// A request that is not repeated within this time is dropped.
-    duration request_timeout = 10s;
+    duration validity = 5s;
+    /// Time within which the holder starts the load, counted by it from sending the request that is granted.
+    /// The rest of the validity is for the load itself.
+    duration start_within = 2s;
+    /// A waiting request that is not repeated within this time is dropped.
+    duration request_timeout = 3s;
     /// Waiting requests beyond this count do not raise a load's rank; with age this bounds its wait.
     std::uint32_t waiting_cap = 32;
     /// Rank per second of age; a waiting request counts 1.
@@ -39,8 +42,9 @@
 
 /// The fleet-wide schedule of adapter loads, held by the entry with the duty `loads`.
 ///
-/// Call `take_answers` after every other call and at `wake_at`. A holder starts the load only if the reply
-/// arrives within its validity, counted from sending the request's last repetition.
+/// Call `take_answers` after every other call and at `wake_at`. A holder repeats a waiting request every
+/// second with a new round, starts the load only if the reply arrives within `valid_ms` of sending that
+/// round, and sends `permit_done` after the load, or at once if it no longer wants it.
 class load_permits {
 public:
     /// Grants nothing before `act_from`, and starts from an empty bucket. After a fail-over `act_from` is at
@@ -48,11 +52,13 @@
     load_permits(load_permits_options options, time_point act_from);
 
     /// A request for a load. `holder` identifies a process start. A second request for the same adapter
-    /// version and endpoint replaces the first, which keeps its age; a permit in force is granted again.
+    /// version and endpoint replaces a waiting one and keeps its age. The same round again gets the same
+    /// permit; a new round of the same holder tells that its earlier load has ended.
     void request(std::string_view holder, const wire::permit_request& asked, time_point now);
-    void cancel(std::string_view holder, std::uint64_t round, time_point now);
+    /// Drops a waiting request. A permit that crossed the cancellation ends with `done`.
+    void cancel(std::string_view holder, std::uint64_t round);
     /// The load ended or was not started.
-    void done(std::string_view holder, std::uint64_t round, time_point now);
+    void done(std::string_view holder, std::uint64_t round);
     /// The link to a holder closed: its requests are dropped. Its permits stay until they expire, since the
     /// load may still run.
     void holder_gone(std::string_view holder);
@@ -79,10 +85,11 @@
 
     void advance(time_point now);
     [[nodiscard]] bool may_start(bool priority) const;
+    [[nodiscard]] double tokens_needed(bool priority) const;
     [[nodiscard]] double rank(const load& of, time_point now) const;
     [[nodiscard]] std::vector<load>::iterator next(time_point now);
     void refuse_all();
-    void grant(load chosen, time_point now);
+    void grant_waiting(time_point now);
     void reply(const load& to, bool granted, bool issuer);
 
     load_permits_options options_;
--- a/include/samphiretray/control/local_load_limit.h
+++ b/include/samphiretray/control/local_load_limit.h
@@ -39,6 +39,8 @@
     local_load_limit_options options_;
     rate::token_bucket bucket_;
     bool running_ = false;
+    /// The last priority load used a token that was not there yet.
+    bool borrowed_ = false;
 };
 
 } // namespace samphiretray::control
