Use the fleet's grant rounds across objects of one process

A grant_holder that replaces an earlier one of the same process starts from that one's last round, because the issuer ignores rounds that are not newer.

--- a/include/samphiretray/rate/grant_holder.h
+++ b/include/samphiretray/rate/grant_holder.h
@@ -48,7 +48,10 @@
 /// since its validity counts from `now`. One request is in flight at a time.
 class grant_holder {
 public:
-    explicit grant_holder(std::string organisation, grant_holder_options options = {});
+    /// `last_round` is the last round of an earlier object of this process for the organisation, if there was
+    /// one: the issuer ignores rounds that are not newer.
+    explicit grant_holder(std::string organisation, grant_holder_options options = {},
+                          std::uint64_t last_round = 0);
 
     /// Reserves `bound` tokens for request `id`, or waits for them in order of arrival until `deadline`.
     [[nodiscard]] reserve_result reserve(std::uint64_t id, std::uint64_t bound, time_point deadline,
@@ -76,6 +79,7 @@
     [[nodiscard]] std::uint64_t available(time_point now);
     [[nodiscard]] std::uint64_t debt() const noexcept { return debt_; }
     [[nodiscard]] std::size_t waiting() const noexcept { return waiting_.size(); }
+    [[nodiscard]] std::uint64_t last_round() const noexcept { return round_; }
     /// Observed demand in tokens a second.
     [[nodiscard]] double demand(time_point now);
     /// How long a caller that is refused now should wait, as the issuer estimated.
--- a/src/rate/grant_holder.cpp
+++ b/src/rate/grant_holder.cpp
@@ -20,8 +20,8 @@
 
 } // namespace
 
-grant_holder::grant_holder(std::string organisation, grant_holder_options options)
-    : organisation_(std::move(organisation)), options_(options) {}
+grant_holder::grant_holder(std::string organisation, grant_holder_options options, std::uint64_t last_round)
+    : organisation_(std::move(organisation)), options_(options), round_(last_round) {}
 
 void grant_holder::advance(time_point now) {
     if (now >= expires_) {
--- a/src/rate/grant_issuer.cpp
+++ b/src/rate/grant_issuer.cpp
@@ -77,7 +77,11 @@
         return reply;
     }
     advance(now);
-    account& of = accounts_.try_emplace(std::string{holder}).first->second;
+    auto found = accounts_.find(holder);
+    if (found == accounts_.end()) {
+        found = accounts_.emplace(holder, account{}).first;
+    }
+    account& of = found->second;
     if (request.round <= of.round) {
         return reply;
     }
