Hand requests of a stopping agent on, and keep the duties of a region's last entry

Cause: the stop test saw 429 and 503. An entry that announced its stop left the live list and so released its rate shards at once, although nobody in its region could take them; and requests that a stopping agent refused used up the retry budget of three.

Change: the last live entry of a region keeps its duties until its requests have ended; a refusal because of a stop redirects the request outside the budget and counts as a leaving notice; the key-value service's calls time out after 1 s, so that an outage is told from a partition within the bound.

--- a/include/samphiretray/entry/dispatcher.h
+++ b/include/samphiretray/entry/dispatcher.h
@@ -8,6 +8,7 @@
 #include "samphiretray/routing/retry_policy.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -30,8 +31,9 @@
 /// Sends requests to agents, follows their attempts and passes the answers on to the callers.
 class dispatcher {
 public:
+    /// `on_leaving` is told of agents that refuse requests because they are stopping.
     dispatcher(net::loop& events, node::peer_identity self, node::peer_directory& peers,
-               const control::membership& members);
+               const control::membership& members, std::function<void(const wire::leaving_vm&)> on_leaving);
     ~dispatcher();
     dispatcher(const dispatcher&) = delete;
     dispatcher& operator=(const dispatcher&) = delete;
@@ -65,6 +67,8 @@
     /// Ends an attempt that failed, and retries or refuses its request.
     void attempt_failed(const attempt_pointer& failed, error cause, bool forwarded,
                         std::optional<duration> retry_after);
+    /// Sends a request that a stopping agent refused to another one, outside the retry budget.
+    [[nodiscard]] bool redirect(const attempt_pointer& refused);
     void forget(const attempt_pointer& ended);
     [[nodiscard]] bool is_remote(const std::string& endpoint) const;
 
@@ -72,6 +76,7 @@
     node::peer_identity self_;
     node::peer_directory& peers_;
     const control::membership& members_;
+    std::function<void(const wire::leaving_vm&)> on_leaving_;
     routing::placement placement_;
     routing::retry_policy retries_;
     routing::outlier_ejection ejection_;
--- a/include/samphiretray/entry/filters-inl.h
+++ b/include/samphiretray/entry/filters-inl.h
@@ -9,8 +9,9 @@
 namespace samphiretray::entry {
 
 /// Longest wait for tokens. An organisation above its rate is refused soon, with the time after which to
-/// retry, rather than held until its deadline.
-inline constexpr duration max_token_wait = 2s;
+/// retry, rather than held until its deadline. It covers the 2 s in which a shard has no issuer after a
+/// planned stop.
+inline constexpr duration max_token_wait = 4s;
 /// Longest wait for the record of a claim.
 inline constexpr duration max_claim_wait = 3s;
 
--- a/include/samphiretray/entry/load_controller-inl.h
+++ b/include/samphiretray/entry/load_controller-inl.h
@@ -27,7 +27,8 @@
 template <platform::key_value_service KeyValue>
 void load_controller<KeyValue>::members_changed() {
     const auto entries = members_.live_entries(loop_.now());
-    duty_.set_candidate(!stopping_ && node::is_ranked(loads_duty, entries, self_.vm, load_duty_candidates));
+    const bool ranked = node::carries_duty(loads_duty, entries, self_.vm, load_duty_candidates);
+    duty_.set_candidate(ranked && !stopping_);
 }
 
 template <platform::key_value_service KeyValue>
@@ -52,11 +53,11 @@
         permits_->request(holder, *request, now);
     } else if (const auto* cancel = std::get_if<wire::permit_cancel>(&value)) {
         if (permits_) {
-            permits_->cancel(holder, cancel->round, now);
+            permits_->cancel(holder, cancel->round);
         }
     } else if (const auto* done = std::get_if<wire::permit_done>(&value)) {
         if (permits_) {
-            permits_->done(holder, done->round, now);
+            permits_->done(holder, done->round);
         }
     } else {
         return false;
--- a/include/samphiretray/entry/rate_controller-inl.h
+++ b/include/samphiretray/entry/rate_controller-inl.h
@@ -49,6 +49,11 @@
 std::vector<const platform::vm*> rate_controller<KeyValue>::region_entries() const {
     auto entries = members_.live_entries(loop_.now());
     std::erase_if(entries, [this](const platform::vm* vm) { return vm->region != self_.region; });
+    const platform::vm* self = members_.find(self_.vm);
+    if (entries.empty() && self != nullptr) {
+        // The last entry of a region goes on issuing until it has finished its requests.
+        entries.push_back(self);
+    }
     return entries;
 }
 
@@ -76,7 +81,7 @@
     const auto entries = region_entries();
     for (std::uint32_t number = 0; number < shards_.size(); ++number) {
         const bool ranked =
-            node::is_ranked(self_.region + "/" + duty_name(number), entries, self_.vm, issuer_candidates);
+            node::carries_duty(self_.region + "/" + duty_name(number), entries, self_.vm, issuer_candidates);
         shards_[number].duty->set_candidate(ranked && !stopping_);
     }
 }
--- a/include/samphiretray/node/control_plane-inl.h
+++ b/include/samphiretray/node/control_plane-inl.h
@@ -183,7 +183,12 @@
 
 template <platform::key_value_service KeyValue, platform::vm_list List>
 void control_plane<KeyValue, List>::announce_leaving() {
-    members_.on_leaving(loop_.now(), {self_.vm, self_.incarnation});
+    on_leaving({self_.vm, self_.incarnation});
+}
+
+template <platform::key_value_service KeyValue, platform::vm_list List>
+void control_plane<KeyValue, List>::on_leaving(const wire::leaving_vm& vm) {
+    members_.on_leaving(loop_.now(), vm);
     members_changed();
 }
 
--- a/include/samphiretray/node/control_plane.h
+++ b/include/samphiretray/node/control_plane.h
@@ -40,6 +40,8 @@
     void on_peer_closed(const peer_pointer& gone);
     /// Notes an incarnation seen in a link's hello.
     void on_peer_seen(const peer_pointer& seen);
+    /// Notes that a VM will stop, and passes it on.
+    void on_leaving(const wire::leaving_vm& vm);
     /// Tells the fleet that this process will stop.
     void announce_leaving();
 
--- a/include/samphiretray/node/rendezvous.h
+++ b/include/samphiretray/node/rendezvous.h
@@ -18,4 +18,8 @@
 [[nodiscard]] bool is_ranked(std::string_view duty, std::span<const platform::vm* const> candidates,
                              std::string_view vm, std::size_t count);
 
+/// Like `is_ranked` for a duty that an entry gives up when it leaves, unless no live candidate is left.
+[[nodiscard]] bool carries_duty(std::string_view duty, std::span<const platform::vm* const> live,
+                                std::string_view vm, std::size_t count);
+
 } // namespace samphiretray::node
--- a/src/agent/agent_process.cpp
+++ b/src/agent/agent_process.cpp
@@ -19,6 +19,10 @@
 
 namespace {
 
+/// The service answers in milliseconds. Failures must be known well within the freshness bound, so that an
+/// outage is told from a partition.
+constexpr duration key_value_timeout = 1s;
+
 using key_value = platform::http_key_value_service;
 using vm_list = platform::http_vm_list;
 using engine = platform::http_engine;
@@ -64,7 +68,8 @@
 
 agent_process::implementation::implementation(net::loop& events, config::agent_settings values)
     : loop(events), settings(std::move(values)), self(identity_of(settings.common)),
-      http(net::http_client::create(events)), service(*http, {.service = settings.common.key_value_service}),
+      http(net::http_client::create(events)),
+      service(*http, {.service = settings.common.key_value_service, .timeout = key_value_timeout}),
       vms(*http, settings.common.vm_list), endpoint(*http, {.endpoint = settings.endpoint_address}),
       peers(events, self, settings.common.cluster_secret,
             {.on_open = [this](const node::peer_pointer& proven) { control.on_peer_seen(proven); },
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t max_unsent_bytes = 4U << 20U;
 /// Expected size of an answer in bytes for each token, for the price of bytes between regions.
 constexpr std::size_t bytes_per_token = 40;
+/// Stopping agents that one request may meet. Such a refusal says nothing about load, so it does not use the
+/// retry budget.
+constexpr std::uint32_t max_redirects = 8;
 
 errc code_of(wire::refusal reason) {
     switch (reason) {
@@ -70,9 +73,11 @@
 };
 
 dispatcher::dispatcher(net::loop& events, node::peer_identity self, node::peer_directory& peers,
-                       const control::membership& members)
+                       const control::membership& members,
+                       std::function<void(const wire::leaving_vm&)> on_leaving)
     : loop_(events), self_(std::move(self)), peers_(peers), members_(members),
-      placement_({}, {self_.region, self_.data_centre}), retries_({}), ejection_({}) {}
+      on_leaving_(std::move(on_leaving)), placement_({}, {self_.region, self_.data_centre}), retries_({}),
+      ejection_({}) {}
 
 dispatcher::~dispatcher() {
     *alive_ = false;
@@ -351,7 +356,13 @@
     }
     const time_point now = loop_.now();
     placement_.observe_refusal(found->endpoint, found->request->adapter, refused.reason, refused.load, now);
-    if (counts_as_failure(refused.reason)) {
+    if (refused.reason == wire::refusal::draining && !refused.forwarded) {
+        on_leaving_({from->identity().vm, from->identity().incarnation});
+        ejection_.abandoned(found->endpoint, now);
+        if (redirect(found)) {
+            return;
+        }
+    } else if (counts_as_failure(refused.reason)) {
         ejection_.failed(found->endpoint, now);
     } else {
         ejection_.abandoned(found->endpoint, now);
@@ -402,6 +413,19 @@
     request->fail(std::move(cause), retry_after);
 }
 
+bool dispatcher::redirect(const attempt_pointer& refused) {
+    if (refused->number > max_redirects) {
+        return false;
+    }
+    const request_pointer request = refused->request;
+    request->may_have_run = refused->earlier_may_have_run;
+    auto tried = refused->tried;
+    tried.push_back(refused->endpoint);
+    forget(refused);
+    try_next(request, refused->number + 1, std::move(tried));
+    return true;
+}
+
 void dispatcher::forget(const attempt_pointer& ended) {
     const auto found = attempts_.find(ended->request->id);
     if (found == attempts_.end() || found->second != ended) {
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -27,6 +27,10 @@
 
 namespace {
 
+/// The service answers in milliseconds. Failures must be known well within the freshness bound, so that an
+/// outage is told from a partition.
+constexpr duration key_value_timeout = 1s;
+
 using key_value = platform::http_key_value_service;
 using vm_list = platform::http_vm_list;
 using control_plane = node::control_plane<key_value, vm_list>;
@@ -98,7 +102,8 @@
 
 entry_process::implementation::implementation(net::loop& events, config::entry_settings values)
     : loop(events), settings(std::move(values)), self(identity_of(settings.common)),
-      http(net::http_client::create(events)), service(*http, {.service = settings.common.key_value_service}),
+      http(net::http_client::create(events)),
+      service(*http, {.service = settings.common.key_value_service, .timeout = key_value_timeout}),
       vms(*http, settings.common.vm_list),
       peers(events, self, settings.common.cluster_secret,
             {.on_open = [this](const node::peer_pointer& proven) { control.on_peer_seen(proven); },
@@ -110,7 +115,8 @@
       rate_limits(events, settings, self, service, peers, control.members(), control.evidence()),
       order_claims(events, service, settings.claim_shards),
       load_permits(events, settings, self, service, control.members(), control.evidence()),
-      requests(events, self, peers, control.members()),
+      requests(events, self, peers, control.members(),
+               [this](const wire::leaving_vm& vm) { control.on_leaving(vm); }),
       filters(authenticate_filter<control_plane>{control}, route_filter<control_plane>{control},
               admit_filter<rates>{rate_limits, events}, claim_filter<claims>{order_claims, events},
               dispatch_filter{requests}) {}
--- a/src/node/rendezvous.cpp
+++ b/src/node/rendezvous.cpp
@@ -24,4 +24,9 @@
     return std::ranges::any_of(first, [vm](const platform::vm* each) { return each->name == vm; });
 }
 
+bool carries_duty(std::string_view duty, std::span<const platform::vm* const> live, std::string_view vm,
+                  std::size_t count) {
+    return live.empty() || is_ranked(duty, live, vm, count);
+}
+
 } // namespace samphiretray::node
