Serve TLS from certificate files and reload them

Cause: http_server_options named certificate files that were not read, so a server with certificates spoke plain HTTP. Conclusion: certificates can be replaced without closing a connection.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -24,7 +24,7 @@
     [[nodiscard]] address local_address() const override { return listener_->local_address(); }
     void stop_accepting() override { listener_->stop(); }
     void begin_graceful_shutdown() override { core_->begin_graceful_shutdown(); }
-    status reload_certificates() override { return success(); }
+    status reload_certificates() override { return core_->load_certificates(); }
     [[nodiscard]] std::size_t open_connections() const noexcept override { return core_->open_connections(); }
 
 private:
@@ -47,6 +47,9 @@
     const address listen = options.listen;
     auto core = std::make_shared<http_server_core>(events, std::move(options), std::move(handler));
     auto server = std::make_unique<h2o_server>(core);
+    if (const status loaded = core->load_certificates(); !loaded) {
+        return loaded.error();
+    }
     auto accepting =
         listener::create(events, listen, [core](h2o_socket_t* socket) { core->add_connection(socket); });
     if (!accepting) {
--- a/src/net/http_server_core.cpp
+++ b/src/net/http_server_core.cpp
@@ -79,9 +79,6 @@
     // h2o 2.2.5 closes the queue but does not free it.
     std::free(context_.queue);
     h2o_config_dispose(&config_);
-    if (accept_.ssl_ctx != nullptr) {
-        SSL_CTX_free(accept_.ssl_ctx);
-    }
 }
 
 void http_server_core::configure() {
@@ -109,6 +106,19 @@
     };
 }
 
+status http_server_core::load_certificates() {
+    if (options_.certificate_file.empty() && options_.private_key_file.empty()) {
+        return success();
+    }
+    auto loaded = load_tls_context(options_.certificate_file, options_.private_key_file);
+    if (!loaded) {
+        return loaded.error();
+    }
+    tls_ = std::move(loaded).value();
+    accept_.ssl_ctx = tls_.get();
+    return success();
+}
+
 void http_server_core::add_connection(h2o_socket_t* socket) {
     auto* connection = new server_connection{shared_from_this(), socket, 0, nullptr, events_.now()};
     connections_.insert(connection);
--- a/src/net/http_server_core.h
+++ b/src/net/http_server_core.h
@@ -3,6 +3,7 @@
 #include "samphiretray/net/http_server.h"
 
 #include "listener.h"
+#include "tls.h"
 
 #include <h2o.h>
 
@@ -44,7 +45,8 @@
     [[nodiscard]] loop& events() noexcept { return events_; }
     [[nodiscard]] std::size_t open_connections() const noexcept { return connections_.size(); }
     [[nodiscard]] bool is_shutting_down() const noexcept { return context_.shutdown_requested != 0; }
-    void use_certificate(SSL_CTX* context) noexcept { accept_.ssl_ctx = context; }
+    /// Reads the certificate files, if any are set; on an error the old certificate stays.
+    [[nodiscard]] status load_certificates();
 
 private:
     struct request_handler {
@@ -69,6 +71,8 @@
     h2o_globalconf_t config_{};
     h2o_context_t context_{};
     h2o_accept_ctx_t accept_{};
+    // Open connections hold their own references to the context they began with.
+    tls_context tls_;
     std::set<server_connection*> connections_;
     std::vector<std::shared_ptr<h2o_response>> unflushed_;
     timer_handle idle_check_;
