--- a/tests/standins/preset_test.cpp
+++ b/tests/standins/preset_test.cpp
@@ -1,3 +1,6 @@
+#include "samphiretray/config/configuration.h"
+#include "samphiretray/config/settings.h"
+
 #include "standins/preset.h"
 
 #include <catch2/catch.hpp>
@@ -6,6 +9,7 @@
 #include <regex>
 #include <set>
 
+using namespace samphiretray;
 using namespace samphiretray::standins;
 using nlohmann::json;
 
@@ -72,3 +76,22 @@
         CHECK(listening.size() > 40);
     }
 }
+
+// Guards against examples that operators cannot apply or start because a field was renamed.
+TEST_CASE("the parsers accept all files of the examples") {
+    for (const char* name : {"bagwis", "cuenca"}) {
+        const auto files = make_example(*find_preset(name), 1);
+        const auto rules = config::parse_rules(files.at("rules.json"), "rules.json");
+        REQUIRE(rules);
+        const auto inventory = config::parse_inventory(files.at("inventory.json"), "inventory.json");
+        REQUIRE(inventory);
+        CHECK(config::find_contradictions({*rules, *inventory}).empty());
+        for (const auto& [file, text] : files) {
+            if (file.starts_with("settings/entry")) {
+                CHECK(config::parse_entry_settings(text, file));
+            } else if (file.starts_with("settings/")) {
+                CHECK(config::parse_agent_settings(text, file));
+            }
+        }
+    }
+}
