--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -13,7 +13,7 @@
 #include "samphiretray/node/control_plane.h"
 #include "samphiretray/node/peer_directory.h"
 #include "samphiretray/node/process_status.h"
-#include "samphiretray/platform/http_key_value_service.h"
+#include "samphiretray/platform/http_key_value.h"
 #include "samphiretray/platform/http_vm_list.h"
 
 #include <algorithm>
@@ -98,7 +98,7 @@
 
 entry_process::implementation::implementation(net::loop& events, config::entry_settings values)
     : loop(events), settings(std::move(values)), self(identity_of(settings.common)),
-      http(net::http_client::create(events)), service(*http, settings.common.key_value_service),
+      http(net::http_client::create(events)), service(*http, {.service = settings.common.key_value_service}),
       vms(*http, settings.common.vm_list),
       peers(events, self, settings.common.cluster_secret,
             {.on_open = [this](const node::peer_pointer& proven) { control.on_peer_seen(proven); },
