Carry claims as text lines and write outcomes less often

Cause: each write of a shard parsed and formatted all of its claims, 2.2 ms for 1,000 claims, and at 300 orders a second an order cost two writes, more than the key-value service's several hundred writes a second.

Change: the ledger keeps each claim's line and parses its fields on demand; malformed lines are still refused when they are read. Outcomes wait up to 3 s instead of 500 ms for a write that claims cause; flush() ends the wait for a planned stop.

Live claims dropped for room and a write taken as resolved at the expected revision were switched on again and failed.

--- a/include/samphiretray/orders/claim_batcher.h
+++ b/include/samphiretray/orders/claim_batcher.h
@@ -50,8 +50,10 @@
 struct claim_batcher_options {
     /// Time for which claims are collected before a write.
     duration collect = 20ms;
-    /// Longest time for which outcomes wait for a write that claims cause.
-    duration outcome_delay = 500ms;
+    /// Longest time for which outcomes wait for a write that claims cause. Until then a repeat through
+    /// another entry is answered `held`, and a crash leaves the outcome unknown. Measured at 300 orders/s
+    /// over 30 entries and 64 shards: 1.66 writes an order with 3 s, 1.98 with 500 ms.
+    duration outcome_delay = 3s;
     /// Wait after a failed call, doubled up to `max_retry`.
     duration retry = 50ms;
     duration max_retry = 2s;
@@ -98,6 +100,8 @@
     /// When `take_answers` and `next_call` must be called again at the latest; nothing if idle.
     [[nodiscard]] std::optional<time_point> wake_at() const;
 
+    /// Writes outcomes without delay from now on, for a planned stop.
+    void flush() { flushing_ = true; }
     /// True if nothing waits, so that the entry may stop without losing an outcome.
     [[nodiscard]] bool idle() const noexcept;
 
@@ -152,6 +156,7 @@
     std::optional<std::uint64_t> pending_call_;
     std::uint64_t last_call_ = 0;
     int failures_ = 0;
+    bool flushing_ = false;
     duration backoff_ = 0us;
     time_point retry_at_;
     errc last_failure_ = errc::timeout;
--- a/include/samphiretray/orders/claim_ledger.h
+++ b/include/samphiretray/orders/claim_ledger.h
@@ -5,8 +5,8 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <list>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -80,11 +80,11 @@
     /// One line for each claim, fields separated by spaces, bytes outside printable ASCII escaped.
     [[nodiscard]] std::string format() const;
 
-    /// The claim of a key, or null.
-    [[nodiscard]] const claim* find(std::string_view key) const;
+    /// The claim of a key, if there is one.
+    [[nodiscard]] std::optional<claim> find(std::string_view key) const;
     /// Adds a claim, or replaces one that is `not_run`. Returns false if the key has another claim, or if
     /// there is no room; only claims that are `not_run` are dropped for room.
-    [[nodiscard]] bool add(claim added);
+    [[nodiscard]] bool add(const claim& added);
     /// Sets the outcome of a claim that is still `claimed` by `request`. Returns false if there is none. A
     /// body for which there is no room is omitted.
     bool set_done(std::string_view key, std::string_view request, outcome answer);
@@ -92,30 +92,35 @@
     /// Drops the claims older than the retention.
     void drop_expired(std::int64_t now_seconds);
 
-    [[nodiscard]] std::size_t size() const noexcept { return claims_.size(); }
+    [[nodiscard]] std::size_t size() const noexcept { return entries_.size(); }
     /// Length of `format()`.
     [[nodiscard]] std::size_t bytes() const noexcept;
 
 private:
-    using position = std::list<claim>::iterator;
-
-    struct text_hash {
-        using is_transparent = void;
-        std::size_t operator()(std::string_view text) const noexcept {
-            return std::hash<std::string_view>{}(text);
-        }
+    /// A claim in its text form. Most claims of a shard are only carried from one write to the next, so their
+    /// other fields are parsed on demand.
+    struct entry {
+        std::string line;
+        std::size_t key_size = 0;
+        std::int64_t claimed_at = 0;
+        claim_state state = claim_state::claimed;
+
+        [[nodiscard]] std::string_view key() const { return std::string_view{line}.substr(0, key_size); }
     };
+    using position = std::list<entry>::iterator;
 
-    [[nodiscard]] claim* find_live(std::string_view key, std::string_view request);
-    void insert(claim added, std::size_t line_bytes);
+    [[nodiscard]] static std::optional<entry> parse_entry(std::string line);
+    [[nodiscard]] bool insert(std::string line);
+    bool update(std::string_view key, std::string_view request, claim_state state, outcome answer);
     void erase(position at);
     template <typename Predicate>
     void drop_if(Predicate dropped);
 
     ledger_limits limits_;
-    std::list<claim> claims_;
-    std::unordered_map<std::string, position, text_hash, std::equal_to<>> by_key_;
-    std::size_t claim_bytes_ = 0;
+    std::list<entry> entries_;
+    /// Keys as in the lines, which stay where they are.
+    std::unordered_map<std::string_view, position> by_key_;
+    std::size_t line_bytes_ = 0;
 };
 
 } // namespace samphiretray::orders
--- a/src/orders/claim_batcher.cpp
+++ b/src/orders/claim_batcher.cpp
@@ -47,7 +47,8 @@
         at = claims_.front().since + options_.collect;
     }
     if (!outcomes_.empty()) {
-        at = std::min(at, outcomes_.front().since + options_.outcome_delay);
+        const duration delay = flushing_ ? duration::zero() : options_.outcome_delay;
+        at = std::min(at, outcomes_.front().since + delay);
     }
     return at;
 }
@@ -106,8 +107,8 @@
 bool claim_batcher::merge_claims(std::int64_t now_seconds) {
     bool changed = false;
     std::erase_if(claims_, [&](waiting_claim& each) {
-        const claim* const found = ledger_.find(each.asked.key);
-        if (found != nullptr && answer_from(*found, each)) {
+        const auto found = ledger_.find(each.asked.key);
+        if (found && answer_from(*found, each)) {
             return true;
         }
         const bool added = ledger_.add({.key = each.asked.key,
--- a/src/orders/claim_ledger.cpp
+++ b/src/orders/claim_ledger.cpp
@@ -80,6 +80,15 @@
     return plain;
 }
 
+bool is_valid_escaped(std::string_view text) {
+    for (auto at = text.find('%'); at != std::string_view::npos; at = text.find('%', at + 1)) {
+        if (!parse_escape(text.substr(at))) {
+            return false;
+        }
+    }
+    return true;
+}
+
 std::string format_claim(const claim& of) {
     std::string line = escape(of.key) + ' ' + escape(of.content) + ' ' + escape(of.request) + ' ' +
                        std::to_string(of.claimed_at) + ' ';
@@ -121,6 +130,10 @@
     return claim{*std::move(key), *std::move(content), *std::move(request), *claimed_at, *state, *answer};
 }
 
+outcome omitted(std::uint16_t status) {
+    return {.status = status, .content_type = {}, .body = {}, .body_omitted = true};
+}
+
 } // namespace
 
 std::string claim_key(std::string_view organisation, std::string_view idempotency_key) {
@@ -146,16 +159,14 @@
         return parse_failure(1, "unknown first line");
     }
     std::size_t number = 1;
-    for (const std::string_view line : split(text.substr(first_line.size()), '\n')) {
+    text.remove_prefix(first_line.size());
+    while (!text.empty()) {
         ++number;
-        auto parsed = parse_claim(line);
-        if (!parsed) {
-            return parse_failure(number, "malformed claim");
+        const std::size_t end = std::min(text.find('\n'), text.size() - 1) + 1;
+        if (!ledger.insert(std::string{text.substr(0, end)})) {
+            return parse_failure(number, "malformed claim or second claim of a key");
         }
-        if (ledger.by_key_.contains(parsed->key)) {
-            return parse_failure(number, "second claim of a key");
-        }
-        ledger.insert(*std::move(parsed), line.size() + 1);
+        text.remove_prefix(end);
     }
     return ledger;
 }
@@ -163,95 +174,115 @@
 std::string claim_ledger::format() const {
     std::string text{first_line};
     text.reserve(bytes());
-    for (const claim& each : claims_) {
-        text += format_claim(each);
+    for (const entry& each : entries_) {
+        text += each.line;
     }
     return text;
 }
 
 std::size_t claim_ledger::bytes() const noexcept {
-    return first_line.size() + claim_bytes_;
+    return first_line.size() + line_bytes_;
 }
 
-void claim_ledger::insert(claim added, std::size_t line_bytes) {
-    claims_.push_back(std::move(added));
-    by_key_.emplace(claims_.back().key, std::prev(claims_.end()));
-    claim_bytes_ += line_bytes;
+std::optional<claim_ledger::entry> claim_ledger::parse_entry(std::string line) {
+    const auto fields = split(std::string_view{line}.substr(0, line.size() - 1), ' ');
+    if (fields.size() != fields_of_claim && fields.size() != fields_of_done) {
+        return std::nullopt;
+    }
+    const auto claimed_at = parse_number<std::int64_t>(fields[3]);
+    const auto state = parse_name<claim_state>(fields[4]);
+    if (!claimed_at || !state || !line.ends_with('\n') || !is_valid_escaped(line)) {
+        return std::nullopt;
+    }
+    const bool done = *state == claim_state::done;
+    if (done != (fields.size() == fields_of_done) || (done && !parse_outcome(fields))) {
+        return std::nullopt;
+    }
+    const std::size_t key_size = fields[0].size();
+    return entry{std::move(line), key_size, *claimed_at, *state};
 }
 
-void claim_ledger::erase(position at) {
-    claim_bytes_ -= format_claim(*at).size();
-    by_key_.erase(at->key);
-    claims_.erase(at);
+bool claim_ledger::insert(std::string line) {
+    auto parsed = parse_entry(std::move(line));
+    if (!parsed || by_key_.contains(parsed->key())) {
+        return false;
+    }
+    line_bytes_ += parsed->line.size();
+    entries_.push_back(*std::move(parsed));
+    by_key_.emplace(entries_.back().key(), std::prev(entries_.end()));
+    return true;
 }
 
-const claim* claim_ledger::find(std::string_view key) const {
-    const auto found = by_key_.find(key);
-    return found == by_key_.end() ? nullptr : &*found->second;
+void claim_ledger::erase(position at) {
+    line_bytes_ -= at->line.size();
+    by_key_.erase(at->key());
+    entries_.erase(at);
 }
 
-claim* claim_ledger::find_live(std::string_view key, std::string_view request) {
-    const auto found = by_key_.find(key);
-    const bool live = found != by_key_.end() && found->second->state == claim_state::claimed &&
-                      found->second->request == request;
-    return live ? &*found->second : nullptr;
+std::optional<claim> claim_ledger::find(std::string_view key) const {
+    const auto found = by_key_.find(escape(key));
+    if (found == by_key_.end()) {
+        return std::nullopt;
+    }
+    const std::string_view line = found->second->line;
+    return parse_claim(line.substr(0, line.size() - 1));
 }
 
-bool claim_ledger::add(claim added) {
-    const auto found = by_key_.find(added.key);
+bool claim_ledger::add(const claim& added) {
+    const auto found = by_key_.find(escape(added.key));
     if (found != by_key_.end()) {
         if (found->second->state != claim_state::not_run) {
             return false;
         }
         erase(found->second);
     }
-    const std::size_t size = format_claim(added).size();
-    if (bytes() + size > limits_.max_bytes) {
-        drop_if([](const claim& each) { return each.state == claim_state::not_run; });
+    std::string line = format_claim(added);
+    if (bytes() + line.size() > limits_.max_bytes) {
+        drop_if([](const entry& each) { return each.state == claim_state::not_run; });
     }
-    if (bytes() + size > limits_.max_bytes) {
+    return bytes() + line.size() <= limits_.max_bytes && insert(std::move(line));
+}
+
+/// Replaces the claim of a request that is still `claimed`, keeping its place.
+bool claim_ledger::update(std::string_view key, std::string_view request, claim_state state, outcome answer) {
+    const auto found = by_key_.find(escape(key));
+    auto changed = find(key);
+    if (!changed || changed->state != claim_state::claimed || changed->request != request) {
         return false;
     }
-    insert(std::move(added), size);
+    const position at = found->second;
+    changed->state = state;
+    changed->answer = std::move(answer);
+    std::string line = format_claim(*changed);
+    if (bytes() - at->line.size() + line.size() > limits_.max_bytes) {
+        changed->answer = omitted(changed->answer.status);
+        line = format_claim(*changed);
+    }
+    by_key_.erase(found);
+    line_bytes_ += line.size() - at->line.size();
+    at->line = std::move(line);
+    at->state = state;
+    by_key_.emplace(at->key(), at);
     return true;
 }
 
 bool claim_ledger::set_done(std::string_view key, std::string_view request, outcome answer) {
-    claim* const live = find_live(key, request);
-    if (live == nullptr) {
-        return false;
-    }
-    const std::size_t before = format_claim(*live).size();
     const bool too_long = answer.body.size() > limits_.max_body_bytes ||
                           answer.content_type.size() > limits_.max_content_type_bytes;
-    live->state = claim_state::done;
-    live->answer = std::move(answer);
-    const std::size_t after = format_claim(*live).size();
-    if (too_long || bytes() - before + after > limits_.max_bytes) {
-        live->answer = {.status = live->answer.status, .content_type = {}, .body = {}, .body_omitted = true};
-    }
-    claim_bytes_ += format_claim(*live).size() - before;
-    return true;
+    return update(key, request, claim_state::done, too_long ? omitted(answer.status) : std::move(answer));
 }
 
 bool claim_ledger::set_not_run(std::string_view key, std::string_view request) {
-    claim* const live = find_live(key, request);
-    if (live == nullptr) {
-        return false;
-    }
-    const std::size_t before = format_claim(*live).size();
-    live->state = claim_state::not_run;
-    claim_bytes_ += format_claim(*live).size() - before;
-    return true;
+    return update(key, request, claim_state::not_run, {});
 }
 
 void claim_ledger::drop_expired(std::int64_t now_seconds) {
-    drop_if([&](const claim& each) { return each.claimed_at + limits_.retention_seconds < now_seconds; });
+    drop_if([&](const entry& each) { return each.claimed_at + limits_.retention_seconds < now_seconds; });
 }
 
 template <typename Predicate>
 void claim_ledger::drop_if(Predicate dropped) {
-    for (auto at = claims_.begin(); at != claims_.end();) {
+    for (auto at = entries_.begin(); at != entries_.end();) {
         const auto next = std::next(at);
         if (dropped(*at)) {
             erase(at);
--- a/tests/orders/at_most_once_test.cpp
+++ b/tests/orders/at_most_once_test.cpp
@@ -96,12 +96,12 @@
         RC_ASSERT(ledger.has_value());
         for (int key = 0; key < 12; ++key) {
             const std::string name = "k" + std::to_string(key);
-            const claim* const found = ledger->find(name);
+            const auto found = ledger->find(name);
             const bool ran = calls.sent[name] > 0;
             // Without crashes each finished call is recorded, and each claim of a call that was not sent is
             // free.
             RC_ASSERT((crashes || !calls.finished[name] || found->state == claim_state::done));
-            RC_ASSERT((crashes || ran || found == nullptr || found->state == claim_state::not_run));
+            RC_ASSERT((crashes || ran || !found || found->state == claim_state::not_run));
         }
         RC_CLASSIFY(calls.results[claim_result::perhaps_recorded] > 0, "perhaps recorded");
         RC_CLASSIFY(calls.results[claim_result::finished] > 0, "finished");
@@ -143,10 +143,10 @@
     CHECK(ledger.find("key1")->answer.body_omitted);
     CHECK(ledger.set_not_run("key2", "r"));
     CHECK(add("new", 3));
-    CHECK(ledger.find("key2") == nullptr);
+    CHECK_FALSE(ledger.find("key2"));
     ledger.drop_expired(101);
-    CHECK(ledger.find("key0") == nullptr);
-    CHECK(ledger.find("key1") != nullptr);
+    CHECK_FALSE(ledger.find("key0"));
+    CHECK(ledger.find("key1"));
     CHECK(ledger.bytes() == ledger.format().size());
 }
 
