Let a stopped grant holder with debt sleep

Cause: wake_at of a stopped holder that still owed tokens was a time in the past for ever, so a stopping entry would have polled without pause. The new test failed with the old wake_at (a time instead of none) and passes now.

--- a/src/rate/grant_holder.cpp
+++ b/src/rate/grant_holder.cpp
@@ -266,9 +266,9 @@
     time_point wake = waiting_.empty() ? time_point::max() : earliest_deadline_;
     if (in_flight_) {
         wake = std::min(wake, in_flight_->sent + options_.reply_timeout);
-    } else if (!waiting_.empty() || debt_ > 0) {
+    } else if (!stopped_ && (!waiting_.empty() || debt_ > 0)) {
         wake = std::min(wake, next_ask_);
-    } else if (available_ > 0) {
+    } else if (!stopped_ && available_ > 0) {
         wake = std::min(wake, std::max(next_ask_, renew_at()));
     }
     return wake == time_point::max() ? std::nullopt : std::optional{wake};
--- a/tests/rate/service_test.cpp
+++ b/tests/rate/service_test.cpp
@@ -132,3 +132,23 @@
     CHECK_FALSE(issuer.answer("holder", request, false, start + 3s).issuer);
     CHECK(issuer.answer("holder", request, true, start + 3s).tokens == 10);
 }
+
+// Guards against a stopping entry that keeps its loop busy or takes tokens that it cannot use.
+TEST_CASE("a stopped holder gives its tokens back and asks for none") {
+    time_point now{100s};
+    grant_issuer issuer{"org", {1000, 1000}, now};
+    grant_holder holder{"org"};
+    now += 1s;
+    CHECK(holder.reserve(1, 100, now + 1s, now) == reserve_result::waiting);
+    holder.on_reply(issuer.answer("holder", *holder.next_request(now), true, now), now);
+    CHECK(holder.take_decisions(now).at(0).granted);
+    CHECK(holder.reserve(2, 2000, now + 1s, now) == reserve_result::waiting);
+    holder.settle(1, 150, now);
+    CHECK(holder.debt() == 50);
+    (void)holder.return_all(now);
+    CHECK_FALSE(holder.take_decisions(now).at(0).granted);
+    now += 1s;
+    CHECK_FALSE(holder.next_request(now));
+    CHECK_FALSE(holder.wake_at());
+    CHECK(holder.reserve(3, 1, now + 1s, now) == reserve_result::refused);
+}
