Give organisations equal weight in loads, and priority requests the fastest engine

Cause: with 2 loads a second the schedule of loads decides who is served. A priority customer waited for a place in a full batch of its home engine.

Change: fair_queue::load_weight gives each organisation the same weight in all, for the order of loads_wanted and as the waiting count of permit requests; placement_request::priority ignores homes; the agent gives priority requests to the engine beyond its batch, since engines honour priorities (the engine model pauses the newest other request).

--- a/bench/measure/agent_model.cpp
+++ b/bench/measure/agent_model.cpp
@@ -76,8 +76,12 @@
 }
 
 void agent_model::start_requests() {
-    while (engine_.running() < batch_) {
-        const auto next = queue_.pop(runnable());
+    // The engine honours priorities, so a priority request need not wait for a place.
+    while (true) {
+        const bool full = engine_.running() >= batch_;
+        const auto next = queue_.pop([&](const agent::queued_request& request) {
+            return (request.priority || !full) && slots_.can_run(request.adapter, request.priority);
+        });
         if (!next) {
             break;
         }
@@ -100,7 +104,8 @@
         std::abort();
     }
     const std::uint64_t id = request.request;
-    engine_.start(id, {of.prompt, of.output, [this, id] { head(id); }, [this, id] { end(id); }});
+    engine_.start(
+        id, {of.prompt, of.output, request.priority, [this, id] { head(id); }, [this, id] { end(id); }});
 }
 
 void agent_model::head(std::uint64_t request) {
@@ -125,11 +130,21 @@
     run();
 }
 
+agent::slot_table::weight_function agent_model::load_weights() const {
+    if (kind_ != policy::ours) {
+        return {};
+    }
+    return [this](const agent::adapter_version& adapter) { return queue_.load_weight(adapter); };
+}
+
 agent_model::permit agent_model::wanted_permit(const agent::adapter_version& adapter) const {
     permit wanted{adapter, false, false, 0, events_.now()};
+    if (kind_ == policy::ours) {
+        wanted.waiting = queue_.load_weight(adapter);
+    }
     for (const auto& [id, each] : active_) {
         if (!each.pin && each.request.adapter == adapter) {
-            ++wanted.waiting;
+            wanted.waiting += kind_ == policy::ours ? 0 : 1;
             wanted.priority = wanted.priority || each.request.priority;
         }
     }
@@ -137,7 +152,7 @@
 }
 
 void agent_model::ask_for_permits() {
-    const auto wanted = slots_.loads_wanted(events_.now());
+    const auto wanted = slots_.loads_wanted(events_.now(), load_weights());
     std::map<agent::adapter_version, std::uint64_t> asked;
     for (auto at = permits_by_round_.begin(); at != permits_by_round_.end();) {
         const permit& each = at->second;
--- a/bench/measure/agent_model.h
+++ b/bench/measure/agent_model.h
@@ -75,6 +75,7 @@
     void start_requests();
     void start(const agent::queued_request& request);
     void ask_for_permits();
+    [[nodiscard]] agent::slot_table::weight_function load_weights() const;
     void repeat_request(std::uint64_t round, const permit& wanted);
     [[nodiscard]] permit wanted_permit(const agent::adapter_version& adapter) const;
     void carry_out(const std::vector<agent::slot_command>& commands);
--- a/bench/measure/back_ends.cpp
+++ b/bench/measure/back_ends.cpp
@@ -37,20 +37,34 @@
         return;
     }
     stepping_ = true;
-    const duration time = step_base + step_per_request * running_.size();
+    const duration time = step_base + step_per_request * batched();
     events_.after(time, [this, time] { step(time); });
 }
 
+std::size_t engine_model::batched() const {
+    return std::min<std::size_t>(running_.size(), batch_);
+}
+
+void engine_model::choose_paused() {
+    std::size_t excess = running_.size() - batched();
+    for (auto at = running_.rbegin(); at != running_.rend(); ++at) {
+        run& each = at->second;
+        each.paused = excess > 0 && !each.work.priority;
+        excess -= each.paused ? 1 : 0;
+    }
+}
+
 void engine_model::step(duration time) {
     stepping_ = false;
     if (!running_.empty() && events_.now() >= counted_from_) {
         busy_ += seconds(time);
-        filled_ += seconds(time) * static_cast<double>(running_.size()) / batch_;
+        filled_ += seconds(time) * static_cast<double>(batched()) / batch_;
     }
+    choose_paused();
     std::vector<std::function<void()>> notices;
     for (auto at = running_.begin(); at != running_.end();) {
         run& each = at->second;
-        if (events_.now() < each.ready_at) {
+        if (events_.now() < each.ready_at || each.paused) {
             ++at;
             continue;
         }
--- a/bench/measure/back_ends.h
+++ b/bench/measure/back_ends.h
@@ -10,12 +10,14 @@
 /// Models of what is outside of the decision modules: engines and the weight store.
 namespace samphiretray::measure {
 
-/// An engine with continuous batching: each step gives one token to each running request.
+/// An engine with continuous batching: each step gives one token to each request of the batch. With more
+/// requests than places, priority requests run and the newest others pause.
 class engine_model {
 public:
     struct call {
         std::uint32_t prompt = 0;
         std::uint32_t output = 0;
+        bool priority = false;
         std::function<void()> on_first_token;
         std::function<void()> on_end;
     };
@@ -38,10 +40,13 @@
         call work;
         time_point ready_at;
         std::uint32_t produced = 0;
+        bool paused = false;
     };
 
     void schedule_step();
     void step(duration time);
+    void choose_paused();
+    [[nodiscard]] std::size_t batched() const;
 
     event_queue& events_;
     std::uint32_t batch_;
--- a/bench/measure/run.cpp
+++ b/bench/measure/run.cpp
@@ -29,7 +29,7 @@
 constexpr double tokens_per_output = (500.0 + 208.0) / 208.0;
 constexpr double full_step = 0.028 + 0.0007 * 8.0;
 /// Rank of a waiting load for each second of age; see docs/decisions/load-order.md.
-constexpr double load_rank_per_second = 0.05;
+constexpr double load_rank_per_second = 8.0;
 constexpr const char* pool = "base";
 
 enum class fate { pending, served, refused, broken };
@@ -216,6 +216,7 @@
         routing::placement_request wanted;
         wanted.pool = pool;
         wanted.adapter = adapter_of(id);
+        wanted.priority = request.priority;
         wanted.bytes = request.bytes;
         wanted.tried = state.tried;
         const auto usable = [&](std::string_view endpoint) {
--- a/include/samphiretray/agent/fair_queue.h
+++ b/include/samphiretray/agent/fair_queue.h
@@ -43,6 +43,9 @@
     time_point deadline;
 };
 
+/// See `fair_queue::load_weight`; the cap on waiting requests in `control::load_permits`.
+inline constexpr std::uint32_t load_weight_scale = 16;
+
 struct push_result {
     /// Why the request was refused: `queue_full`, or `deadline` if the estimated wait exceeds the time left.
     /// It was not queued.
@@ -88,6 +91,10 @@
 
     [[nodiscard]] std::size_t size() const noexcept { return size_; }
     [[nodiscard]] bool empty() const noexcept { return size_ == 0; }
+    /// Weight of a load of `adapter`: an organisation has `load_weight_scale` times its weight over the mean
+    /// weight in all, in equal parts for its waiting requests, so that many requests of one organisation do
+    /// not crowd out the loads of others.
+    [[nodiscard]] std::uint32_t load_weight(const platform::adapter_version& adapter) const;
     /// Number of waiting requests that `matches` accepts.
     [[nodiscard]] std::size_t count_if(const runnable_predicate& matches) const;
     /// Estimated wait of a new request of a new organisation, without a load. Counts requests that `runnable`
@@ -118,6 +125,7 @@
     void remove_matching(service_class& from, const runnable_predicate& matches,
                          std::vector<queued_request>& removed);
     [[nodiscard]] service_class& class_of(bool priority) { return priority ? priority_ : normal_; }
+    [[nodiscard]] double mean_weight() const;
     [[nodiscard]] double weight_of(const std::string& organisation) const;
     [[nodiscard]] duration wait_of(const queued_request& request, const runnable_predicate& runnable) const;
     [[nodiscard]] static double runnable_tokens(const flow& of, const runnable_predicate& runnable);
--- a/include/samphiretray/agent/slot_table.h
+++ b/include/samphiretray/agent/slot_table.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -88,6 +89,8 @@
 public:
     explicit slot_table(slot_settings settings);
 
+    using weight_function = std::function<double(const adapter_version&)>;
+
     /// Reports the incarnation in an answer of the engine. The first one and equal ones have no effect.
     /// Another one empties the table and removes all pins; ends of earlier commands are then ignored.
     [[nodiscard]] std::optional<restart_effect> incarnation_seen(std::string_view incarnation,
@@ -107,7 +110,9 @@
     /// `rank_per_second`.
     /// At most as many as there are slots for. Also begins and ends draining; called after other events and
     /// from time to time.
-    [[nodiscard]] std::vector<adapter_version> loads_wanted(time_point now);
+    /// `weight` replaces the number of waiting requests in the order, unless it is empty.
+    [[nodiscard]] std::vector<adapter_version> loads_wanted(time_point now,
+                                                            const weight_function& weight = {});
     /// Begins a load. No commands if it cannot begin (any more): nobody waits, backoff, no slot.
     [[nodiscard]] std::vector<slot_command> begin_load(const adapter_version& adapter,
                                                        std::uint64_t fencing_number, time_point now);
@@ -188,7 +193,7 @@
     [[nodiscard]] double value_of(const slot& of, time_point now) const;
     [[nodiscard]] bool may_begin(const adapter_version& adapter, const demand& wanted, time_point now) const;
     [[nodiscard]] std::vector<const std::pair<const adapter_version, demand>*>
-    demands_in_order(time_point now) const;
+    demands_in_order(time_point now, const weight_function& weight) const;
     void update_draining(bool needed, time_point now);
     [[nodiscard]] slot_command start_load(slot& into, const adapter_version& adapter);
     [[nodiscard]] slot_command start_unload(slot& of);
--- a/include/samphiretray/routing/placement.h
+++ b/include/samphiretray/routing/placement.h
@@ -79,6 +79,8 @@
     std::string_view pool;
     /// Empty names for plain services.
     platform::adapter_version adapter;
+    /// True for a priority customer: it goes where it starts first, whatever that costs others.
+    bool priority = false;
     /// Expected bytes of request and answer together.
     std::size_t bytes = 0;
     /// Endpoints that earlier attempts used; they come after all others.
--- a/src/agent/fair_queue.cpp
+++ b/src/agent/fair_queue.cpp
@@ -1,6 +1,7 @@
 #include "samphiretray/agent/fair_queue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -44,6 +45,14 @@
     return tokens;
 }
 
+double fair_queue::mean_weight() const {
+    double sum = 0.0;
+    for (const auto& [organisation, weight] : weights_) {
+        sum += weight;
+    }
+    return weights_.empty() ? 1.0 : sum / static_cast<double>(weights_.size());
+}
+
 duration fair_queue::estimated_wait(bool priority, const runnable_predicate& runnable) const {
     const double normal = priority ? 0.0 : runnable_tokens(normal_, runnable);
     return seconds_to_duration((runnable_tokens(priority_, runnable) + normal) / rate_);
@@ -69,6 +78,21 @@
     return seconds_to_duration(ahead / rate_);
 }
 
+std::uint32_t fair_queue::load_weight(const platform::adapter_version& adapter) const {
+    const double mean = mean_weight();
+    double weight = 0.0;
+    for (const service_class* in : {&priority_, &normal_}) {
+        for (const auto& [organisation, of] : in->flows) {
+            const auto waiting = std::ranges::count(of.waiting, adapter, &queued_request::adapter);
+            if (waiting > 0) {
+                const double part = static_cast<double>(waiting) / static_cast<double>(of.waiting.size());
+                weight += part * weight_of(organisation) / mean;
+            }
+        }
+    }
+    return static_cast<std::uint32_t>(std::ceil(weight * load_weight_scale));
+}
+
 std::size_t fair_queue::count_if(const runnable_predicate& matches) const {
     std::size_t count = 0;
     for (const service_class* in : {&priority_, &normal_}) {
--- a/src/agent/slot_table.cpp
+++ b/src/agent/slot_table.cpp
@@ -217,7 +217,7 @@
 }
 
 std::vector<const std::pair<const adapter_version, slot_table::demand>*>
-slot_table::demands_in_order(time_point now) const {
+slot_table::demands_in_order(time_point now, const weight_function& weight) const {
     std::vector<const std::pair<const adapter_version, demand>*> order;
     for (const auto& entry : demands_) {
         if (may_begin(entry.first, entry.second, now)) {
@@ -226,15 +226,16 @@
     }
     const auto rank = [&](const auto* entry) {
         const std::chrono::duration<double> age = now - entry->second.since;
+        const double count = weight ? weight(entry->first) : entry->second.waiting;
         return std::tuple{entry->second.waiting_priority > 0,
-                          entry->second.waiting + settings_.rank_per_second * age.count()};
+                          count + settings_.rank_per_second * age.count()};
     };
     std::ranges::stable_sort(order, std::ranges::greater{}, rank);
     return order;
 }
 
-std::vector<adapter_version> slot_table::loads_wanted(time_point now) {
-    const auto order = demands_in_order(now);
+std::vector<adapter_version> slot_table::loads_wanted(time_point now, const weight_function& weight) {
+    const auto order = demands_in_order(now, weight);
     const std::size_t free = evictable();
     std::vector<adapter_version> wanted;
     bool starving = false;
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -139,7 +139,7 @@
     [[nodiscard]] microseconds cold_cost(const node& at, bool home) const;
     void estimate_pool(const std::vector<std::uint32_t>& pool, time_point now);
     void score_pool(const std::vector<std::uint32_t>& pool, const placement_request& request);
-    void place_adapter(std::uint64_t adapter, time_point now);
+    void place_adapter(std::uint64_t adapter, bool priority, time_point now);
     void mark_homes(std::size_t count);
     void mark_residents(const adapter_record& record, time_point now);
     void adjust_homes(adapter_record& record, time_point now) const;
@@ -345,7 +345,7 @@
     }
 }
 
-void placement::state::place_adapter(std::uint64_t adapter, time_point now) {
+void placement::state::place_adapter(std::uint64_t adapter, bool priority, time_point now) {
     const bool any_local =
         std::ranges::any_of(scored_, [this](const scored& entry) { return !nodes_[entry.node].remote; });
     for (scored& entry : scored_) {
@@ -360,7 +360,7 @@
     for (std::uint32_t position = 0; position < scored_.size(); ++position) {
         scored& entry = scored_[position];
         const node& at = nodes_[entry.node];
-        const bool home = std::ranges::find(home_positions_, position) != home_positions_.end();
+        const bool home = priority || std::ranges::find(home_positions_, position) != home_positions_.end();
         const double belief = belief_[position];
         const estimate& expected = estimates_[position];
         entry.resident = belief >= 0.5;
@@ -398,7 +398,7 @@
     estimate_pool(pool->second, now);
     score_pool(pool->second, request);
     if (!request.adapter.adapter.empty()) {
-        place_adapter(hash_of(request.adapter), now);
+        place_adapter(hash_of(request.adapter), request.priority, now);
     }
     return take_best(usable);
 }
--- a/tests/agent/fair_queue_test.cpp
+++ b/tests/agent/fair_queue_test.cpp
@@ -140,6 +140,20 @@
     CHECK_FALSE(queue.push(brief, 0ms, warm, start).refused.has_value());
 }
 
+TEST_CASE("many waiting requests of one organisation do not raise the weight of its loads") {
+    fair_queue queue{{}};
+    REQUIRE(queued(queue, make_request(1, "small", 10, "x")));
+    for (std::uint64_t id = 2; id < 10; ++id) {
+        REQUIRE(queued(queue, make_request(id, "large", 10, id < 6 ? "y" : "z")));
+    }
+    CHECK(queue.load_weight({"x", "1"}) == load_weight_scale);
+    CHECK(queue.load_weight({"y", "1"}) == load_weight_scale / 2);
+    CHECK(queue.load_weight({"none", "1"}) == 0);
+    queue.set_weight("small", 1.0);
+    queue.set_weight("large", 3.0);
+    CHECK(queue.load_weight({"x", "1"}) == load_weight_scale / 2);
+}
+
 TEST_CASE("in a full queue the longest organisation gives way") {
     queue_settings settings;
     settings.max_length = 4;
--- a/tests/agent/slot_table_test.cpp
+++ b/tests/agent/slot_table_test.cpp
@@ -122,6 +122,16 @@
     CHECK(table.loads_wanted(start + 2s) == std::vector{name(3), name(2), name(1)});
 }
 
+TEST_CASE("weights replace the number of waiting requests in the order of loads") {
+    slot_table table{small(4)};
+    table.wait_started(name(1), false, start);
+    table.wait_started(name(1), false, start);
+    table.wait_started(name(2), false, start);
+    CHECK(table.loads_wanted(start) == std::vector{name(1), name(2)});
+    const auto weight = [](const adapter_version& adapter) { return adapter == name(2) ? 9.0 : 1.0; };
+    CHECK(table.loads_wanted(start, weight) == std::vector{name(2), name(1)});
+}
+
 TEST_CASE("a load that nobody waits for is cancelled, and none begins after its unload") {
     slot_table table{small(2)};
     table.wait_started(name(0), false, start);
--- a/tests/routing/placement_test.cpp
+++ b/tests/routing/placement_test.cpp
@@ -47,6 +47,7 @@
 placement_settings local_homes() {
     placement_settings settings;
     settings.remote_weight = 0.0;
+    settings.grow_wait = 500ms;
     return settings;
 }
 
@@ -107,6 +108,17 @@
     CHECK(target.candidates(request_for("a"), start).front().endpoint != "e1");
 }
 
+TEST_CASE("a priority request leaves a busy home, another one waits") {
+    placement target{local_homes(), {"r0", "r0-1"}};
+    target.replace_endpoints(fleet(1, 2));
+    placement_request request = request_for("a");
+    const std::string home{target.candidates(request, start).front().endpoint};
+    target.observe_load(home, report_of(8, 4), start);
+    CHECK(target.candidates(request, start).front().endpoint == home);
+    request.priority = true;
+    CHECK(target.candidates(request, start).front().endpoint != home);
+}
+
 TEST_CASE("a failed load removes the residency hint") {
     placement target{local_homes(), {"r0", "r0-1"}};
     target.replace_endpoints(fleet(2, 1));
