Add contact evidence, membership and gossip

Cause: each process must know the newest configuration and how old that knowledge is, without a watch of its own. Change: contact (evidence dated from the puller's time of sending, counted only for a revision that is in force), membership (VM list merged with leaving notices), gossip (neighbours by rendezvous hashing, failed ones replaced for 15 s, readiness after one peer of each data centre was tried). Chunk digests are cut to 128 bits. One failing region enough for an outage; answered region not regarded; no replacement of neighbours; fetch only when two revisions behind; readiness at once; notices not voided by hello or list; empty list accepted; notices ignored: the named tests fail.

--- a/include/samphiretray/config/chunks.h
+++ b/include/samphiretray/config/chunks.h
@@ -17,7 +17,7 @@
 /// The key under which a chunk is stored.
 [[nodiscard]] std::string chunk_key(std::string_view digest);
 
-/// The name of a chunk: SHA-256 of its text in hexadecimal.
+/// The name of a chunk: the first 128 bits of the SHA-256 of its text, in hexadecimal.
 [[nodiscard]] std::string chunk_digest(std::string_view text);
 
 /// Chunk texts by digest.
--- a/include/samphiretray/control/contact.h
+++ b/include/samphiretray/control/contact.h
@@ -42,6 +42,9 @@
     /// A watcher's own call, sent at `sent`, succeeded and showed `revision` as the newest one
     /// (`replica::effective_revision`).
     void on_own_success(time_point sent, std::uint64_t revision);
+    /// Any other own call of the key-value service, sent at `sent`, succeeded. The holder of a lease reports
+    /// its calls so, because the last holder must learn that the service has answered.
+    void on_own_answer(time_point sent);
     /// A watcher's own call, sent at `sent`, failed.
     void on_own_failure(time_point sent);
     /// The reply to a pull that was sent at `sent`.
--- a/include/samphiretray/control/gossip.h
+++ b/include/samphiretray/control/gossip.h
@@ -11,7 +11,6 @@
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -88,19 +87,32 @@
         std::string name;
         std::string data_centre;
         std::string region;
+        /// Lower scores come first.
+        std::uint64_t score = 0;
     };
     struct open_pull {
         std::string peer;
         time_point sent;
+        bool has_failed = false;
+    };
+    struct data_centre_state {
+        bool has_answered = false;
+        int failures = 0;
     };
 
     [[nodiscard]] std::vector<std::string> choose(time_point now, const std::vector<candidate>& ranked,
                                                   std::size_t count) const;
+    /// One peer of each data centre that has not been tried since the start.
     [[nodiscard]] std::vector<std::string> first_contacts(time_point now) const;
+    [[nodiscard]] bool is_replaced(time_point now, std::string_view name) const;
+    [[nodiscard]] bool is_tried(std::string_view data_centre) const;
+    [[nodiscard]] const candidate* find(std::string_view name) const;
+    [[nodiscard]] duration jittered_interval();
+    [[nodiscard]] send_pull pull(time_point now, const std::string& peer);
+    [[nodiscard]] send_config_request fetch(time_point now, std::string_view peer);
     void expire(time_point now);
-    void fail(time_point now, std::string_view peer);
-    [[nodiscard]] std::vector<gossip_action> fetch(time_point now, std::string_view peer,
-                                                   std::vector<std::string> chunks);
+    void note_failure(time_point now, std::string_view peer);
+    void update_readiness(time_point now);
 
     gossip_settings settings_;
     contact& evidence_;
@@ -113,11 +125,12 @@
     std::map<std::string, time_point, std::less<>> next_pull_;
     std::map<std::uint64_t, open_pull> open_pulls_;
     std::map<std::string, time_point, std::less<>> replaced_until_;
-    /// Data centres of which a peer has answered or failed since the start.
-    std::set<std::string, std::less<>> tried_data_centres_;
+    /// What has been tried since the start.
+    std::map<std::string, data_centre_state, std::less<>> data_centres_;
     std::optional<open_pull> open_fetch_;
     std::uint64_t next_round_ = 1;
     time_point next_time_{};
+    /// Readiness stays, so that the arrival of a new revision does not take the process out of service.
     bool has_been_ready_ = false;
 };
 
--- a/include/samphiretray/control/membership.h
+++ b/include/samphiretray/control/membership.h
@@ -6,7 +6,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,7 +31,7 @@
     void on_list(time_point now, std::vector<platform::vm> list);
     /// A notice from a `state_reply`, or the own one.
     void on_leaving(time_point now, const wire::leaving_vm& notice);
-    /// A link to `vm` was opened; voids a leaving notice of another incarnation.
+    /// A link to `vm` is open; voids leaving notices of other incarnations.
     void on_hello(time_point now, std::string_view vm, std::string_view incarnation);
 
     /// Any listed VM, also a leaving one; nothing if it is not listed.
@@ -49,7 +48,8 @@
     [[nodiscard]] std::vector<std::string> regions() const;
     /// Notices to pass on in a `state_reply`.
     [[nodiscard]] std::vector<wire::leaving_vm> notices(time_point now) const;
-    /// Changes whenever an answer may have changed, except by the passing of time.
+    /// Changes whenever an answer may have changed. The end of a notice's lifetime is noted with the next
+    /// list.
     [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
 
 private:
@@ -60,14 +60,20 @@
     };
     struct vm_state {
         platform::vm listed;
-        /// Incarnation of the last link, if any.
-        std::string incarnation;
         /// By incarnation.
         std::map<std::string, notice_state, std::less<>> notices;
         bool is_listed = false;
+        /// True after the VM has been taken off the list.
+        bool was_removed = false;
     };
 
+    void add_listed(platform::vm vm);
+    /// Ends the effect of all notices but that of one incarnation.
+    void void_notices(vm_state& state, std::string_view except);
     [[nodiscard]] bool is_leaving(time_point now, const vm_state& state) const;
+    [[nodiscard]] bool is_live(time_point now, const vm_state& state) const;
+    template <typename Predicate>
+    [[nodiscard]] std::vector<const platform::vm*> select(time_point now, Predicate matches) const;
     void forget_old(time_point now);
 
     membership_settings settings_;
--- a/src/config/chunks.cpp
+++ b/src/config/chunks.cpp
@@ -17,10 +17,12 @@
 
 using presence = json_fields::presence;
 
-// A change sends the manifest (67 bytes for each chunk) and one chunk (about 36 bytes for each row). Their
-// sum is smallest with about as many chunks as the root of a half of the rows; chunks are a power of two.
+// 128 bits rule out that two chunks meet by accident, and keep the manifest small.
+constexpr std::size_t digest_length = 32;
+// A change sends the manifest (35 bytes for each chunk) and one chunk (about 36 bytes for each row). Their
+// sum is smallest with about as many chunks as the root of the rows; the number of chunks is a power of two.
 constexpr std::size_t rows_by_square_of_chunks = 4;
-// Gives a manifest of 34 kB; values of the key-value service are at most one megabyte.
+// Gives a manifest of 18 kB; values of the key-value service are at most one megabyte.
 constexpr std::size_t most_inventory_chunks = 512;
 constexpr std::string_view chunk_header = "adapter,version,organisation,service,current\n";
 
@@ -105,7 +107,7 @@
 
 bool is_digest(std::string_view text) {
     const auto is_digit = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
-    return text.size() == 64 && std::ranges::all_of(text, is_digit);
+    return text.size() == digest_length && std::ranges::all_of(text, is_digit);
 }
 
 } // namespace
@@ -115,7 +117,7 @@
 }
 
 std::string chunk_digest(std::string_view text) {
-    return sha256_hex(text);
+    return sha256_hex(text).substr(0, digest_length);
 }
 
 std::vector<std::string> manifest::chunks() const {
--- /dev/null
+++ b/src/control/contact.cpp
@@ -0,0 +1,143 @@
+#include "samphiretray/control/contact.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace samphiretray::control {
+
+namespace {
+
+// Revisions above the one in force for which evidence is kept. More would mean that fetching has stopped.
+constexpr std::size_t later_revisions = 64;
+
+void raise(std::optional<time_point>& target, time_point value) {
+    target = target ? std::max(*target, value) : value;
+}
+
+/// Rounded up, so that rounding never makes evidence younger.
+std::uint32_t age_in_ms(duration age) {
+    const std::int64_t rounded = milliseconds_in(age + 1ms - duration{1});
+    constexpr std::int64_t highest = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(rounded, 0, highest));
+}
+
+std::optional<std::uint32_t> age_at(time_point now, const std::optional<time_point>& at) {
+    if (!at) {
+        return std::nullopt;
+    }
+    return age_in_ms(now - *at);
+}
+
+/// The time that an age in a reply stands for, on the clock of the puller.
+std::optional<time_point> date(time_point sent, std::optional<std::uint32_t> age_ms) {
+    if (!age_ms) {
+        return std::nullopt;
+    }
+    return sent - std::chrono::milliseconds{*age_ms};
+}
+
+} // namespace
+
+contact::contact(contact_settings settings) : settings_(std::move(settings)) {}
+
+void contact::set_regions(std::span<const std::string> regions) {
+    for (const std::string& region : regions) {
+        regions_.try_emplace(region);
+    }
+}
+
+void contact::on_own_success(time_point sent, std::uint64_t revision) {
+    add_evidence(sent, revision);
+    on_own_answer(sent);
+}
+
+void contact::on_own_answer(time_point sent) {
+    raise(regions_[settings_.region].answered, sent);
+}
+
+void contact::on_own_failure(time_point sent) {
+    raise(regions_[settings_.region].failed, sent);
+}
+
+void contact::on_reply(time_point sent, const wire::state_reply& reply) {
+    if (const auto at = date(sent, reply.contact_age_ms)) {
+        add_evidence(*at, reply.revision);
+    }
+    for (const wire::region_evidence& evidence : reply.regions) {
+        region_times& times = regions_[evidence.region];
+        if (const auto at = date(sent, evidence.contact_age_ms)) {
+            raise(times.answered, *at);
+        }
+        if (const auto at = date(sent, evidence.failure_age_ms)) {
+            raise(times.failed, *at);
+        }
+    }
+}
+
+void contact::add_evidence(time_point at, std::uint64_t revision) {
+    if (revision <= in_force_) {
+        raise(in_force_evidence_, at);
+        return;
+    }
+    const auto [found, is_new] = later_evidence_.emplace(revision, at);
+    found->second = std::max(found->second, at);
+    if (later_evidence_.size() > later_revisions) {
+        later_evidence_.erase(later_evidence_.begin());
+    }
+}
+
+void contact::on_in_force(std::uint64_t revision) {
+    in_force_ = std::max(in_force_, revision);
+    while (!later_evidence_.empty() && later_evidence_.begin()->first <= in_force_) {
+        raise(in_force_evidence_, later_evidence_.begin()->second);
+        later_evidence_.erase(later_evidence_.begin());
+    }
+}
+
+std::optional<duration> contact::age(time_point now) const {
+    if (!in_force_evidence_) {
+        return std::nullopt;
+    }
+    return now - *in_force_evidence_;
+}
+
+std::optional<time_point> contact::newest_answer() const {
+    std::optional<time_point> newest = in_force_evidence_;
+    for (const auto& [revision, at] : later_evidence_) {
+        raise(newest, at);
+    }
+    for (const auto& [region, times] : regions_) {
+        if (times.answered) {
+            raise(newest, *times.answered);
+        }
+    }
+    return newest;
+}
+
+bool contact::is_recent(const std::optional<time_point>& at, time_point now) const {
+    return at && now - *at <= settings_.bound;
+}
+
+contact_state contact::state(time_point now) const {
+    if (is_recent(in_force_evidence_, now)) {
+        return contact_state::fresh;
+    }
+    const auto reports_outage = [&](const auto& region) {
+        return is_recent(region.second.failed, now) && !is_recent(region.second.answered, now);
+    };
+    const bool is_down = !regions_.empty() && std::ranges::all_of(regions_, reports_outage);
+    return is_down ? contact_state::service_down : contact_state::cut_off;
+}
+
+void contact::fill(time_point now, wire::state_reply& reply) const {
+    reply.revision = in_force_;
+    reply.contact_age_ms = age_at(now, in_force_evidence_);
+    reply.regions.clear();
+    for (const auto& [region, times] : regions_) {
+        if (times.answered || times.failed) {
+            reply.regions.push_back({region, age_at(now, times.answered), age_at(now, times.failed)});
+        }
+    }
+}
+
+} // namespace samphiretray::control
