Add leases with fencing numbers

Cause: at most one entry may issue an organisation's tokens, and at most one agent may command an endpoint, also when answers of the key-value service are lost or a holder is paused. Change: control::duty, for duty/<scope>/<name> and endpoint/<id>. A lost answer is decided by the text read back. A successor waits 13 s (duty) or 11 s (endpoint), or the release wait. Endpoints that check fencing numbers may be seized. Conclusion: two never act under the stated assumptions. With a 10 s lease and the 10 s bound there is a gap of up to about 4 s at the start of an outage in which the lease has ended and the outage is not yet known.

--- a/include/samphiretray/control/duty.h
+++ b/include/samphiretray/control/duty.h
@@ -63,14 +63,14 @@
     /// Gives the lease up, or stops running for it. `may_act` is false from now on.
     void release(time_point now);
     /// False once a released lease is known to be given up.
-    [[nodiscard]] bool is_releasing() const noexcept;
+    [[nodiscard]] bool is_releasing() const noexcept { return releasing_; }
 
     /// Call at `next_time` or later; at most one action is under way.
     [[nodiscard]] std::optional<duty_action> on_time(time_point now);
-    [[nodiscard]] std::optional<time_point> next_time() const noexcept;
+    [[nodiscard]] std::optional<time_point> next_time() const noexcept { return next_time_; }
     [[nodiscard]] std::optional<duty_action> on_read(time_point now,
-                                                     result<platform::versioned_value> answer);
-    [[nodiscard]] std::optional<duty_action> on_swap(time_point now, result<std::uint64_t> answer);
+                                                     const result<platform::versioned_value>& answer);
+    [[nodiscard]] std::optional<duty_action> on_swap(time_point now, const result<std::uint64_t>& answer);
 
     /// Follows the contact state. Call at least once a second and before acting: a holder that was cut off,
     /// or that learns that the service answered after its lease ended, loses the lease.
@@ -96,20 +96,21 @@
     };
     enum class phase { idle, reading, writing };
     struct write {
-        std::string value;
-        time_point sent;
+        std::string value{};
+        time_point sent{};
         std::uint64_t expected = 0;
-        bool releases = false;
         bool acquires = false;
-        bool after_release = false;
+        bool releases = false;
+        /// Time from the acquisition to the first act.
+        duration wait{};
     };
 
-    [[nodiscard]] std::optional<duty_action> read();
-    [[nodiscard]] duty_action start_write(time_point now, std::uint64_t expected, bool acquires,
-                                          bool releases);
+    [[nodiscard]] duty_action read();
+    /// Fills in value and time.
+    [[nodiscard]] duty_action start_write(time_point now, write started);
+    /// Decides what to do about a stored lease that is not held here.
+    [[nodiscard]] std::optional<duty_action> contest(time_point now, const platform::versioned_value& stored);
     void took_effect(time_point now, const write& done, std::uint64_t revision);
-    void lose();
-    void wait(time_point now, duration pause);
 
     duty_settings settings_;
     phase phase_ = phase::idle;
@@ -120,6 +121,9 @@
     std::map<std::string, write> uncertain_;
     std::optional<write> open_write_;
     std::uint64_t write_count_ = 0;
+    /// Revision of the last holding if it was given up for lack of contact. If the lease still has it, nobody
+    /// else has held it since, and no wait is needed.
+    std::uint64_t lapsed_revision_ = 0;
     std::optional<time_point> next_time_;
     std::string other_holder_;
 };
--- /dev/null
+++ b/src/control/duty.cpp
@@ -0,0 +1,221 @@
+#include "samphiretray/control/duty.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace samphiretray::control {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr duration outage_evidence_bound = 10s;
+// Time for evidence of the acquisition to reach the last holder, beyond the bound.
+constexpr duration takeover_slack = 1s;
+constexpr duration grant_validity = 2s;
+
+struct lease_text {
+    std::string holder;
+    std::string incarnation;
+    bool is_released = false;
+};
+
+/// The readable parts of a stored lease; empty for a text of another form.
+lease_text parse_lease(const std::string& text) {
+    const json object = json::parse(text, nullptr, false);
+    if (!object.is_object()) {
+        return {};
+    }
+    const auto field = [&object](const char* name) {
+        const auto found = object.find(name);
+        return found != object.end() && found->is_string() ? found->get<std::string>() : std::string{};
+    };
+    return {field("holder"), field("incarnation"), field("state") == "released"};
+}
+
+bool may_have_taken_effect(const error& failure) {
+    return failure.code != errc::connection_failed && failure.code != errc::unavailable &&
+           failure.code != errc::conflict;
+}
+
+} // namespace
+
+duty_settings duty_lease(std::string_view scope, std::string_view name, std::string holder,
+                         std::string incarnation) {
+    duty_settings settings;
+    settings.key = "duty/" + std::string{scope} + "/" + std::string{name};
+    settings.holder = std::move(holder);
+    settings.incarnation = std::move(incarnation);
+    settings.takeover_wait = outage_evidence_bound + takeover_slack + grant_validity;
+    settings.release_wait = grant_validity;
+    return settings;
+}
+
+duty_settings endpoint_lease(std::string_view endpoint, std::string holder, std::string incarnation,
+                             bool checks_fencing) {
+    duty_settings settings;
+    settings.key = "endpoint/" + std::string{endpoint};
+    settings.holder = std::move(holder);
+    settings.incarnation = std::move(incarnation);
+    settings.lease = 30s;
+    settings.renew_interval = 10s;
+    settings.seize = checks_fencing;
+    settings.takeover_wait = checks_fencing ? 0s : outage_evidence_bound + takeover_slack;
+    return settings;
+}
+
+duty::duty(duty_settings settings) : settings_(std::move(settings)) {}
+
+void duty::run_for(time_point now) {
+    running_ = true;
+    if (!next_time_) {
+        next_time_ = now;
+    }
+}
+
+void duty::release(time_point now) {
+    running_ = false;
+    releasing_ = held_ || open_write_ || !uncertain_.empty();
+    next_time_ = now;
+}
+
+std::optional<duty_action> duty::on_time(time_point now) {
+    if (phase_ != phase::idle || !next_time_ || now < *next_time_) {
+        return std::nullopt;
+    }
+    if (!running_ && !releasing_) {
+        next_time_.reset();
+        return std::nullopt;
+    }
+    if (!held_ || !uncertain_.empty()) {
+        return read();
+    }
+    return start_write(now, {.expected = held_->revision, .releases = releasing_});
+}
+
+duty_action duty::read() {
+    phase_ = phase::reading;
+    return duty_read{settings_.key};
+}
+
+duty_action duty::start_write(time_point now, write started) {
+    const json object{{"holder", settings_.holder},
+                      {"incarnation", settings_.incarnation},
+                      {"write", ++write_count_},
+                      {"state", started.releases ? "released" : "held"}};
+    started.value = object.dump(-1, ' ', true, json::error_handler_t::replace);
+    started.sent = now;
+    phase_ = phase::writing;
+    open_write_ = started;
+    return duty_swap{{settings_.key, started.value, started.expected, settings_.lease}};
+}
+
+std::optional<duty_action> duty::on_swap(time_point now, const result<std::uint64_t>& answer) {
+    if (phase_ != phase::writing) {
+        return std::nullopt;
+    }
+    phase_ = phase::idle;
+    const write sent = *std::exchange(open_write_, std::nullopt);
+    if (answer) {
+        took_effect(now, sent, *answer);
+        return std::nullopt;
+    }
+    if (answer.error().code == errc::conflict) {
+        return read();
+    }
+    if (may_have_taken_effect(answer.error())) {
+        uncertain_.emplace(sent.value, sent);
+        return read();
+    }
+    next_time_ = now + settings_.retry_interval;
+    return std::nullopt;
+}
+
+std::optional<duty_action> duty::on_read(time_point now, const result<platform::versioned_value>& answer) {
+    if (phase_ != phase::reading) {
+        return std::nullopt;
+    }
+    phase_ = phase::idle;
+    if (!answer) {
+        next_time_ = now + settings_.retry_interval;
+        return std::nullopt;
+    }
+    const auto found = uncertain_.find(answer->value);
+    if (answer->revision != 0 && found != uncertain_.end()) {
+        took_effect(now, write{found->second}, answer->revision);
+        return std::nullopt;
+    }
+    // A write with another expected revision can no longer take effect, because revisions only grow.
+    std::erase_if(uncertain_, [&](const auto& entry) { return entry.second.expected != answer->revision; });
+    if (held_ && answer->revision == held_->revision) {
+        return start_write(now, {.expected = held_->revision, .releases = releasing_});
+    }
+    held_.reset();
+    return contest(now, *answer);
+}
+
+std::optional<duty_action> duty::contest(time_point now, const platform::versioned_value& stored) {
+    other_holder_.clear();
+    releasing_ = false;
+    if (!running_) {
+        next_time_.reset();
+        return std::nullopt;
+    }
+    const lease_text present = parse_lease(stored.value);
+    const bool is_own = present.holder == settings_.holder && present.incarnation == settings_.incarnation;
+    const bool is_free = stored.revision == 0 || present.is_released || is_own;
+    if (!is_free && !settings_.seize) {
+        other_holder_ = present.holder;
+        next_time_ = now + settings_.retry_interval;
+        return std::nullopt;
+    }
+    const bool has_continued = lapsed_revision_ != 0 && stored.revision == lapsed_revision_;
+    const duration wait = has_continued         ? duration{}
+                          : present.is_released ? settings_.release_wait
+                                                : settings_.takeover_wait;
+    return start_write(now, {.expected = stored.revision, .acquires = true, .wait = wait});
+}
+
+void duty::took_effect(time_point now, const write& done, std::uint64_t revision) {
+    uncertain_.clear();
+    next_time_ = std::max(now, done.sent + settings_.renew_interval);
+    if (done.releases) {
+        held_.reset();
+        releasing_ = false;
+        lapsed_revision_ = 0;
+        return;
+    }
+    const time_point valid_until = done.sent + settings_.lease - settings_.margin;
+    if (done.acquires) {
+        held_ = holding{revision, revision, valid_until, now + done.wait};
+    } else if (held_) {
+        held_->revision = revision;
+        held_->valid_until = valid_until;
+    }
+    if (releasing_) {
+        next_time_ = now;
+    }
+}
+
+void duty::on_contact(time_point now, const contact& evidence) {
+    if (!held_ || now < held_->valid_until) {
+        return;
+    }
+    const auto answered = evidence.newest_answer();
+    const bool may_be_taken = answered && *answered > held_->valid_until;
+    if (may_be_taken || evidence.state(now) == contact_state::cut_off) {
+        lapsed_revision_ = held_->revision;
+        held_.reset();
+        next_time_ = now;
+    }
+}
+
+bool duty::may_act(time_point now, contact_state state) const {
+    if (!held_ || !running_ || now < held_->acts_from) {
+        return false;
+    }
+    return now < held_->valid_until || state == contact_state::service_down;
+}
+
+} // namespace samphiretray::control
