--- a/bench/measure/agent_model.cpp
+++ b/bench/measure/agent_model.cpp
@@ -8,6 +8,8 @@
 
 constexpr duration unload_time = 5ms;
 constexpr std::uint32_t max_load_failures = 4;
+/// The schedule drops requests that are not repeated within ten seconds.
+constexpr duration repeat_interval = 3s;
 
 } // namespace
 
@@ -123,9 +125,20 @@
     run();
 }
 
+agent_model::permit agent_model::wanted_permit(const agent::adapter_version& adapter) const {
+    permit wanted{adapter, false, false, 0, events_.now()};
+    for (const auto& [id, each] : active_) {
+        if (!each.pin && each.request.adapter == adapter) {
+            ++wanted.waiting;
+            wanted.priority = wanted.priority || each.request.priority;
+        }
+    }
+    return wanted;
+}
+
 void agent_model::ask_for_permits() {
     const auto wanted = slots_.loads_wanted(events_.now());
-    std::set<agent::adapter_version> asked;
+    std::map<agent::adapter_version, std::uint64_t> asked;
     for (auto at = permits_by_round_.begin(); at != permits_by_round_.end();) {
         const permit& each = at->second;
         if (!each.granted && std::ranges::find(wanted, each.adapter) == wanted.end()) {
@@ -133,31 +146,41 @@
             at = permits_by_round_.erase(at);
             continue;
         }
-        asked.insert(each.adapter);
+        asked.emplace(each.adapter, at->first);
         ++at;
     }
     for (const agent::adapter_version& adapter : wanted) {
-        if (asked.contains(adapter)) {
+        const permit now_wanted = wanted_permit(adapter);
+        if (const auto known = asked.find(adapter); known != asked.end()) {
+            repeat_request(known->second, now_wanted);
             continue;
         }
-        bool priority = false;
-        std::uint32_t waiting = 0;
-        for (const auto& [id, each] : active_) {
-            const bool waits = !each.pin && each.request.adapter == adapter;
-            waiting += waits ? 1 : 0;
-            priority = priority || (waits && each.request.priority);
-        }
-        permits_by_round_[next_round_] = {adapter, false};
-        permits_.request(next_round_++, priority, waiting, adapter);
+        permits_by_round_[next_round_] = now_wanted;
+        permits_.request(next_round_++, now_wanted.priority, now_wanted.waiting, adapter);
     }
 }
 
+/// Asks again when the number of waiting requests changes and from time to time; the schedule keeps the age
+/// of the first request.
+void agent_model::repeat_request(std::uint64_t round, const permit& wanted) {
+    permit& before = permits_by_round_.at(round);
+    const bool due = before.waiting != wanted.waiting || events_.now() - before.asked_at >= repeat_interval;
+    if (before.granted || !due) {
+        return;
+    }
+    before = wanted;
+    permits_.request(round, wanted.priority, wanted.waiting, wanted.adapter);
+}
+
 void agent_model::granted(std::uint64_t round) {
     const auto found = permits_by_round_.find(round);
     if (found == permits_by_round_.end()) {
         permits_.done(round, false);
         return;
     }
+    if (found->second.granted) {
+        return;
+    }
     const auto commands = slots_.begin_load(found->second.adapter, 1, events_.now());
     if (commands.empty() || down_) {
         permits_by_round_.erase(found);
--- a/bench/measure/agent_model.h
+++ b/bench/measure/agent_model.h
@@ -7,7 +7,7 @@
 #include "bench/measure/policy.h"
 
 #include <map>
-#include <set>
+#include <optional>
 
 namespace samphiretray::measure {
 
@@ -66,12 +66,17 @@
     struct permit {
         agent::adapter_version adapter;
         bool granted = false;
+        bool priority = false;
+        std::uint32_t waiting = 0;
+        time_point asked_at;
     };
 
     void run();
     void start_requests();
     void start(const agent::queued_request& request);
     void ask_for_permits();
+    void repeat_request(std::uint64_t round, const permit& wanted);
+    [[nodiscard]] permit wanted_permit(const agent::adapter_version& adapter) const;
     void carry_out(const std::vector<agent::slot_command>& commands);
     void load(const agent::slot_command& command);
     void loaded(const agent::slot_command& command, bool success, std::uint64_t incarnation);
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -185,7 +185,8 @@
     for (const std::string& endpoint : options_.endpoints) {
         start_endpoint(endpoint);
     }
-    key_value_ = std::make_unique<platform::http_key_value_service>(*client_, key_value_address("luzon"));
+    key_value_ = std::make_unique<platform::http_key_value_service>(
+        *client_, platform::http_key_value_options{.service = key_value_address("luzon")});
     if (!wait_until([this] { return answers(key_value_address("luzon"), "/admin/counters"); })) {
         throw std::runtime_error("the key-value stand-in did not start");
     }
