Move long byte strings through the codec in one copy

Cause: a request_open of 64 KB took 206 us to decode, because nlohmann's parser appends strings byte by byte. The encoder copies a range of pointers to one type.

--- a/src/wire/cbor_value.h
+++ b/src/wire/cbor_value.h
@@ -15,7 +15,9 @@
     struct map_entry;
     using list = std::vector<cbor_value>;
     using map = std::vector<map_entry>;
-    using byte_string = std::vector<std::uint8_t>;
+    struct byte_string {
+        std::string bytes;
+    };
     /// A negative integer is kept as such; null and floating-point numbers are kept as `other`.
     struct other {};
 
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -36,8 +36,8 @@
         if (value == nullptr) {
             return;
         }
-        if (const auto* given = std::get_if<cbor_value::byte_string>(&value->content)) {
-            field.assign(given->begin(), given->end());
+        if (auto* given = std::get_if<cbor_value::byte_string>(&value->content)) {
+            field = std::move(given->bytes);
         } else {
             fail(name, "is not a byte string");
         }
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -28,7 +28,9 @@
     }
 
     void bytes(std::string_view name, const std::string& value) {
-        put(name, json::binary(std::vector<std::uint8_t>{value.begin(), value.end()}));
+        // As a range of pointers to the same type, the bytes are copied at once.
+        const auto* first = reinterpret_cast<const std::uint8_t*>(value.data());
+        put(name, json::binary(std::vector<std::uint8_t>{first, first + value.size()}));
     }
 
     [[nodiscard]] json take() { return std::move(object_); }
--- a/tests/wire/messages_test.cpp
+++ b/tests/wire/messages_test.cpp
@@ -130,6 +130,22 @@
     CHECK(given.idempotent);
 }
 
+// Long byte strings take another path through the decoder than short ones.
+TEST_CASE("byte strings of any length keep their place and content") {
+    CHECK(rc::check("lengths", [] {
+        config_reply reply;
+        reply.manifest = std::string(*rc::gen::inRange<std::size_t>(0, 600), 'm');
+        for (char c = 'a'; c < 'f'; ++c) {
+            reply.chunks.push_back(
+                {std::string(1, c), std::string(*rc::gen::inRange<std::size_t>(0, 600), c)});
+        }
+        const std::string frame = encode(reply);
+        const auto decoded = decode(frame);
+        RC_ASSERT(decoded.has_value());
+        RC_ASSERT(encode(*decoded) == frame);
+    }));
+}
+
 TEST_CASE("a truncated frame is refused") {
     CHECK(rc::check("prefixes", [] {
         const std::string frame = encode(any_message());
