--- a/bench/measure/agent_model.cpp
+++ b/bench/measure/agent_model.cpp
@@ -8,8 +8,8 @@
 
 constexpr duration unload_time = 5ms;
 constexpr std::uint32_t max_load_failures = 4;
-/// The schedule drops requests that are not repeated within ten seconds.
-constexpr duration repeat_interval = 3s;
+/// The schedule drops requests that are not repeated within three seconds.
+constexpr duration repeat_interval = 1s;
 
 } // namespace
 
--- a/bench/measure/back_ends.cpp
+++ b/bench/measure/back_ends.cpp
@@ -1,6 +1,7 @@
 #include "bench/measure/back_ends.h"
 
 #include <algorithm>
+#include <ranges>
 #include <vector>
 
 namespace samphiretray::measure {
@@ -47,8 +48,7 @@
 
 void engine_model::choose_paused() {
     std::size_t excess = running_.size() - batched();
-    for (auto at = running_.rbegin(); at != running_.rend(); ++at) {
-        run& each = at->second;
+    for (auto& [id, each] : running_ | std::views::reverse) {
         each.paused = excess > 0 && !each.work.priority;
         excess -= each.paused ? 1 : 0;
     }
--- a/bench/measure/run.cpp
+++ b/bench/measure/run.cpp
@@ -126,7 +126,7 @@
         port.cancel = [this, engine](std::uint64_t round) {
             std::erase(local_loads_[engine].waiting, round);
             events_.after(one_way(region_of(engine), 0),
-                          [this, engine, round] { permits_.cancel(names_[engine], round, events_.now()); });
+                          [this, engine, round] { permits_.cancel(names_[engine], round); });
         };
         port.done = [this, engine](std::uint64_t round, bool) {
             if (local_loads_[engine].running == round) {
@@ -135,7 +135,7 @@
                 return;
             }
             events_.after(one_way(region_of(engine), 0), [this, engine, round] {
-                permits_.done(names_[engine], round, events_.now());
+                permits_.done(names_[engine], round);
                 answer_permits();
             });
         };
--- a/tests/routing/placement_test.cpp
+++ b/tests/routing/placement_test.cpp
@@ -113,7 +113,9 @@
     target.replace_endpoints(fleet(1, 2));
     placement_request request = request_for("a");
     const std::string home{target.candidates(request, start).front().endpoint};
+    const std::string other = home == "e0" ? "e1" : "e0";
     target.observe_load(home, report_of(8, 4), start);
+    target.observe_load(other, report_of(8, 0), start);
     CHECK(target.candidates(request, start).front().endpoint == home);
     request.priority = true;
     CHECK(target.candidates(request, start).front().endpoint != home);
