Ask for load permits once a second with a new round, and flush claims at a stop

Cause: the holder of the duty drops requests that are not repeated within 3 s and counts a permit from the round that it grants; outcomes of orders wait up to 3 s for a write.

Change: the permit client repeats each second with a new round and gives back permits that it no longer wants; a planned stop flushes the claim batchers.

Conclusion: the client follows the holder's rules.

--- a/include/samphiretray/agent/permit_client.h
+++ b/include/samphiretray/agent/permit_client.h
@@ -38,7 +38,7 @@
     void done(const platform::adapter_version& adapter, bool loaded);
 
     /// Handles a reply; false if `value` is of another kind.
-    [[nodiscard]] bool handle(const wire::message& value);
+    [[nodiscard]] bool handle(const node::peer_pointer& from, const wire::message& value);
 
 private:
     struct request {
@@ -64,6 +64,7 @@
     std::mt19937_64 random_;
     control::local_load_limit local_;
     std::map<platform::adapter_version, request> requests_;
+    /// Grows with each message, since a permit counts from the sending of its round.
     std::uint64_t next_round_ = 1;
     /// Place in the rank order of the entry that is believed to hold the duty.
     std::size_t issuer_rank_ = 0;
--- a/include/samphiretray/agent/request_runner-inl.h
+++ b/include/samphiretray/agent/request_runner-inl.h
@@ -80,7 +80,7 @@
         open(from, std::move(*request));
     } else if (const auto* cancelled = std::get_if<wire::request_cancel>(&value)) {
         cancel(from, *cancelled);
-    } else if (!permits_.handle(value)) {
+    } else if (!permits_.handle(from, value)) {
         return false;
     }
     pump();
--- a/include/samphiretray/entry/claims_controller-inl.h
+++ b/include/samphiretray/entry/claims_controller-inl.h
@@ -63,6 +63,14 @@
                           [this](const batcher_pointer& shard) { pump(shard); });
 }
 
+template <platform::key_value_service KeyValue>
+void claims_controller<KeyValue>::flush() {
+    for (const batcher_pointer& shard : batchers_ | std::views::values) {
+        shard->flush();
+        pump(shard);
+    }
+}
+
 template <platform::key_value_service KeyValue>
 bool claims_controller<KeyValue>::idle() const {
     return std::ranges::all_of(batchers_ | std::views::values,
--- a/include/samphiretray/entry/claims_controller.h
+++ b/include/samphiretray/entry/claims_controller.h
@@ -28,6 +28,8 @@
     void record_not_run(const std::string& key, const std::string& request);
 
     void on_tick();
+    /// Writes outcomes without delay from now on, for a planned stop.
+    void flush();
     /// True if nothing waits, so that the entry may stop without losing an outcome.
     [[nodiscard]] bool idle() const;
 
--- a/src/agent/permit_client.cpp
+++ b/src/agent/permit_client.cpp
@@ -13,8 +13,8 @@
 
 constexpr std::string_view loads_duty = "loads";
 constexpr std::size_t issuer_candidates = 3;
-/// The holder drops requests that are not repeated within 10 s.
-constexpr duration repeat_interval = 2s;
+/// The holder drops requests that are not repeated within 3 s.
+constexpr duration repeat_interval = 1s;
 /// After this time without an answer of a holder an agent uses its local rate.
 constexpr duration issuer_silence = 5s;
 
@@ -49,7 +49,6 @@
         }
         const time_point now = loop_.now();
         if (is_new) {
-            asked.round = next_round_++;
             asked.first_sent = now;
         }
         if (is_new || asked.priority != each.priority || now - asked.last_sent >= repeat_interval) {
@@ -65,6 +64,7 @@
                          const wanted_load& wanted) {
     asked.priority = wanted.priority;
     asked.last_sent = loop_.now();
+    asked.round = next_round_++;
     const auto entries = members_.live_entries(loop_.now());
     const auto ranked = node::rank_for(loads_duty, entries);
     if (ranked.empty()) {
@@ -131,7 +131,7 @@
     }
 }
 
-bool permit_client::handle(const wire::message& value) {
+bool permit_client::handle(const node::peer_pointer& from, const wire::message& value) {
     const auto* reply = std::get_if<wire::permit_reply>(&value);
     if (reply == nullptr) {
         return false;
@@ -147,13 +147,19 @@
         return true;
     }
     issuer_seen_ = loop_.now();
-    if (found == requests_.end() || found->second.in_use || !reply->granted) {
+    if (!reply->granted) {
         return true;
     }
-    const bool in_time = loop_.now() - found->second.last_sent < std::chrono::milliseconds{reply->valid_ms};
-    if (in_time) {
-        start(found->first, found->second, false);
+    const bool wanted = found != requests_.end() && !found->second.in_use;
+    const bool in_time =
+        wanted && loop_.now() - found->second.last_sent < std::chrono::milliseconds{reply->valid_ms};
+    if (!in_time) {
+        // The permit crossed a cancellation or a repetition, or came too late.
+        from->send(wire::permit_done{reply->round, false});
+        return true;
     }
+    found->second.issuer = from;
+    start(found->first, found->second, false);
     return true;
 }
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -323,6 +323,7 @@
 void entry_process::implementation::release_all() {
     releasing = true;
     release_started = loop.now();
+    order_claims.flush();
     rate_limits.stop();
     load_permits.stop();
 }
