--- a/tests/routing/placement_test.cpp
+++ b/tests/routing/placement_test.cpp
@@ -109,7 +109,9 @@
 }
 
 TEST_CASE("a priority request leaves a busy home, another one waits") {
-    placement target{local_homes(), {"r0", "r0-1"}};
+    placement_settings settings = local_homes();
+    settings.max_homes = 1;
+    placement target{settings, {"r0", "r0-1"}};
     target.replace_endpoints(fleet(1, 2));
     placement_request request = request_for("a");
     const std::string home{target.candidates(request, start).front().endpoint};
