--- /dev/null
+++ b/src/cli/configuration_store.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "samphiretray/config/editor.h"
+#include "samphiretray/net/http_client.h"
+#include "samphiretray/net/loop.h"
+#include "samphiretray/platform/http_key_value.h"
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace samphiretray::cli {
+
+/// The stored configuration, read and edited from a command that waits for each result.
+class configuration_store {
+public:
+    explicit configuration_store(const net::address& service);
+
+    struct stored {
+        std::uint64_t revision = 0;
+        config::configuration value;
+    };
+
+    [[nodiscard]] result<stored> read();
+    /// Runs one edit as a transaction; gives the revision or an error of `config::editor::outcome`.
+    [[nodiscard]] result<std::uint64_t> edit(config::edit_function change);
+
+private:
+    [[nodiscard]] result<std::uint64_t> run(config::editor& transaction);
+    void perform(config::editor& transaction, const std::vector<config::editor_action>& actions);
+    void start(config::editor& transaction, const config::read_action& action);
+    void start(config::editor& transaction, const config::swap_action& action);
+
+    net::loop loop_;
+    std::unique_ptr<net::http_client> client_;
+    platform::http_key_value_service service_;
+    std::vector<net::timer_handle> timers_;
+};
+
+} // namespace samphiretray::cli
