--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -2,8 +2,12 @@
 
 #include <catch2/catch.hpp>
 
+#include <fstream>
+#include <iterator>
 #include <regex>
+#include <sstream>
 #include <string>
+#include <vector>
 
 using namespace samphiretray;
 using namespace samphiretray::config;
@@ -88,3 +92,36 @@
     REQUIRE_FALSE(parsed);
     CHECK(parsed.error().detail.find("tooshort") == std::string::npos);
 }
+
+namespace {
+
+/// The fields that the parser knows, from its message about an unknown one.
+std::vector<std::string> known_fields(const error& unknown_field) {
+    const std::string& detail = unknown_field.detail;
+    const std::string marker = "allowed: the fields ";
+    REQUIRE(detail.find(marker) != std::string::npos);
+    std::istringstream names{detail.substr(detail.find(marker) + marker.size())};
+    return {std::istream_iterator<std::string>{names}, {}};
+}
+
+} // namespace
+
+// A field that is added to the settings must be described for operators.
+TEST_CASE("each settings field is documented") {
+    std::ifstream file{std::string{SAMPHIRETRAY_BIN_DIR} + "/../../docs/configuration.md"};
+    const std::string text{std::istreambuf_iterator<char>{file}, {}};
+    REQUIRE_FALSE(text.empty());
+    const auto entry = parse_entry_settings(entry_text(R"(, "zzz": 1)"), "f");
+    const auto agent = parse_agent_settings(
+        "{" + common_fields +
+            R"(, "endpoint": "e1", "service": "s", "endpoint_address": "[::1]:9", "zzz": 1})",
+        "f");
+    for (const error& unknown : {entry.error(), agent.error()}) {
+        const auto fields = known_fields(unknown);
+        CHECK(fields.size() > 15);
+        for (const std::string& field : fields) {
+            INFO(field);
+            CHECK(text.find("| `" + field + "` |") != std::string::npos);
+        }
+    }
+}
