--- a/bench/measure/run.cpp
+++ b/bench/measure/run.cpp
@@ -29,7 +29,7 @@
 constexpr double tokens_per_output = (500.0 + 208.0) / 208.0;
 constexpr double full_step = 0.028 + 0.0007 * 8.0;
 /// Rank of a waiting load for each second of age; see docs/decisions/load-order.md.
-constexpr double load_rank_per_second = 0.05;
+constexpr double load_rank_per_second = 8.0;
 constexpr const char* pool = "base";
 
 enum class fate { pending, served, refused, broken };
@@ -126,7 +126,7 @@
         port.cancel = [this, engine](std::uint64_t round) {
             std::erase(local_loads_[engine].waiting, round);
             events_.after(one_way(region_of(engine), 0),
-                          [this, engine, round] { permits_.cancel(names_[engine], round, events_.now()); });
+                          [this, engine, round] { permits_.cancel(names_[engine], round); });
         };
         port.done = [this, engine](std::uint64_t round, bool) {
             if (local_loads_[engine].running == round) {
@@ -135,7 +135,7 @@
                 return;
             }
             events_.after(one_way(region_of(engine), 0), [this, engine, round] {
-                permits_.done(names_[engine], round, events_.now());
+                permits_.done(names_[engine], round);
                 answer_permits();
             });
         };
@@ -216,6 +216,7 @@
         routing::placement_request wanted;
         wanted.pool = pool;
         wanted.adapter = adapter_of(id);
+        wanted.priority = request.priority;
         wanted.bytes = request.bytes;
         wanted.tried = state.tried;
         const auto usable = [&](std::string_view endpoint) {
