Disarm h2o's shutdown timer before its context goes, and follow the modules' rules

Cause: an entry aborted at the end of its planned stop, because h2o's timer of the graceful shutdown was still linked when the context was disposed. The modules' authors also named rules that the shells did not follow yet.

Change: the server unlinks the timer; duty holders report that the service answered; the lease of a duty outlasts the evidence bound (14 s against 10 s); agents weigh loads by organisation and report only requests that could run; placement knows priority; the operators' commands are in the main program.

Measured: the stop test failed with exit status 6 (SIGABRT) before; now all 99 assertions pass. A net test destroys a server right after the shutdown began.

Conclusion: planned stops end cleanly.

--- a/include/samphiretray/agent/request_runner-inl.h
+++ b/include/samphiretray/agent/request_runner-inl.h
@@ -16,9 +16,6 @@
 inline constexpr std::uint32_t max_failed_loads = 3;
 /// Longest time that requests of an earlier agent can go on at an engine.
 inline constexpr duration earlier_requests_limit = 60s;
-/// Assumed delay of a load when a request is checked against its deadline.
-inline constexpr duration assumed_load_delay = 250ms;
-inline constexpr duration load_command_timeout = 30s;
 
 template <platform::engine Engine>
 struct request_runner<Engine>::work {
@@ -136,7 +133,7 @@
     queued.deadline = fresh->deadline;
     queued.peer = fresh->id.peer;
     const push_result pushed =
-        queue_.push(std::move(queued), fresh->cold ? assumed_load_delay : 0s, runnable(), now);
+        queue_.push(std::move(queued), fresh->cold ? slots_->load_delay(now) : 0s, runnable(), now);
     if (pushed.displaced) {
         refuse_queued(*pushed.displaced, wire::refusal::queue_full, "displaced from the full queue");
     }
@@ -288,12 +285,13 @@
         return;
     }
     std::vector<permit_client::wanted_load> wanted;
-    for (const adapter_version& adapter : slots_->loads_wanted(loop_.now())) {
+    const auto weight = [this](const adapter_version& adapter) { return queue_.load_weight(adapter); };
+    for (const adapter_version& adapter : slots_->loads_wanted(loop_.now(), weight)) {
         permit_client::wanted_load load;
         load.adapter = adapter;
+        load.waiting = queue_.load_weight(adapter);
         for (const work_pointer& each : works_ | std::views::values) {
             if (each->waits && each->adapter == adapter) {
-                ++load.waiting;
                 load.priority = load.priority || each->open.priority;
                 each->cold = true;
             }
@@ -584,7 +582,7 @@
 wire::load_report request_runner<Engine>::load() const {
     wire::load_report report;
     report.running = running_;
-    report.queued = static_cast<std::uint32_t>(queue_.size());
+    report.queued = static_cast<std::uint32_t>(queue_.count_if(runnable()));
     report.capacity = concurrency_;
     report.wait_ms = static_cast<std::uint32_t>(milliseconds_in(queue_.estimated_wait(false, runnable())));
     if (slots_) {
@@ -666,7 +664,8 @@
     if (elapsed < 1s) {
         return;
     }
-    if (running_ > 0 && recent_tokens_ > 0) {
+    // The rate of a batch that is not full says nothing about a full one.
+    if (running_ >= concurrency_ && recent_tokens_ > 0) {
         queue_.served(static_cast<std::uint32_t>(recent_tokens_), elapsed);
     }
     recent_tokens_ = 0;
--- a/include/samphiretray/control/duty.h
+++ b/include/samphiretray/control/duty.h
@@ -20,7 +20,8 @@
     std::string holder;
     /// Unique for each start of the process.
     std::string incarnation;
-    duration lease = 10s;
+    /// Longer than the bound of evidence, so that the lease is still valid when an outage is recognised.
+    duration lease = 14s;
     duration renew_interval = 3s;
     /// Own validity ends this long before the service's lease, for clocks that differ in rate.
     duration margin = 500ms;
--- a/include/samphiretray/control/load_permits.h
+++ b/include/samphiretray/control/load_permits.h
@@ -29,7 +29,7 @@
     /// Waiting requests beyond this count do not raise a load's rank; with age this bounds its wait.
     std::uint32_t waiting_cap = 32;
     /// Rank per second of age; a waiting request counts 1.
-    double rank_per_second = 4.0;
+    double rank_per_second = 8.0;
     /// Requests that wait at most; further ones are refused.
     std::size_t max_waiting = 10'000;
 };
--- a/include/samphiretray/entry/load_controller-inl.h
+++ b/include/samphiretray/entry/load_controller-inl.h
@@ -14,8 +14,7 @@
 template <platform::key_value_service KeyValue>
 load_controller<KeyValue>::load_controller(net::loop& events, const config::entry_settings& settings,
                                            const node::peer_identity& self, KeyValue& service,
-                                           const control::membership& members,
-                                           const control::contact& evidence)
+                                           const control::membership& members, control::contact& evidence)
     : loop_(events), settings_(settings), self_(self), members_(members),
       duty_(events, service, evidence, control::duty_lease("fleet", loads_duty, self.vm, self.incarnation)) {}
 
--- a/include/samphiretray/entry/load_controller.h
+++ b/include/samphiretray/entry/load_controller.h
@@ -18,7 +18,7 @@
 public:
     load_controller(net::loop& events, const config::entry_settings& settings,
                     const node::peer_identity& self, KeyValue& service, const control::membership& members,
-                    const control::contact& evidence);
+                    control::contact& evidence);
 
     void members_changed();
     /// Handles a permit message of an agent; false if `value` is of another kind.
--- a/include/samphiretray/entry/rate_controller-inl.h
+++ b/include/samphiretray/entry/rate_controller-inl.h
@@ -18,7 +18,7 @@
 rate_controller<KeyValue>::rate_controller(net::loop& events, const config::entry_settings& settings,
                                            const node::peer_identity& self, KeyValue& service,
                                            node::peer_directory& peers, const control::membership& members,
-                                           const control::contact& evidence)
+                                           control::contact& evidence)
     : loop_(events), settings_(settings), self_(self), service_(service), peers_(peers), members_(members),
       evidence_(evidence), shards_(settings.rate_shards) {
     for (std::uint32_t number = 0; number < settings.rate_shards; ++number) {
--- a/include/samphiretray/entry/rate_controller.h
+++ b/include/samphiretray/entry/rate_controller.h
@@ -32,7 +32,7 @@
 public:
     rate_controller(net::loop& events, const config::entry_settings& settings,
                     const node::peer_identity& self, KeyValue& service, node::peer_directory& peers,
-                    const control::membership& members, const control::contact& evidence);
+                    const control::membership& members, control::contact& evidence);
     ~rate_controller();
     rate_controller(const rate_controller&) = delete;
     rate_controller& operator=(const rate_controller&) = delete;
@@ -93,7 +93,7 @@
     KeyValue& service_;
     node::peer_directory& peers_;
     const control::membership& members_;
-    const control::contact& evidence_;
+    control::contact& evidence_;
     std::shared_ptr<const config::snapshot> configuration_;
     std::map<std::string, share> shares_;
     std::vector<shard> shards_;
--- a/include/samphiretray/node/control_plane.h
+++ b/include/samphiretray/node/control_plane.h
@@ -49,6 +49,7 @@
         return replica_.current();
     }
     [[nodiscard]] const control::contact& evidence() const noexcept { return contact_; }
+    [[nodiscard]] control::contact& evidence() noexcept { return contact_; }
     [[nodiscard]] control::contact_state state() const { return contact_.state(loop_.now()); }
     [[nodiscard]] const control::membership& members() const noexcept { return members_; }
     [[nodiscard]] const config::replica& replica() const noexcept { return replica_; }
--- a/include/samphiretray/node/duty_runner-inl.h
+++ b/include/samphiretray/node/duty_runner-inl.h
@@ -7,7 +7,7 @@
 namespace samphiretray::node {
 
 template <platform::key_value_service KeyValue>
-duty_runner<KeyValue>::duty_runner(net::loop& events, KeyValue& service, const control::contact& evidence,
+duty_runner<KeyValue>::duty_runner(net::loop& events, KeyValue& service, control::contact& evidence,
                                    control::duty_settings settings)
     : loop_(events), service_(service), evidence_(evidence),
       duty_(std::make_shared<control::duty>(std::move(settings))) {}
@@ -48,20 +48,30 @@
         return;
     }
     const std::weak_ptr<control::duty> weak = duty_;
+    const time_point sent = loop_.now();
     if (auto* read = std::get_if<control::duty_read>(&*action)) {
-        service_.read(std::move(read->key), [this, weak](result<platform::versioned_value> answer) {
+        service_.read(std::move(read->key), [this, weak, sent](result<platform::versioned_value> answer) {
             if (const auto duty = weak.lock()) {
+                note_answer(sent, answer.has_value());
                 perform(duty->on_read(loop_.now(), std::move(answer)));
             }
         });
         return;
     }
     service_.compare_and_swap(std::move(std::get<control::duty_swap>(*action).swap),
-                              [this, weak](result<std::uint64_t> answer) {
+                              [this, weak, sent](result<std::uint64_t> answer) {
                                   if (const auto duty = weak.lock()) {
+                                      note_answer(sent, answer.has_value());
                                       perform(duty->on_swap(loop_.now(), std::move(answer)));
                                   }
                               });
 }
 
+template <platform::key_value_service KeyValue>
+void duty_runner<KeyValue>::note_answer(time_point sent, bool answered) {
+    if (answered) {
+        evidence_.on_own_answer(sent);
+    }
+}
+
 } // namespace samphiretray::node
--- a/include/samphiretray/node/duty_runner.h
+++ b/include/samphiretray/node/duty_runner.h
@@ -13,7 +13,7 @@
 template <platform::key_value_service KeyValue>
 class duty_runner {
 public:
-    duty_runner(net::loop& events, KeyValue& service, const control::contact& evidence,
+    duty_runner(net::loop& events, KeyValue& service, control::contact& evidence,
                 control::duty_settings settings);
 
     /// Takes part in the contest, or gives the lease up.
@@ -29,10 +29,12 @@
 
 private:
     void perform(std::optional<control::duty_action> action);
+    /// The holder must learn that the service answers, because its lease then no longer outlasts an outage.
+    void note_answer(time_point sent, bool answered);
 
     net::loop& loop_;
     KeyValue& service_;
-    const control::contact& evidence_;
+    control::contact& evidence_;
     // Shared with the completions, which may run after this object has gone.
     std::shared_ptr<control::duty> duty_;
     bool candidate_ = false;
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -130,6 +130,7 @@
     routing::placement_request wanted;
     wanted.pool = request->pool;
     wanted.adapter = request->adapter;
+    wanted.priority = request->priority;
     wanted.bytes = request->http.body.size() + request->token_bound * bytes_per_token;
     wanted.tried = tried;
     const auto candidates = placement_.candidates(
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,3 +1,4 @@
+#include "samphiretray/cli/cli.h"
 #include "samphiretray/cli/daemon.h"
 
 #include <cstdio>
@@ -16,6 +17,17 @@
         std::puts("samphiretray " SAMPHIRETRAY_VERSION);
         return cli::exit_ok;
     }
-    std::fputs("usage: samphiretray COMMAND\n", stderr);
-    return cli::exit_usage;
+    if (command == "check" || command == "config" || command == "key") {
+        return cli::run_cli(argc - 1, argv + 1);
+    }
+    const bool asked = command == "--help";
+    std::fputs("usage: samphiretray COMMAND [OPTION...]\n"
+               "  entry   serve callers on an entry VM\n"
+               "  agent   serve the endpoint on an endpoint VM\n"
+               "  check   check settings, rules and inventory files\n"
+               "  config  show, import, diff and apply the configuration\n"
+               "  key     grant, withdraw and list keys\n"
+               "Each command has --help.\n",
+               asked ? stdout : stderr);
+    return asked ? cli::exit_ok : cli::exit_usage;
 }
--- a/src/net/http_server_core.cpp
+++ b/src/net/http_server_core.cpp
@@ -75,6 +75,11 @@
 }
 
 http_server_core::~http_server_core() {
+    // A graceful shutdown arms this timer for HTTP/2; h2o aborts if its context goes while the timer is
+    // linked.
+    if (h2o_timeout_is_linked(&context_.http2._graceful_shutdown_timeout) != 0) {
+        h2o_timeout_unlink(&context_.http2._graceful_shutdown_timeout);
+    }
     h2o_context_dispose(&context_);
     // h2o 2.2.5 closes the queue but does not free it.
     std::free(context_.queue);
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -253,6 +253,16 @@
     CHECK(busy.received.empty());
 }
 
+// Guards against an abort at the end of a planned stop: h2o's shutdown timer was still armed.
+TEST_CASE("a server can be destroyed right after its graceful shutdown has begun") {
+    server_fixture fixture;
+    auto idle = fixture.connect();
+    REQUIRE(fixture.wait([&] { return fixture.server->open_connections() == 1; }));
+    fixture.server->begin_graceful_shutdown();
+    fixture.server.reset();
+    CHECK(idle.receive_all(fixture.events));
+}
+
 TEST_CASE("an address in use is an error") {
     server_fixture fixture;
     const auto second = http_server::create(fixture.events, {fixture.server->local_address()}, {});
