--- a/include/samphiretray/agent/request_runner-inl.h
+++ b/include/samphiretray/agent/request_runner-inl.h
@@ -104,7 +104,7 @@
 }
 
 template <platform::engine Engine>
-void request_runner<Engine>::open(const node::peer_pointer& from, wire::request_open request) {
+void request_runner<Engine>::open(const node::peer_pointer& from, wire::request_open&& request) {
     const time_point now = loop_.now();
     auto fresh = std::make_shared<work>();
     fresh->id = id_of(from, request.request, request.attempt);
@@ -407,9 +407,10 @@
     call.timeout = std::max<duration>(started->deadline - now, 1ms);
     const std::weak_ptr<work> weak = started;
     platform::engine_call_events events;
-    events.on_head = [this, weak](int status, std::string content_type, const std::string& incarnation) {
+    events.on_head = [this, weak](int status, const std::string& content_type,
+                                  const std::string& incarnation) {
         if (const auto running = weak.lock()) {
-            on_head(running, status, std::move(content_type), incarnation);
+            on_head(running, status, content_type, incarnation);
         }
     };
     events.on_data = [this, weak](std::string_view bytes) {
@@ -426,13 +427,13 @@
 }
 
 template <platform::engine Engine>
-void request_runner<Engine>::on_head(const work_pointer& running, int status, std::string content_type,
+void request_runner<Engine>::on_head(const work_pointer& running, int status, const std::string& content_type,
                                      const std::string& incarnation) {
     if (!running->running) {
         return;
     }
     running->status = status;
-    running->content_type = std::move(content_type);
+    running->content_type = content_type;
     if (running->checker) {
         running->checker->start(status, running->content_type);
         see_incarnation(incarnation);
--- a/include/samphiretray/agent/request_runner.h
+++ b/include/samphiretray/agent/request_runner.h
@@ -72,7 +72,7 @@
     [[nodiscard]] bool is_engine() const noexcept { return !settings_.base_model.empty(); }
     [[nodiscard]] static attempt_id id_of(const node::peer_pointer& from, std::uint64_t request,
                                           std::uint32_t attempt);
-    void open(const node::peer_pointer& from, wire::request_open request);
+    void open(const node::peer_pointer& from, wire::request_open&& request);
     [[nodiscard]] std::optional<wire::refusal> reason_to_refuse(const wire::request_open& request) const;
     void cancel(const node::peer_pointer& from, const wire::request_cancel& request);
     void drop_queued(const attempt_id& id);
@@ -93,7 +93,7 @@
     void end_wait(work& waiting);
 
     void run(const work_pointer& started);
-    void on_head(const work_pointer& running, int status, std::string content_type,
+    void on_head(const work_pointer& running, int status, const std::string& content_type,
                  const std::string& incarnation);
     void on_data(const work_pointer& running, std::string_view bytes);
     void on_end(const work_pointer& running, const std::optional<error>& failure);
--- a/include/samphiretray/entry/request_context.h
+++ b/include/samphiretray/entry/request_context.h
@@ -73,7 +73,7 @@
 
     /// Ends the request with an error. A response that has been started is cut so that it does not look
     /// whole.
-    void refuse(refusal value);
+    void refuse(const refusal& value);
     /// Refuses with the outcome that `may_have_run` implies.
     void fail(error cause, std::optional<duration> retry_after = std::nullopt);
     /// Ends the request after a whole answer.
--- a/include/samphiretray/node/duty_runner-inl.h
+++ b/include/samphiretray/node/duty_runner-inl.h
@@ -50,19 +50,20 @@
     const std::weak_ptr<control::duty> weak = duty_;
     const time_point sent = loop_.now();
     if (auto* read = std::get_if<control::duty_read>(&*action)) {
-        service_.read(std::move(read->key), [this, weak, sent](result<platform::versioned_value> answer) {
-            if (const auto duty = weak.lock()) {
-                note_answer(sent, answer.has_value());
-                perform(duty->on_read(loop_.now(), std::move(answer)));
-            }
-        });
+        service_.read(std::move(read->key),
+                      [this, weak, sent](const result<platform::versioned_value>& answer) {
+                          if (const auto duty = weak.lock()) {
+                              note_answer(sent, answer.has_value());
+                              perform(duty->on_read(loop_.now(), answer));
+                          }
+                      });
         return;
     }
     service_.compare_and_swap(std::move(std::get<control::duty_swap>(*action).swap),
-                              [this, weak, sent](result<std::uint64_t> answer) {
+                              [this, weak, sent](const result<std::uint64_t>& answer) {
                                   if (const auto duty = weak.lock()) {
                                       note_answer(sent, answer.has_value());
-                                      perform(duty->on_swap(loop_.now(), std::move(answer)));
+                                      perform(duty->on_swap(loop_.now(), answer));
                                   }
                               });
 }
--- a/src/agent/permit_client.cpp
+++ b/src/agent/permit_client.cpp
@@ -110,7 +110,8 @@
 void permit_client::start(const platform::adapter_version& adapter, request& asked, bool local) {
     asked.in_use = true;
     asked.local = local;
-    // The load may end inside the call, which erases the request.
+    // The load may end inside the call, which erases the request and the name that `adapter` refers to.
+    // NOLINTNEXTLINE(performance-unnecessary-copy-initialization)
     const platform::adapter_version target = adapter;
     if (!granted_(target)) {
         done(target, false);
--- a/src/entry/filters.cpp
+++ b/src/entry/filters.cpp
@@ -122,7 +122,7 @@
         return completion.error();
     }
     const auto found = configuration.find_adapter(completion->adapter, completion->version);
-    const auto access =
+    auto access =
         check_access(request, found ? found->service : nullptr, found ? found->organisation : nullptr);
     if (!access) {
         return access;
@@ -142,7 +142,7 @@
     if (service != nullptr && service->kind != config::service_kind::plain) {
         service = nullptr;
     }
-    if (const auto access = check_access(request, service, nullptr); !access) {
+    if (auto access = check_access(request, service, nullptr); !access) {
         return access;
     }
     const std::string query = without_key_parameters(request.http.query);
--- a/src/entry/request_context.cpp
+++ b/src/entry/request_context.cpp
@@ -17,7 +17,7 @@
     end_actions_.push_back(std::move(action));
 }
 
-void request_context::refuse(refusal value) {
+void request_context::refuse(const refusal& value) {
     if (ended_) {
         return;
     }
