--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -28,6 +28,7 @@
     /// True once the process has ended by itself; its exit status is then in `exit_status`.
     [[nodiscard]] bool has_ended();
     [[nodiscard]] int exit_status() const noexcept { return exit_status_; }
+    [[nodiscard]] pid_t id() const noexcept { return pid_; }
     [[nodiscard]] bool is_running() { return pid_ > 0 && !has_ended(); }
 
 private:
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -109,8 +109,8 @@
         std::filesystem::create_directories(path.parent_path());
         if (name.starts_with("settings/")) {
             json settings = parse_settings(text);
-            settings.update(options_.settings);
             settings["log"] = "debug";
+            settings.update(options_.settings);
             text = settings.dump(2);
         }
         std::ofstream{path} << text;
@@ -162,6 +162,9 @@
         const auto lag = std::ranges::find(words, "--lag-ms");
         *(lag + 1) = "100";
     }
+    if (words.at(0) == "engine") {
+        std::ranges::copy(options_.engine_arguments, std::back_inserter(words));
+    }
     words.insert(words.begin(), binary_folder + "/samphiretray-standins");
     processes_[name] = child_process{words, folder_, folder_ / (name + ".log")};
 }
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -50,6 +50,8 @@
     std::vector<std::string> entries{"entry-1", "entry-2", "entry-3"};
     /// Endpoints that are started, each with its agent.
     std::vector<std::string> endpoints{"engine-1", "engine-2", "orders-1"};
+    /// Added to the command line of each engine stand-in.
+    std::vector<std::string> engine_arguments{};
     /// Changes to each settings file of the system's processes.
     nlohmann::json settings = nlohmann::json::object();
 };
