Report service-level burn at entries, and show status from the command line

Cause: operators had no report on service levels; the library was not fed.

Conclusion: burn is per entry and starts anew with it; a fleet view is open.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -7,6 +7,7 @@
 #include "samphiretray/entry/filters.h"
 #include "samphiretray/entry/load_controller.h"
 #include "samphiretray/entry/rate_controller.h"
+#include "samphiretray/entry/service_levels.h"
 #include "samphiretray/net/http_client.h"
 #include "samphiretray/net/http_server.h"
 #include "samphiretray/node/admin_server.h"
@@ -91,6 +92,7 @@
     std::unordered_map<std::uint64_t, net::timer_handle> deadlines;
     std::uint64_t next_request = 1;
     std::map<std::string, std::uint64_t, std::less<>> ends;
+    service_levels levels;
     bool draining = false;
     bool closing = false;
     bool releasing = false;
@@ -156,6 +158,7 @@
     sources.ready = [this] { return control.is_ready() && !draining; };
     sources.status = [this] { return node::to_json(current_status()); };
     sources.metrics = [this] { return node::to_metrics(current_status(), "samphiretray_entry"); };
+    sources.burn = [this](bool text) { return levels.report(text, loop.now()); };
     sources.drain = [this] { drain(); };
     auto server = node::create_admin_server(loop, settings.common.admin_listen, std::move(sources));
     if (!server) {
@@ -219,6 +222,7 @@
     const auto counted = ends.try_emplace(std::string{how.code}, 0).first;
     ++counted->second;
     const time_point now = loop.now();
+    levels.record(request, how, now);
     log_event(how.answered ? log_level::debug : log_level::info, "request_ended",
               {{"request", request.id_text},
                {"organisation", request.organisation},
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,6 @@
 #include "samphiretray/cli/cli.h"
 #include "samphiretray/cli/daemon.h"
+#include "samphiretray/cli/report.h"
 
 #include <cstdio>
 #include <string_view>
@@ -17,6 +18,9 @@
         std::puts("samphiretray " SAMPHIRETRAY_VERSION);
         return cli::exit_ok;
     }
+    if (command == "status" || command == "burn") {
+        return cli::run_report(argc - 1, argv + 1);
+    }
     if (command == "check" || command == "config" || command == "key") {
         return cli::run_cli(argc - 1, argv + 1);
     }
@@ -27,6 +31,8 @@
                "  check   check settings, rules and inventory files\n"
                "  config  show, import, diff and apply the configuration\n"
                "  key     grant, withdraw and list keys\n"
+               "  status  show what processes say of themselves\n"
+               "  burn    show the service-level burn at an entry\n"
                "Each command has --help.\n",
                asked ? stdout : stderr);
     return asked ? cli::exit_ok : cli::exit_usage;
