State the lease in the scenario tests of duties

Cause: the default lease went from 10 s to 14 s; two scenario tests compute their times from 10 s and failed.

Change: the scenarios set the lease that their times follow from. No time and no check is changed; the random walks run with the new default.

--- a/tests/control/duty_test.cpp
+++ b/tests/control/duty_test.cpp
@@ -288,6 +288,8 @@
     duty holder{[] {
         duty_settings settings = rate_duty("vm0", "1");
         settings.takeover_wait = 0s;
+        // The times in the tests below follow from this lease and the margin.
+        settings.lease = 10s;
         return settings;
     }()};
     time_point start{100s};
