Share the popt handle, the duties' constants and the adapter's full name

Cause: three files had the same popt wrapper, entries and agents each had the constants on which they must agree, and two functions made the same name.

Change: cli/popt_context.h, constants in node/rendezvous.h, platform::to_string.

Conclusion: no behaviour changes.

--- a/include/samphiretray/agent/answer_checker.h
+++ b/include/samphiretray/agent/answer_checker.h
@@ -10,9 +10,6 @@
 
 namespace samphiretray::agent {
 
-/// "<adapter>@<version>", the name under which engines know an adapter version.
-[[nodiscard]] std::string engine_name(const platform::adapter_version& target);
-
 /// Checks the answer of an engine while it arrives: bytes are passed on only after the `model` field of the
 /// event (streams) or of the whole body (other answers) has been found equal to the adapter version asked
 /// for.
--- a/include/samphiretray/agent/request_runner-inl.h
+++ b/include/samphiretray/agent/request_runner-inl.h
@@ -3,6 +3,7 @@
 #include "samphiretray/agent/request_runner.h"
 #include "samphiretray/base/hash.h"
 #include "samphiretray/base/log.h"
+#include "samphiretray/platform/http_engine.h"
 
 #include <algorithm>
 #include <ranges>
@@ -356,7 +357,7 @@
         outcome = certain ? load_outcome::failed : load_outcome::unknown;
         ++counts_.failed_loads;
         log_event(log_level::warning, "load_failed",
-                  {{"adapter", engine_name(command.order.target)},
+                  {{"adapter", platform::to_string(command.order.target)},
                    {"code", code.message()},
                    {"detail", incarnation.error().detail}});
     }
--- a/include/samphiretray/entry/load_controller-inl.h
+++ b/include/samphiretray/entry/load_controller-inl.h
@@ -7,16 +7,13 @@
 
 namespace samphiretray::entry {
 
-/// Name of the duty and of its rank order; agents ask the entries in this order.
-inline constexpr std::string_view loads_duty = "loads";
-inline constexpr std::size_t load_duty_candidates = 3;
-
 template <platform::key_value_service KeyValue>
 load_controller<KeyValue>::load_controller(net::loop& events, const config::entry_settings& settings,
                                            const node::peer_identity& self, KeyValue& service,
                                            const control::membership& members, control::contact& evidence)
     : loop_(events), settings_(settings), self_(self), members_(members),
-      duty_(events, service, evidence, control::duty_lease("fleet", loads_duty, self.vm, self.incarnation)) {}
+      duty_(events, service, evidence,
+            control::duty_lease("fleet", node::loads_duty, self.vm, self.incarnation)) {}
 
 template <platform::key_value_service KeyValue>
 std::string load_controller<KeyValue>::holder_name(const node::peer_pointer& of) {
@@ -26,7 +23,7 @@
 template <platform::key_value_service KeyValue>
 void load_controller<KeyValue>::members_changed() {
     const auto entries = members_.live_entries(loop_.now());
-    const bool ranked = node::carries_duty(loads_duty, entries, self_.vm, load_duty_candidates);
+    const bool ranked = node::carries_duty(node::loads_duty, entries, self_.vm, node::duty_candidates);
     duty_.set_candidate(ranked && !stopping_);
 }
 
--- a/include/samphiretray/entry/rate_controller-inl.h
+++ b/include/samphiretray/entry/rate_controller-inl.h
@@ -10,10 +10,6 @@
 
 namespace samphiretray::entry {
 
-/// Entries that contend for a shard's duty, and that are asked for grants: the preferred one and a successor
-/// for each of two failures.
-inline constexpr std::size_t issuer_candidates = 3;
-
 template <platform::key_value_service KeyValue>
 rate_controller<KeyValue>::rate_controller(net::loop& events, const config::entry_settings& settings,
                                            const node::peer_identity& self, KeyValue& service,
@@ -80,8 +76,8 @@
 void rate_controller<KeyValue>::members_changed() {
     const auto entries = region_entries();
     for (std::uint32_t number = 0; number < shards_.size(); ++number) {
-        const bool ranked =
-            node::carries_duty(self_.region + "/" + duty_name(number), entries, self_.vm, issuer_candidates);
+        const bool ranked = node::carries_duty(self_.region + "/" + duty_name(number), entries, self_.vm,
+                                               node::duty_candidates);
         shards_[number].duty->set_candidate(ranked && !stopping_);
     }
 }
@@ -142,7 +138,7 @@
         send_failed(organisation, request.round);
         return;
     }
-    const platform::vm& issuer = *ranked[of.issuer_rank % std::min(ranked.size(), issuer_candidates)];
+    const platform::vm& issuer = *ranked[of.issuer_rank % std::min(ranked.size(), node::duty_candidates)];
     if (issuer.name == self_.vm) {
         // The reply is handled from the loop, because it may grant reservations whose caller is running.
         loop_.post([this, request, alive = alive_] {
--- a/include/samphiretray/node/rendezvous.h
+++ b/include/samphiretray/node/rendezvous.h
@@ -2,6 +2,7 @@
 
 #include "samphiretray/platform/vm_list.h"
 
+#include <cstddef>
 #include <span>
 #include <string>
 #include <string_view>
@@ -9,6 +10,12 @@
 
 namespace samphiretray::node {
 
+/// Name of the duty that grants load permits, and of its rank order; agents ask the entries in this order.
+inline constexpr std::string_view loads_duty = "loads";
+/// Entries that contend for a duty and that are asked for its holder: the preferred one and a successor for
+/// each of two failures.
+inline constexpr std::size_t duty_candidates = 3;
+
 /// The VMs in the order in which they are to carry `duty`: by rendezvous hashing, so that all processes with
 /// the same list agree, and a change of the list moves few duties.
 [[nodiscard]] std::vector<const platform::vm*> rank_for(std::string_view duty,
--- a/src/agent/answer_checker.cpp
+++ b/src/agent/answer_checker.cpp
@@ -1,5 +1,7 @@
 #include "samphiretray/agent/answer_checker.h"
 
+#include "samphiretray/platform/http_engine.h"
+
 #include <nlohmann/json.hpp>
 
 namespace samphiretray::agent {
@@ -46,12 +48,8 @@
 
 } // namespace
 
-std::string engine_name(const platform::adapter_version& target) {
-    return target.adapter + "@" + target.version;
-}
-
 answer_checker::answer_checker(const platform::adapter_version& expected)
-    : expected_(engine_name(expected)) {}
+    : expected_(platform::to_string(expected)) {}
 
 void answer_checker::start(int status, std::string_view content_type) {
     streamed_ = content_type.starts_with("text/event-stream");
--- a/src/agent/permit_client.cpp
+++ b/src/agent/permit_client.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr std::string_view loads_duty = "loads";
-constexpr std::size_t issuer_candidates = 3;
 /// The holder drops requests that are not repeated within 3 s.
 constexpr duration repeat_interval = 1s;
 /// After this time without an answer of a holder an agent uses its local rate.
@@ -66,11 +64,11 @@
     asked.last_sent = loop_.now();
     asked.round = next_round_++;
     const auto entries = members_.live_entries(loop_.now());
-    const auto ranked = node::rank_for(loads_duty, entries);
+    const auto ranked = node::rank_for(node::loads_duty, entries);
     if (ranked.empty()) {
         return;
     }
-    const platform::vm& issuer = *ranked[issuer_rank_ % std::min(ranked.size(), issuer_candidates)];
+    const platform::vm& issuer = *ranked[issuer_rank_ % std::min(ranked.size(), node::duty_candidates)];
     const wire::permit_request message{asked.round,     endpoint_,       adapter.adapter,
                                        adapter.version, wanted.priority, wanted.waiting};
     peers_.connect(issuer.name, issuer.peer_address,
--- a/src/cli/daemon.cpp
+++ b/src/cli/daemon.cpp
@@ -2,12 +2,11 @@
 
 #include "samphiretray/agent/agent_process.h"
 #include "samphiretray/base/log.h"
+#include "samphiretray/cli/popt_context.h"
 #include "samphiretray/config/settings.h"
 #include "samphiretray/entry/entry_process.h"
 #include "samphiretray/net/loop.h"
 
-#include <popt.h>
-
 #include <array>
 #include <csignal>
 #include <cstdio>
@@ -23,11 +22,6 @@
 
 namespace {
 
-struct popt_deleter {
-    void operator()(poptContext context) const { poptFreeContext(context); }
-};
-using popt_pointer = std::unique_ptr<std::remove_pointer_t<poptContext>, popt_deleter>;
-
 /// The file named by --settings; nothing after a usage error, which is printed.
 std::optional<std::string> parse_settings_file(int argc, const char** argv) {
     char* file = nullptr;
--- a/src/cli/operator_options.cpp
+++ b/src/cli/operator_options.cpp
@@ -1,6 +1,6 @@
 #include "operator_options.h"
 
-#include <popt.h>
+#include "samphiretray/cli/popt_context.h"
 
 #include <array>
 #include <cstdio>
@@ -15,10 +15,6 @@
                               "config diff|apply RULES [INVENTORY] | key grant ORGANISATION [LABEL] | "
                               "key withdraw DIGEST | key list";
 
-struct popt_deleter {
-    void operator()(poptContext context) const { poptFreeContext(context); }
-};
-using popt_pointer = std::unique_ptr<std::remove_pointer_t<poptContext>, popt_deleter>;
 using c_text = std::unique_ptr<char, decltype(&std::free)>;
 
 error usage_error(std::string detail) {
--- a/src/cli/report.cpp
+++ b/src/cli/report.cpp
@@ -1,11 +1,10 @@
 #include "samphiretray/cli/report.h"
 
 #include "samphiretray/cli/daemon.h"
+#include "samphiretray/cli/popt_context.h"
 #include "samphiretray/net/http_client.h"
 #include "samphiretray/net/loop.h"
 
-#include <popt.h>
-
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -13,7 +12,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <type_traits>
 #include <vector>
 
 namespace samphiretray::cli {
@@ -22,11 +20,6 @@
 
 constexpr duration answer_timeout = 5s;
 
-struct popt_deleter {
-    void operator()(poptContext context) const { poptFreeContext(context); }
-};
-using popt_pointer = std::unique_ptr<std::remove_pointer_t<poptContext>, popt_deleter>;
-
 struct report_options {
     bool json = false;
     std::vector<net::address> processes;
