--- a/include/samphiretray/net/http_server.h
+++ b/include/samphiretray/net/http_server.h
@@ -6,6 +6,7 @@
 #include "samphiretray/net/loop.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -69,6 +70,8 @@
     /// Reads the certificate files again for new connections. On an error the old certificate stays.
     [[nodiscard]] virtual status reload_certificates() = 0;
     [[nodiscard]] virtual std::size_t open_connections() const noexcept = 0;
+    /// Malformed and oversized requests that the server has refused before the handler.
+    [[nodiscard]] virtual std::uint64_t refused_requests() const noexcept = 0;
 };
 
 } // namespace samphiretray::net
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -158,6 +158,9 @@
 void client_call::on_written(h2o_socket_t* socket, const char* failure) {
     // After a failed write the peer's response may still be waiting; the end of the call comes from reading.
     of(socket).writing_ = failure != nullptr;
+    // Makes h2o look at the socket's state again, so that it stops polling for writes. Without this an event
+    // after a write of 4 MiB in parts found no write callback, and h2o aborted.
+    h2o_socket_read_start(socket, on_read);
 }
 
 void client_call::on_read(h2o_socket_t* socket, const char* failure) {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -27,6 +27,10 @@
     status reload_certificates() override { return core_->load_certificates(); }
     [[nodiscard]] std::size_t open_connections() const noexcept override { return core_->open_connections(); }
 
+    [[nodiscard]] std::uint64_t refused_requests() const noexcept override {
+        return core_->refused_requests();
+    }
+
 private:
     std::shared_ptr<http_server_core> core_;
     std::unique_ptr<listener> listener_;
--- a/src/net/http_server_core.cpp
+++ b/src/net/http_server_core.cpp
@@ -156,6 +156,7 @@
 
 void http_server_core::on_request_disposed(h2o_req_t* request) {
     const bool refused = request->res.status == 400 || request->res.status == 413;
+    refused_requests_ += refused ? 1 : 0;
     if (refused && request->version < http_2 && request->http1_is_persistent == 0) {
         h2o_socket_t* socket = request->conn->callbacks->get_socket(request->conn);
         linger_before_close(events_, h2o_socket_get_fd(socket));
--- a/src/net/http_server_core.h
+++ b/src/net/http_server_core.h
@@ -7,6 +7,7 @@
 
 #include <h2o.h>
 
+#include <cstdint>
 #include <memory>
 #include <set>
 #include <vector>
@@ -44,6 +45,7 @@
 
     [[nodiscard]] loop& events() noexcept { return events_; }
     [[nodiscard]] std::size_t open_connections() const noexcept { return connections_.size(); }
+    [[nodiscard]] std::uint64_t refused_requests() const noexcept { return refused_requests_; }
     [[nodiscard]] bool is_shutting_down() const noexcept { return context_.shutdown_requested != 0; }
     /// Reads the certificate files, if any are set; on an error the old certificate stays.
     [[nodiscard]] status load_certificates();
@@ -65,6 +67,7 @@
     void close_idle_connections();
     void flush_waiting();
 
+    std::uint64_t refused_requests_ = 0;
     loop& events_;
     http_server_options options_;
     http_handler handler_;
--- a/src/net/websocket_link.cpp
+++ b/src/net/websocket_link.cpp
@@ -162,6 +162,8 @@
         self->fail(errc::connection_closed, "the peer closed the connection");
         return;
     }
+    // As in http_client.cpp: h2o must stop polling for writes before the next event.
+    h2o_socket_read_start(socket, on_read);
     self->flush();
 }
 
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -203,6 +203,7 @@
     caller.send(fixture.events, part);
     CHECK(caller.receive_all(fixture.events));
     CHECK(caller.received.rfind("HTTP/1.1 413", 0) == 0);
+    CHECK(fixture.server->refused_requests() == 1);
     CHECK(fixture.requests.empty());
 }
 
--- a/tests/process/invariants_test.cpp
+++ b/tests/process/invariants_test.cpp
@@ -106,6 +106,17 @@
     }
 }
 
+// Guards against a crash, or an error without step and peer, for a body over the limit.
+TEST_CASE("a body over the limit is refused by the entry as not run") {
+    deployment system{{.first_port = 25'500, .entries = {"entry-1"}, .endpoints = {"engine-1"}}};
+    start_with_keys(system, {"entry-1"});
+    auto large = system.completion("entry-1", homes_key, system.adapter_of("amihan-homes"));
+    large.body += std::string((4U << 20U) + 1, ' ');
+    const auto refused = system.run(std::move(large));
+    CHECK(refused.status == 413);
+    CHECK(holds(json::parse(refused.body, nullptr, false), "parse"));
+}
+
 // Guards against a stream that goes on, or ends as if it were whole, after its key was revoked.
 TEST_CASE("a revoked key stops working for a connected caller and its running stream") {
     const std::vector<std::string> entries{"entry-1", "entry-2"};
