Remove dead state of the dispatcher

Cause: an attempt's flag for having been sent was written and never read, since the request's own may_have_run carries it; the count of attempts had no caller.

Change: both are removed.

Measured: entry (48 assertions), and the process tests of the request path (174) and of planned stops (99), pass as before; format and lint are clean.

Conclusion: no behaviour changes.

--- a/include/samphiretray/entry/dispatcher.h
+++ b/include/samphiretray/entry/dispatcher.h
@@ -47,7 +47,6 @@
     void members_changed();
 
     [[nodiscard]] const dispatch_counts& counts() const noexcept { return counts_; }
-    [[nodiscard]] std::size_t running() const noexcept { return attempts_.size(); }
 
 private:
     struct attempt;
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -57,8 +57,6 @@
     std::string endpoint;
     platform::vm agent;
     node::peer_pointer link;
-    /// True once the attempt may have reached the agent.
-    bool sent = false;
     /// True if an earlier attempt may have run.
     bool earlier_may_have_run = false;
     time_point sent_at;
@@ -176,7 +174,6 @@
         return;
     }
     started->link = *link;
-    started->sent = true;
     started->request->may_have_run = true;
     started->sent_at = loop_.now();
     (*link)->send(make_open(*started, loop_.now()));
