--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -68,7 +68,7 @@
         (void)ledger.add(
             {.key = key, .content = key, .request = std::to_string(each), .claimed_at = 0, .answer = {}});
     }
-    const platform::versioned_value stored{ledger.format(), 1};
+    const ports::versioned_value stored{ledger.format(), 1};
     const std::string key = orders::claim_key("organisation", "new");
     time_point now{1000s};
     for (auto _ : state) {
--- a/include/samphiretray/agent/answer_checker.h
+++ b/include/samphiretray/agent/answer_checker.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "samphiretray/base/error.h"
-#include "samphiretray/platform/engine.h"
+#include "samphiretray/ports/engine.h"
 
 #include <cstdint>
 #include <optional>
@@ -15,7 +15,7 @@
 /// for.
 class answer_checker {
 public:
-    explicit answer_checker(const platform::adapter_version& expected);
+    explicit answer_checker(const ports::adapter_version& expected);
 
     /// `streamed` follows from the content type `text/event-stream`.
     void start(int status, std::string_view content_type);
--- a/include/samphiretray/agent/fair_queue.h
+++ b/include/samphiretray/agent/fair_queue.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "samphiretray/base/time.h"
-#include "samphiretray/platform/engine.h"
+#include "samphiretray/ports/engine.h"
 #include "samphiretray/wire/messages.h"
 
 #include <cstddef>
@@ -35,7 +35,7 @@
     std::uint32_t attempt = 0;
     std::string organisation;
     /// Empty names for plain services.
-    platform::adapter_version adapter;
+    ports::adapter_version adapter;
     bool priority = false;
     /// Upper bound of the cost.
     std::uint32_t tokens = 0;
@@ -94,7 +94,7 @@
     /// Weight of a load of `adapter`: an organisation has `load_weight_scale` times its weight over the mean
     /// weight in all, in equal parts for its waiting requests, so that many requests of one organisation do
     /// not crowd out the loads of others.
-    [[nodiscard]] std::uint32_t load_weight(const platform::adapter_version& adapter) const;
+    [[nodiscard]] std::uint32_t load_weight(const ports::adapter_version& adapter) const;
     /// Number of waiting requests that `matches` accepts.
     [[nodiscard]] std::size_t count_if(const runnable_predicate& matches) const;
     /// Estimated wait of a new request of a new organisation, without a load. Counts requests that `runnable`
@@ -138,7 +138,7 @@
     service_class priority_;
     service_class normal_;
     std::map<std::string, double> weights_;
-    platform::adapter_version last_adapter_;
+    ports::adapter_version last_adapter_;
     double rate_;
     std::size_t size_ = 0;
 };
--- a/include/samphiretray/agent/permit_client.h
+++ b/include/samphiretray/agent/permit_client.h
@@ -4,7 +4,7 @@
 #include "samphiretray/control/membership.h"
 #include "samphiretray/net/loop.h"
 #include "samphiretray/node/peer_directory.h"
-#include "samphiretray/platform/engine.h"
+#include "samphiretray/ports/engine.h"
 
 #include <cstdint>
 #include <functional>
@@ -22,20 +22,20 @@
     /// start, which gives the permit back.
     permit_client(net::loop& events, std::string endpoint, node::peer_directory& peers,
                   const control::membership& members,
-                  std::function<bool(const platform::adapter_version&)> granted);
+                  std::function<bool(const ports::adapter_version&)> granted);
     ~permit_client();
     permit_client(const permit_client&) = delete;
     permit_client& operator=(const permit_client&) = delete;
 
     struct wanted_load {
-        platform::adapter_version adapter;
+        ports::adapter_version adapter;
         bool priority = false;
         std::uint32_t waiting = 0;
     };
     /// The loads that are wanted now. Asks for new ones, repeats requests that are due, cancels the others.
     void update(const std::vector<wanted_load>& wanted);
     /// The load of a granted permit has ended.
-    void done(const platform::adapter_version& adapter, bool loaded);
+    void done(const ports::adapter_version& adapter, bool loaded);
 
     /// Handles a reply; false if `value` is of another kind.
     [[nodiscard]] bool handle(const node::peer_pointer& from, const wire::message& value);
@@ -51,19 +51,19 @@
         node::peer_pointer issuer;
     };
 
-    void send(const platform::adapter_version& adapter, request& asked, const wanted_load& wanted);
+    void send(const ports::adapter_version& adapter, request& asked, const wanted_load& wanted);
     static void cancel(const request& asked);
-    void try_local(const platform::adapter_version& adapter, request& asked);
-    void start(const platform::adapter_version& adapter, request& asked, bool local);
+    void try_local(const ports::adapter_version& adapter, request& asked);
+    void start(const ports::adapter_version& adapter, request& asked, bool local);
 
     net::loop& loop_;
     std::string endpoint_;
     node::peer_directory& peers_;
     const control::membership& members_;
-    std::function<bool(const platform::adapter_version&)> granted_;
+    std::function<bool(const ports::adapter_version&)> granted_;
     std::mt19937_64 random_;
     control::local_load_limit local_;
-    std::map<platform::adapter_version, request> requests_;
+    std::map<ports::adapter_version, request> requests_;
     /// Grows with each message, since a permit counts from the sending of its round.
     std::uint64_t next_round_ = 1;
     /// Place in the rank order of the entry that is believed to hold the duty.
--- a/include/samphiretray/agent/request_runner-inl.h
+++ b/include/samphiretray/agent/request_runner-inl.h
@@ -3,7 +3,7 @@
 #include "samphiretray/agent/request_runner.h"
 #include "samphiretray/base/hash.h"
 #include "samphiretray/base/log.h"
-#include "samphiretray/platform/http_engine.h"
+#include "samphiretray/ports/http_engine.h"
 
 #include <algorithm>
 #include <ranges>
@@ -18,7 +18,7 @@
 /// Longest time that requests of an earlier agent can go on at an engine.
 inline constexpr duration earlier_requests_limit = 60s;
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 struct request_runner<Engine>::work {
     attempt_id id;
     node::peer_pointer from;
@@ -36,10 +36,10 @@
     std::uint64_t sent_bytes = 0;
     std::optional<slot_pin> pin;
     std::optional<answer_checker> checker;
-    std::unique_ptr<platform::engine_exchange> exchange;
+    std::unique_ptr<ports::engine_exchange> exchange;
 };
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 request_runner<Engine>::request_runner(net::loop& events, const config::agent_settings& settings,
                                        Engine& endpoint, node::peer_directory& peers,
                                        const control::membership& members,
@@ -50,12 +50,12 @@
                [this](const adapter_version& adapter) { return begin_load(adapter); }),
       concurrency_(settings.concurrency), rate_since_(events.now()) {}
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 request_runner<Engine>::~request_runner() {
     *alive_ = false;
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::start() {
     if (!is_engine()) {
         concurrency_ = concurrency_ == 0 ? default_concurrency : concurrency_;
@@ -66,13 +66,13 @@
     poll_timer_ = loop_.every(settings_.engine_poll_interval, [this] { poll_engine(); });
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 attempt_id request_runner<Engine>::id_of(const node::peer_pointer& from, std::uint64_t request,
                                          std::uint32_t attempt) {
     return {hash64(from->identity().vm + "/" + from->identity().incarnation), request, attempt};
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 bool request_runner<Engine>::handle(const node::peer_pointer& from, wire::message& value) {
     if (auto* request = std::get_if<wire::request_open>(&value)) {
         open(from, std::move(*request));
@@ -85,7 +85,7 @@
     return true;
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 std::optional<wire::refusal>
 request_runner<Engine>::reason_to_refuse(const wire::request_open& request) const {
     if (draining_) {
@@ -104,7 +104,7 @@
     return right_().allowed ? std::nullopt : std::optional{wire::refusal::fenced};
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::open(const node::peer_pointer& from, wire::request_open&& request) {
     const time_point now = loop_.now();
     auto fresh = std::make_shared<work>();
@@ -149,7 +149,7 @@
     }
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::refuse(const work_pointer& refused, wire::refusal reason, bool forwarded,
                                     std::string detail) {
     if (!forwarded && !attempts_.refuse(refused->id, loop_.now())) {
@@ -170,14 +170,14 @@
     release(refused);
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 fair_queue::runnable_predicate request_runner<Engine>::runnable() const {
     return [this](const queued_request& each) {
         return !slots_ || slots_->can_run(each.adapter, each.priority);
     };
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::refuse_queued(const queued_request& removed, wire::refusal reason,
                                            std::string detail) {
     const auto found = works_.find({removed.peer, removed.request, removed.attempt});
@@ -187,7 +187,7 @@
     }
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::end_wait(work& waiting) {
     if (!waiting.waits || !slots_) {
         return;
@@ -196,7 +196,7 @@
     perform(slots_->wait_ended(waiting.adapter, waiting.open.priority, loop_.now()));
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::cancel(const node::peer_pointer& from, const wire::request_cancel& request) {
     const auto found = works_.find(id_of(from, request.request, request.attempt));
     if (found == works_.end()) {
@@ -211,14 +211,14 @@
     finish(cancelled, false, "cancelled by the entry");
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::drop_queued(const attempt_id& id) {
     (void)queue_.remove_if([&id](const queued_request& each) {
         return attempt_id{each.peer, each.request, each.attempt} == id;
     });
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::on_peer_closed(const node::peer_pointer& gone) {
     std::vector<work_pointer> orphans;
     for (const work_pointer& each : works_ | std::views::values) {
@@ -233,7 +233,7 @@
     pump();
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::on_tick() {
     attempts_.expire(loop_.now());
     if (slots_) {
@@ -243,21 +243,21 @@
     pump();
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::pump() {
     expire_queued();
     run_queued();
     want_loads();
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::expire_queued() {
     for (const queued_request& late : queue_.expire(loop_.now())) {
         refuse_queued(late, wire::refusal::deadline, "the deadline passed in the queue");
     }
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::run_queued() {
     if (!ready_ || (is_engine() && !right_().allowed)) {
         return;
@@ -280,7 +280,7 @@
     }
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::want_loads() {
     if (!slots_ || !ready_ || !right_().allowed) {
         return;
@@ -302,7 +302,7 @@
     permits_.update(wanted);
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 bool request_runner<Engine>::begin_load(const adapter_version& adapter) {
     const command_right right = right_();
     if (!right.allowed) {
@@ -314,7 +314,7 @@
     return begun;
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::perform(std::vector<slot_command> commands) {
     for (slot_command& command : commands) {
         const auto ended = [this, command, alive = alive_](const result<std::string>& incarnation) {
@@ -337,7 +337,7 @@
     }
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::load_ended(const slot_command& command, const result<std::string>& incarnation) {
     const time_point now = loop_.now();
     if (incarnation) {
@@ -357,7 +357,7 @@
         outcome = certain ? load_outcome::failed : load_outcome::unknown;
         ++counts_.failed_loads;
         log_event(log_level::warning, "load_failed",
-                  {{"adapter", platform::to_string(command.order.target)},
+                  {{"adapter", ports::to_string(command.order.target)},
                    {"code", code.message()},
                    {"detail", incarnation.error().detail}});
     }
@@ -367,7 +367,7 @@
     pump();
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::refuse_after_failed_loads(const adapter_version& adapter) {
     if (slots_->failures(adapter) < max_failed_loads) {
         return;
@@ -378,7 +378,7 @@
     }
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::run(const work_pointer& started) {
     const time_point now = loop_.now();
     if (!attempts_.start(started->id)) {
@@ -399,7 +399,7 @@
     if (is_engine()) {
         started->checker.emplace(started->adapter);
     }
-    platform::engine_call call;
+    ports::engine_call call;
     call.method = started->open.method;
     call.path = started->open.path;
     call.request_id = started->open.request_id;
@@ -407,7 +407,7 @@
     call.body = std::move(started->open.body);
     call.timeout = std::max<duration>(started->deadline - now, 1ms);
     const std::weak_ptr<work> weak = started;
-    platform::engine_call_events events;
+    ports::engine_call_events events;
     events.on_head = [this, weak](int status, const std::string& content_type,
                                   const std::string& incarnation) {
         if (const auto running = weak.lock()) {
@@ -427,7 +427,7 @@
     started->exchange = endpoint_.call(std::move(call), std::move(events));
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::on_head(const work_pointer& running, int status, const std::string& content_type,
                                      const std::string& incarnation) {
     if (!running->running) {
@@ -441,7 +441,7 @@
     }
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::on_data(const work_pointer& running, std::string_view bytes) {
     if (!running->running) {
         return;
@@ -458,7 +458,7 @@
     pass_on(*running, std::move(*checked));
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::pass_on(work& running, std::string bytes) {
     if (bytes.empty() || !attempts_.accept_answer(running.id)) {
         return;
@@ -473,7 +473,7 @@
     running.from->send(data);
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::send_head(work& running) {
     if (running.head_sent) {
         return;
@@ -491,7 +491,7 @@
     running.from->send(head);
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::on_end(const work_pointer& running, const std::optional<error>& failure) {
     if (!running->running) {
         return;
@@ -540,7 +540,7 @@
     finish(running, true, "");
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::finish(const work_pointer& ended, bool whole, std::string reason) {
     if (whole) {
         send_head(*ended);
@@ -564,7 +564,7 @@
     pump();
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::release(const work_pointer& ended) {
     if (ended->running) {
         ended->running = false;
@@ -580,7 +580,7 @@
     }
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 wire::load_report request_runner<Engine>::load() const {
     wire::load_report report;
     report.running = running_;
@@ -594,13 +594,13 @@
     return report;
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::poll_engine() {
     if (polling_) {
         return;
     }
     polling_ = true;
-    endpoint_.state([this, alive = alive_](const result<platform::engine_state>& state) {
+    endpoint_.state([this, alive = alive_](const result<ports::engine_state>& state) {
         if (!*alive) {
             return;
         }
@@ -613,8 +613,8 @@
     });
 }
 
-template <platform::engine Engine>
-void request_runner<Engine>::on_state(const platform::engine_state& state) {
+template <ports::engine Engine>
+void request_runner<Engine>::on_state(const ports::engine_state& state) {
     const time_point now = loop_.now();
     if (!slots_) {
         slots_ = std::make_unique<slot_table>(slot_settings{.slots = std::max(state.slots, 1U)});
@@ -634,7 +634,7 @@
     pump();
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::see_incarnation(const std::string& incarnation) {
     if (!slots_ || incarnation.empty()) {
         return;
@@ -659,7 +659,7 @@
                           [this](const work_pointer& each) { finish(each, false, "the engine restarted"); });
 }
 
-template <platform::engine Engine>
+template <ports::engine Engine>
 void request_runner<Engine>::learn_rate() {
     const time_point now = loop_.now();
     const duration elapsed = now - rate_since_;
--- a/include/samphiretray/agent/request_runner.h
+++ b/include/samphiretray/agent/request_runner.h
@@ -8,7 +8,7 @@
 #include "samphiretray/config/settings.h"
 #include "samphiretray/net/loop.h"
 #include "samphiretray/node/peer_directory.h"
-#include "samphiretray/platform/engine.h"
+#include "samphiretray/ports/engine.h"
 
 #include <cstdint>
 #include <functional>
@@ -39,7 +39,7 @@
 };
 
 /// Runs the requests of all entries at the endpoint beside this agent.
-template <platform::engine Engine>
+template <ports::engine Engine>
 class request_runner {
 public:
     request_runner(net::loop& events, const config::agent_settings& settings, Engine& endpoint,
@@ -103,7 +103,7 @@
     void release(const work_pointer& ended);
 
     void poll_engine();
-    void on_state(const platform::engine_state& state);
+    void on_state(const ports::engine_state& state);
     void see_incarnation(const std::string& incarnation);
     void learn_rate();
 
--- a/include/samphiretray/agent/slot_table.h
+++ b/include/samphiretray/agent/slot_table.h
@@ -2,7 +2,7 @@
 
 #include "samphiretray/base/name_table.h"
 #include "samphiretray/base/time.h"
-#include "samphiretray/platform/engine.h"
+#include "samphiretray/ports/engine.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -17,7 +17,7 @@
 /// Decisions of the agent beside an endpoint. No I/O; the time is an argument.
 namespace samphiretray::agent {
 
-using platform::adapter_version;
+using ports::adapter_version;
 
 struct slot_settings {
     std::size_t slots = 8;
@@ -54,7 +54,7 @@
     slot_command_kind kind = slot_command_kind::load;
     /// Names the command in the report of its end; unique for the life of the table.
     std::uint64_t id = 0;
-    platform::engine_order order;
+    ports::engine_order order;
 };
 
 enum class load_outcome {
@@ -133,6 +133,8 @@
     void unpin(const slot_pin& pin, time_point now);
 
     [[nodiscard]] bool resident(const adapter_version& adapter) const;
+    /// The adapters of all resident slots.
+    [[nodiscard]] std::vector<adapter_version> residents() const;
     [[nodiscard]] std::uint32_t pins(const adapter_version& adapter) const;
     [[nodiscard]] std::size_t size() const noexcept { return slots_.size(); }
     [[nodiscard]] std::size_t count(slot_state state) const;
--- a/include/samphiretray/base/log.h
+++ b/include/samphiretray/base/log.h
@@ -33,8 +33,13 @@
     log_field(std::string_view name, Number number) : key(name), value(std::to_string(number)) {}
 };
 
-/// Sets up logging to standard error; `minimum` is the lowest level written. Call once at start.
-void configure_logging(log_level minimum);
+/// Lines a second that a process writes on average; a busy entry writes three for each request.
+inline constexpr std::uint32_t default_log_lines_per_s = 1000;
+
+/// Sets up logging to standard output; `minimum` is the lowest level written. Call once at start. Writing
+/// never blocks: lines beyond `lines_per_s`, with a burst of one second, and those that the reader is too
+/// slow for are dropped, and the next line written is "event=log_lines_dropped" with their number.
+void configure_logging(log_level minimum, std::uint32_t lines_per_s = default_log_lines_per_s);
 
 /// Writes one line "event=<event> key=value ...". Values with spaces, quotes or control characters are
 /// quoted and escaped, so an event is always one line. Never pass keys or request bodies.
--- a/include/samphiretray/config/editor.h
+++ b/include/samphiretray/config/editor.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "samphiretray/config/chunks.h"
-#include "samphiretray/platform/key_value.h"
+#include "samphiretray/ports/key_value.h"
 
 #include <cstdint>
 #include <functional>
@@ -23,7 +23,7 @@
 
 /// A write that an editor asks for, to be started after `delay`.
 struct swap_action {
-    platform::swap_request swap;
+    ports::swap_request swap;
     duration delay{};
 };
 
@@ -45,7 +45,7 @@
 
     [[nodiscard]] std::vector<editor_action> start();
     [[nodiscard]] std::vector<editor_action> on_read(std::string_view key,
-                                                     const result<platform::versioned_value>& answer);
+                                                     const result<ports::versioned_value>& answer);
     [[nodiscard]] std::vector<editor_action> on_swap(std::string_view key,
                                                      const result<std::uint64_t>& answer);
 
@@ -61,10 +61,10 @@
     enum class phase { read_manifest, read_chunks, write_chunks, swap_manifest, read_back, ended };
     using actions = std::vector<editor_action>;
 
-    [[nodiscard]] actions on_base(const platform::versioned_value& value);
-    [[nodiscard]] actions on_base_chunk(const platform::versioned_value& value);
-    [[nodiscard]] actions on_stored_chunk(const std::string& key, const platform::versioned_value& value);
-    [[nodiscard]] actions on_read_back(const platform::versioned_value& value);
+    [[nodiscard]] actions on_base(const ports::versioned_value& value);
+    [[nodiscard]] actions on_base_chunk(const ports::versioned_value& value);
+    [[nodiscard]] actions on_stored_chunk(const std::string& key, const ports::versioned_value& value);
+    [[nodiscard]] actions on_read_back(const ports::versioned_value& value);
     [[nodiscard]] actions apply_edit();
     [[nodiscard]] actions prepare(const configuration& edited);
     [[nodiscard]] actions on_chunk_swap(const std::string& key, const result<std::uint64_t>& answer);
--- a/include/samphiretray/control/duty.h
+++ b/include/samphiretray/control/duty.h
@@ -3,7 +3,7 @@
 #include "samphiretray/base/error.h"
 #include "samphiretray/base/time.h"
 #include "samphiretray/control/contact.h"
-#include "samphiretray/platform/key_value.h"
+#include "samphiretray/ports/key_value.h"
 
 #include <cstdint>
 #include <map>
@@ -48,7 +48,7 @@
     std::string key;
 };
 struct duty_swap {
-    platform::swap_request swap;
+    ports::swap_request swap;
 };
 /// A call of the key-value service that a duty asks for. There is at most one at a time; it is answered by
 /// `on_read` or `on_swap`.
@@ -70,7 +70,7 @@
     [[nodiscard]] std::optional<duty_action> on_time(time_point now);
     [[nodiscard]] std::optional<time_point> next_time() const noexcept { return next_time_; }
     [[nodiscard]] std::optional<duty_action> on_read(time_point now,
-                                                     const result<platform::versioned_value>& answer);
+                                                     const result<ports::versioned_value>& answer);
     [[nodiscard]] std::optional<duty_action> on_swap(time_point now, const result<std::uint64_t>& answer);
 
     /// Follows the contact state. Call at least once a second and before acting: a holder that was cut off,
@@ -110,7 +110,7 @@
     /// Fills in value and time.
     [[nodiscard]] duty_action start_write(time_point now, write started);
     /// Decides what to do about a stored lease that is not held here.
-    [[nodiscard]] std::optional<duty_action> contest(time_point now, const platform::versioned_value& stored);
+    [[nodiscard]] std::optional<duty_action> contest(time_point now, const ports::versioned_value& stored);
     void took_effect(time_point now, const write& done, std::uint64_t revision);
 
     duty_settings settings_;
--- a/include/samphiretray/control/gossip.h
+++ b/include/samphiretray/control/gossip.h
@@ -4,7 +4,7 @@
 #include "samphiretray/base/time.h"
 #include "samphiretray/config/replica.h"
 #include "samphiretray/control/contact.h"
-#include "samphiretray/platform/vm_list.h"
+#include "samphiretray/ports/vm_list.h"
 #include "samphiretray/wire/messages.h"
 
 #include <cstdint>
@@ -56,7 +56,7 @@
     gossip(gossip_settings settings, std::uint64_t seed, contact& evidence, config::replica& configuration);
 
     /// The live VMs (`membership::live`), whenever they have changed.
-    void set_members(time_point now, std::span<const platform::vm* const> live);
+    void set_members(time_point now, std::span<const ports::vm* const> live);
 
     /// Call at `next_time` or later.
     [[nodiscard]] std::vector<gossip_action> on_time(time_point now);
--- a/include/samphiretray/control/membership.h
+++ b/include/samphiretray/control/membership.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "samphiretray/base/time.h"
-#include "samphiretray/platform/vm_list.h"
+#include "samphiretray/ports/vm_list.h"
 #include "samphiretray/wire/messages.h"
 
 #include <cstdint>
@@ -28,22 +28,21 @@
     explicit membership(membership_settings settings = {});
 
     /// Replaces the list. A VM that was missing and is listed again has a new incarnation.
-    void on_list(time_point now, std::vector<platform::vm> list);
+    void on_list(time_point now, std::vector<ports::vm> list);
     /// A notice from a `state_reply`, or the own one.
     void on_leaving(time_point now, const wire::leaving_vm& notice);
     /// A link to `vm` is open; voids leaving notices of other incarnations.
     void on_hello(time_point now, std::string_view vm, std::string_view incarnation);
 
     /// Any listed VM, also a leaving one; nothing if it is not listed.
-    [[nodiscard]] const platform::vm* find(std::string_view name) const;
+    [[nodiscard]] const ports::vm* find(std::string_view name) const;
     /// Whether new work may go to a VM: it is listed as live and has not announced its stop.
     [[nodiscard]] bool is_live(time_point now, std::string_view name) const;
-    [[nodiscard]] std::vector<const platform::vm*> live_agents(time_point now,
-                                                               std::string_view service) const;
-    [[nodiscard]] std::vector<const platform::vm*> live_entries(time_point now) const;
-    /// Live entries and agents of a region; `platform::vm::data_centre` tells where.
-    [[nodiscard]] std::vector<const platform::vm*> peers_in(time_point now, std::string_view region) const;
-    [[nodiscard]] std::vector<const platform::vm*> live(time_point now) const;
+    [[nodiscard]] std::vector<const ports::vm*> live_agents(time_point now, std::string_view service) const;
+    [[nodiscard]] std::vector<const ports::vm*> live_entries(time_point now) const;
+    /// Live entries and agents of a region; `ports::vm::data_centre` tells where.
+    [[nodiscard]] std::vector<const ports::vm*> peers_in(time_point now, std::string_view region) const;
+    [[nodiscard]] std::vector<const ports::vm*> live(time_point now) const;
     /// Regions that have entries, sorted.
     [[nodiscard]] std::vector<std::string> regions() const;
     /// Notices to pass on in a `state_reply`.
@@ -59,7 +58,7 @@
         bool counts = true;
     };
     struct vm_state {
-        platform::vm listed;
+        ports::vm listed;
         /// By incarnation.
         std::map<std::string, notice_state, std::less<>> notices;
         bool is_listed = false;
@@ -67,13 +66,13 @@
         bool was_removed = false;
     };
 
-    void add_listed(platform::vm vm);
+    void add_listed(ports::vm vm);
     /// Ends the effect of all notices but that of one incarnation.
     void void_notices(vm_state& state, std::string_view except);
     [[nodiscard]] bool is_leaving(time_point now, const vm_state& state) const;
     [[nodiscard]] bool is_live(time_point now, const vm_state& state) const;
     template <typename Predicate>
-    [[nodiscard]] std::vector<const platform::vm*> select(time_point now, Predicate matches) const;
+    [[nodiscard]] std::vector<const ports::vm*> select(time_point now, Predicate matches) const;
     void forget_old(time_point now);
 
     membership_settings settings_;
--- a/include/samphiretray/entry/claims_controller-inl.h
+++ b/include/samphiretray/entry/claims_controller-inl.h
@@ -15,16 +15,16 @@
     return std::chrono::duration_cast<std::chrono::seconds>(since_epoch).count();
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 claims_controller<KeyValue>::claims_controller(net::loop& events, KeyValue& service, std::uint32_t shards)
     : loop_(events), service_(service), shard_count_(shards) {}
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 claims_controller<KeyValue>::~claims_controller() {
     *alive_ = false;
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 auto claims_controller<KeyValue>::batcher_for(const std::string& key) -> batcher_pointer {
     const std::uint32_t shard = orders::claim_shard(key, shard_count_);
     auto& found = batchers_[shard];
@@ -34,7 +34,7 @@
     return found;
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void claims_controller<KeyValue>::claim(const orders::claim_request& asked, decided done) {
     waiting_[asked.request] = std::move(done);
     const auto shard = batcher_for(asked.key);
@@ -42,7 +42,7 @@
     pump(shard);
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void claims_controller<KeyValue>::record_done(const std::string& key, const std::string& request,
                                               orders::outcome answer) {
     const auto shard = batcher_for(key);
@@ -50,20 +50,20 @@
     pump(shard);
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void claims_controller<KeyValue>::record_not_run(const std::string& key, const std::string& request) {
     const auto shard = batcher_for(key);
     shard->record_not_run(key, request, loop_.now());
     pump(shard);
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void claims_controller<KeyValue>::on_tick() {
     std::ranges::for_each(batchers_ | std::views::values,
                           [this](const batcher_pointer& shard) { pump(shard); });
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void claims_controller<KeyValue>::flush() {
     for (const batcher_pointer& shard : batchers_ | std::views::values) {
         shard->flush();
@@ -71,13 +71,13 @@
     }
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 bool claims_controller<KeyValue>::idle() const {
     return std::ranges::all_of(batchers_ | std::views::values,
                                [](const batcher_pointer& shard) { return shard->idle(); });
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void claims_controller<KeyValue>::pump(const batcher_pointer& shard) {
     for (const orders::claim_answer& answer : shard->take_answers(loop_.now())) {
         if (auto waiting = waiting_.extract(answer.request)) {
@@ -90,7 +90,7 @@
     }
     if (auto* read = std::get_if<orders::read_claims>(&*call)) {
         service_.read(std::move(read->key), [this, shard, number = read->call,
-                                             alive = alive_](const result<platform::versioned_value>& found) {
+                                             alive = alive_](const result<ports::versioned_value>& found) {
             if (*alive) {
                 shard->on_read(number, found, loop_.now());
                 pump(shard);
--- a/include/samphiretray/entry/claims_controller.h
+++ b/include/samphiretray/entry/claims_controller.h
@@ -2,7 +2,7 @@
 
 #include "samphiretray/net/loop.h"
 #include "samphiretray/orders/claim_batcher.h"
-#include "samphiretray/platform/key_value.h"
+#include "samphiretray/ports/key_value.h"
 
 #include <cstdint>
 #include <functional>
@@ -14,7 +14,7 @@
 namespace samphiretray::entry {
 
 /// Claims of idempotency keys at one entry, in batches for each shard.
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 class claims_controller {
 public:
     claims_controller(net::loop& events, KeyValue& service, std::uint32_t shards);
--- a/include/samphiretray/entry/dispatcher.h
+++ b/include/samphiretray/entry/dispatcher.h
@@ -80,7 +80,7 @@
     routing::retry_policy retries_;
     routing::outlier_ejection ejection_;
     /// Agents by the endpoint beside them.
-    std::map<std::string, platform::vm, std::less<>> agents_;
+    std::map<std::string, ports::vm, std::less<>> agents_;
     std::unordered_map<std::uint64_t, attempt_pointer> attempts_;
     dispatch_counts counts_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/include/samphiretray/entry/load_controller-inl.h
+++ b/include/samphiretray/entry/load_controller-inl.h
@@ -7,7 +7,7 @@
 
 namespace samphiretray::entry {
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 load_controller<KeyValue>::load_controller(net::loop& events, const config::entry_settings& settings,
                                            const node::peer_identity& self, KeyValue& service,
                                            const control::membership& members, control::contact& evidence)
@@ -15,19 +15,19 @@
       duty_(events, service, evidence,
             control::duty_lease("fleet", node::loads_duty, self.vm, self.incarnation)) {}
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 std::string load_controller<KeyValue>::holder_name(const node::peer_pointer& of) {
     return of->identity().vm + "/" + of->identity().incarnation;
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void load_controller<KeyValue>::members_changed() {
     const auto entries = members_.live_entries(loop_.now());
     const bool ranked = node::carries_duty(node::loads_duty, entries, self_.vm, node::duty_candidates);
     duty_.set_candidate(ranked && !stopping_);
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void load_controller<KeyValue>::refresh_term() {
     if (permits_ && term_ == duty_.fencing_number()) {
         return;
@@ -39,7 +39,7 @@
     permits_ = std::make_unique<control::load_permits>(options, loop_.now());
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 bool load_controller<KeyValue>::handle(const node::peer_pointer& from, const wire::message& value) {
     const time_point now = loop_.now();
     const std::string holder = holder_name(from);
@@ -62,7 +62,7 @@
     return true;
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void load_controller<KeyValue>::on_peer_closed(const node::peer_pointer& gone) {
     const std::string holder = holder_name(gone);
     if (holders_.erase(holder) > 0 && permits_) {
@@ -70,7 +70,7 @@
     }
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void load_controller<KeyValue>::deliver() {
     if (!permits_) {
         return;
@@ -84,13 +84,13 @@
     }
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void load_controller<KeyValue>::on_tick() {
     duty_.on_tick();
     deliver();
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void load_controller<KeyValue>::stop() {
     stopping_ = true;
     duty_.set_candidate(false);
--- a/include/samphiretray/entry/load_controller.h
+++ b/include/samphiretray/entry/load_controller.h
@@ -13,7 +13,7 @@
 namespace samphiretray::entry {
 
 /// The fleet's load permits while this entry holds the duty `loads`.
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 class load_controller {
 public:
     load_controller(net::loop& events, const config::entry_settings& settings,
--- a/include/samphiretray/entry/rate_controller-inl.h
+++ b/include/samphiretray/entry/rate_controller-inl.h
@@ -10,7 +10,7 @@
 
 namespace samphiretray::entry {
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 rate_controller<KeyValue>::rate_controller(net::loop& events, const config::entry_settings& settings,
                                            const node::peer_identity& self, KeyValue& service,
                                            node::peer_directory& peers, const control::membership& members,
@@ -26,26 +26,26 @@
     }
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 rate_controller<KeyValue>::~rate_controller() {
     *alive_ = false;
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 std::uint32_t rate_controller<KeyValue>::shard_of(const std::string& organisation) const {
     return static_cast<std::uint32_t>(hash64(organisation) % shards_.size());
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 std::string rate_controller<KeyValue>::duty_name(std::uint32_t shard_number) const {
     return "rate-" + std::to_string(shard_number);
 }
 
-template <platform::key_value_service KeyValue>
-std::vector<const platform::vm*> rate_controller<KeyValue>::region_entries() const {
+template <ports::key_value_service KeyValue>
+std::vector<const ports::vm*> rate_controller<KeyValue>::region_entries() const {
     auto entries = members_.live_entries(loop_.now());
-    std::erase_if(entries, [this](const platform::vm* vm) { return vm->region != self_.region; });
-    const platform::vm* self = members_.find(self_.vm);
+    std::erase_if(entries, [this](const ports::vm* vm) { return vm->region != self_.region; });
+    const ports::vm* self = members_.find(self_.vm);
     if (entries.empty() && self != nullptr) {
         // The last entry of a region goes on issuing until it has finished its requests.
         entries.push_back(self);
@@ -53,7 +53,7 @@
     return entries;
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 rate::bucket_limits rate_controller<KeyValue>::limits_of(const std::string& organisation) const {
     const auto* found = configuration_ ? configuration_->find_organisation(organisation) : nullptr;
     if (found == nullptr) {
@@ -62,7 +62,7 @@
     return {static_cast<double>(found->rate), static_cast<double>(found->burst)};
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void rate_controller<KeyValue>::set_configuration(std::shared_ptr<const config::snapshot> current) {
     configuration_ = std::move(current);
     for (shard& each : shards_) {
@@ -72,7 +72,7 @@
     }
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void rate_controller<KeyValue>::members_changed() {
     const auto entries = region_entries();
     for (std::uint32_t number = 0; number < shards_.size(); ++number) {
@@ -82,12 +82,12 @@
     }
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 auto rate_controller<KeyValue>::share_of(const std::string& organisation) -> share& {
     return shares_.try_emplace(organisation, organisation).first->second;
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void rate_controller<KeyValue>::reserve(std::uint64_t request, const std::string& organisation,
                                         std::uint64_t bound, time_point deadline, decided done) {
     share& of = share_of(organisation);
@@ -105,7 +105,7 @@
     pump(organisation, of);
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void rate_controller<KeyValue>::settle(std::uint64_t request, const std::string& organisation,
                                        std::uint64_t used) {
     share& of = share_of(organisation);
@@ -117,7 +117,7 @@
     pump(organisation, of);
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void rate_controller<KeyValue>::pump(const std::string& organisation, share& of) {
     if (const auto request = of.holder.next_request(loop_.now())) {
         send(organisation, of, *request);
@@ -129,7 +129,7 @@
     }
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void rate_controller<KeyValue>::send(const std::string& organisation, share& of,
                                      const wire::grant_request& request) {
     const auto entries = region_entries();
@@ -138,7 +138,7 @@
         send_failed(organisation, request.round);
         return;
     }
-    const platform::vm& issuer = *ranked[of.issuer_rank % std::min(ranked.size(), node::duty_candidates)];
+    const ports::vm& issuer = *ranked[of.issuer_rank % std::min(ranked.size(), node::duty_candidates)];
     if (issuer.name == self_.vm) {
         // The reply is handled from the loop, because it may grant reservations whose caller is running.
         loop_.post([this, request, alive = alive_] {
@@ -161,14 +161,14 @@
                    });
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void rate_controller<KeyValue>::send_failed(const std::string& organisation, std::uint64_t round) {
     share& of = share_of(organisation);
     ++of.issuer_rank;
     of.holder.on_send_failed(round, loop_.now());
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 bool rate_controller<KeyValue>::handle(const node::peer_pointer& from, const wire::message& value) {
     if (const auto* request = std::get_if<wire::grant_request>(&value)) {
         from->send(answer(from->identity().vm + "/" + from->identity().incarnation, *request));
@@ -180,7 +180,7 @@
     return true;
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void rate_controller<KeyValue>::accept(const wire::grant_reply& reply) {
     const auto found = shares_.find(reply.organisation);
     if (found == shares_.end()) {
@@ -193,7 +193,7 @@
     pump(found->first, found->second);
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 wire::grant_reply rate_controller<KeyValue>::answer(const std::string& holder,
                                                     const wire::grant_request& request) {
     shard& in = shards_[shard_of(request.organisation)];
@@ -209,7 +209,7 @@
     return issued->issuer.answer(holder, request, true, loop_.now());
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 auto rate_controller<KeyValue>::issuing_for(shard& in, const std::string& organisation)
     -> std::shared_ptr<issuing> {
     if (in.term != in.duty->fencing_number()) {
@@ -228,12 +228,12 @@
     return found;
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void rate_controller<KeyValue>::apply_limits(const std::string& organisation, issuing& of) {
     of.issuer.set_limits(of.shares.limits(limits_of(organisation)), loop_.now());
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void rate_controller<KeyValue>::run_shares(const std::string& organisation,
                                            const std::shared_ptr<issuing>& of) {
     const time_point now = loop_.now();
@@ -245,7 +245,7 @@
     }
     if (auto* read = std::get_if<rate::read_shares>(&*call)) {
         service_.read(std::move(read->key), [this, organisation, of, number = read->call,
-                                             alive = alive_](const result<platform::versioned_value>& found) {
+                                             alive = alive_](const result<ports::versioned_value>& found) {
             if (*alive) {
                 of->shares.on_read(number, found, loop_.now());
                 run_shares(organisation, of);
@@ -263,7 +263,7 @@
     });
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void rate_controller<KeyValue>::on_tick() {
     for (shard& each : shards_) {
         each.duty->on_tick();
@@ -279,7 +279,7 @@
     }
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void rate_controller<KeyValue>::stop() {
     stopping_ = true;
     for (auto& [organisation, of] : shares_) {
@@ -292,13 +292,13 @@
     }
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 bool rate_controller<KeyValue>::is_stopped() const {
     return stopping_ &&
            std::ranges::none_of(shards_, [](const shard& each) { return each.duty->is_releasing(); });
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 std::size_t rate_controller<KeyValue>::held_shards() const {
     return static_cast<std::size_t>(
         std::ranges::count_if(shards_, [](const shard& each) { return each.duty->is_held(); }));
--- a/include/samphiretray/entry/rate_controller.h
+++ b/include/samphiretray/entry/rate_controller.h
@@ -27,7 +27,7 @@
 
 /// The rate limits of all organisations at one entry: its own shares, and the buckets of the rate shards
 /// whose duty it holds.
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 class rate_controller {
 public:
     rate_controller(net::loop& events, const config::entry_settings& settings,
@@ -75,7 +75,7 @@
 
     [[nodiscard]] std::uint32_t shard_of(const std::string& organisation) const;
     [[nodiscard]] std::string duty_name(std::uint32_t shard_number) const;
-    [[nodiscard]] std::vector<const platform::vm*> region_entries() const;
+    [[nodiscard]] std::vector<const ports::vm*> region_entries() const;
     [[nodiscard]] rate::bucket_limits limits_of(const std::string& organisation) const;
     [[nodiscard]] share& share_of(const std::string& organisation);
     void pump(const std::string& organisation, share& of);
--- a/include/samphiretray/entry/request_context.h
+++ b/include/samphiretray/entry/request_context.h
@@ -5,7 +5,7 @@
 #include "samphiretray/entry/error_response.h"
 #include "samphiretray/net/http_server.h"
 #include "samphiretray/net/loop.h"
-#include "samphiretray/platform/engine.h"
+#include "samphiretray/ports/engine.h"
 
 #include <cstdint>
 #include <functional>
@@ -57,7 +57,7 @@
     std::string pool;
     bool idempotent = true;
     std::optional<completion_request> completion;
-    platform::adapter_version adapter;
+    ports::adapter_version adapter;
     std::uint32_t token_bound = 0;
     /// Path and query at a plain service.
     std::string target;
--- /dev/null
+++ b/include/samphiretray/gateway/agent_protocol.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "samphiretray/base/name_table.h"
+#include "samphiretray/net/http.h"
+#include "samphiretray/routing/endpoint_choice.h"
+
+#include <optional>
+
+/// Headers that entries and agents add for each other; they never reach callers or endpoints.
+namespace samphiretray::gateway {
+
+/// Why an agent did not pass a request on to its engine. None of these has run, except `outcome_unknown`.
+enum class agent_refusal {
+    draining,
+    /// The engine does not answer.
+    engine_down,
+    /// The expected wait is longer than the entry accepts.
+    busy,
+    deadline,
+    load_failed,
+    /// Another incarnation of the engine was meant.
+    other_incarnation,
+    /// The request was passed on and no whole answer came.
+    outcome_unknown,
+};
+
+/// What an entry tells the agent.
+void add_max_wait(net::http_headers& headers, duration wait);
+[[nodiscard]] std::optional<duration> read_max_wait(const net::http_headers& headers);
+
+/// What an agent tells the entry.
+void add_engine_load(net::http_headers& headers, const routing::engine_load& load);
+[[nodiscard]] std::optional<routing::engine_load> read_engine_load(const net::http_headers& headers);
+void add_refusal(net::http_headers& headers, agent_refusal reason);
+[[nodiscard]] std::optional<agent_refusal> read_refusal(const net::http_headers& headers);
+
+/// Removes all of these headers.
+void remove_agent_headers(net::http_headers& headers);
+
+} // namespace samphiretray::gateway
+
+namespace samphiretray {
+
+template <>
+inline constexpr auto name_table<gateway::agent_refusal> =
+    std::to_array<std::pair<gateway::agent_refusal, std::string_view>>({
+        {gateway::agent_refusal::draining, "draining"},
+        {gateway::agent_refusal::engine_down, "engine_down"},
+        {gateway::agent_refusal::busy, "busy"},
+        {gateway::agent_refusal::deadline, "deadline"},
+        {gateway::agent_refusal::load_failed, "load_failed"},
+        {gateway::agent_refusal::other_incarnation, "other_incarnation"},
+        {gateway::agent_refusal::outcome_unknown, "outcome_unknown"},
+    });
+
+} // namespace samphiretray
--- /dev/null
+++ b/include/samphiretray/gateway/usage_exchange-inl.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "samphiretray/gateway/usage_exchange.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+namespace samphiretray::gateway {
+
+template <typename Store>
+usage_exchange<Store>::usage_exchange(net::loop& events, net::http_client& http, Store& store,
+                                      exchange_settings settings, rate::fleet_usage& usage)
+    : loop_(events), http_(http), settings_(std::move(settings)), usage_(usage),
+      registration_(events, store,
+                    {.key = std::string{prefix} + settings_.vm, .value = net::to_string(settings_.listen)}),
+      follower_(events, store, {.prefix = std::string{prefix}, .pace = 1s},
+                {.on_change = [this](const ports::store_change& change, bool) { on_change(change); },
+                 .on_synchronized = [] {}}) {}
+
+template <typename Store>
+void usage_exchange<Store>::start() {
+    registration_.start();
+    follower_.start();
+    pull_next();
+}
+
+template <typename Store>
+void usage_exchange<Store>::on_change(const ports::store_change& change) {
+    const std::string name = change.key.substr(prefix.size());
+    if (name == settings_.vm) {
+        return;
+    }
+    if (!change.value) {
+        if (const auto found = peers_.find(name); found != peers_.end()) {
+            found->second.gone_at = loop_.now();
+        }
+        return;
+    }
+    const auto at = net::parse_address(*change.value);
+    if (!at) {
+        log_event(log_level::warning, "peer_address_unreadable",
+                  {{"peer", name}, {"failure", to_string(at.error())}});
+        return;
+    }
+    peer& known = peers_[name];
+    known.at = *at;
+    known.gone_at.reset();
+    publish_peers();
+}
+
+template <typename Store>
+void usage_exchange<Store>::forget_gone() {
+    const time_point now = loop_.now();
+    const auto removed = std::erase_if(peers_, [&](const auto& each) {
+        return each.second.gone_at && now - *each.second.gone_at > settings_.keep;
+    });
+    if (removed > 0) {
+        publish_peers();
+    }
+}
+
+template <typename Store>
+void usage_exchange<Store>::publish_peers() {
+    std::vector<std::string> names;
+    std::ranges::copy(peers_ | std::views::keys, std::back_inserter(names));
+    usage_.set_peers(names, loop_.now());
+    log_event(log_level::info, "peers_changed", {{"peers", names.size()}});
+}
+
+template <typename Store>
+void usage_exchange<Store>::pull_next() {
+    forget_gone();
+    const auto count = static_cast<double>(std::max<std::size_t>(peers_.size(), 1));
+    const std::chrono::duration<double> paced{1.0 / settings_.pulls_per_s};
+    const std::chrono::duration<double> shortest = settings_.shortest_interval;
+    timer_ = loop_.after(std::chrono::duration_cast<duration>(std::max(paced, shortest / count)),
+                         [this] { pull_next(); });
+    if (peers_.empty()) {
+        return;
+    }
+    auto next = peers_.upper_bound(last_pulled_);
+    next = next == peers_.end() ? peers_.begin() : next;
+    last_pulled_ = next->first;
+    pull(next->first, next->second);
+}
+
+template <typename Store>
+void usage_exchange<Store>::pull(const std::string& name, peer& from) {
+    if (from.pull) {
+        return;
+    }
+    net::http_call call;
+    call.peer = from.at;
+    call.target = "/usage";
+    call.timeout = settings_.pull_timeout;
+    from.pull = http_.fetch(std::move(call),
+                            [this, name](const result<net::http_answer>& answer) { pulled(name, answer); });
+}
+
+template <typename Store>
+void usage_exchange<Store>::pulled(const std::string& name, const result<net::http_answer>& answer) {
+    const auto found = peers_.find(name);
+    if (found == peers_.end()) {
+        return;
+    }
+    loop_.post([kept = std::shared_ptr<net::http_exchange>(std::move(found->second.pull))] {});
+    const auto report =
+        answer ? decode_usage_report(answer->body, name) : result<usage_report>{answer.error()};
+    if (std::exchange(found->second.lost, !report) != !report) {
+        log_event(report ? log_level::info : log_level::warning, report ? "peer_regained" : "peer_lost",
+                  {{"peer", name}, {"failure", report ? "" : to_string(report.error())}});
+    }
+    if (report) {
+        usage_.observe(name, report->incarnation, report->spent, loop_.now());
+    }
+}
+
+} // namespace samphiretray::gateway
--- /dev/null
+++ b/include/samphiretray/gateway/usage_report.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "samphiretray/base/error.h"
+#include "samphiretray/rate/fleet_usage.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace samphiretray::gateway {
+
+/// What an entry tells its peers.
+struct usage_report {
+    std::string vm;
+    /// Changes with every start of the process.
+    std::string incarnation;
+    /// Version of the configuration in force.
+    std::uint64_t configuration = 0;
+    std::vector<rate::spent_tokens> spent;
+};
+
+/// JSON form of a report.
+[[nodiscard]] std::string encode(const usage_report& report);
+/// Fails with `protocol_error` if `text` is not a report.
+[[nodiscard]] result<usage_report> decode_usage_report(std::string_view text, std::string_view peer);
+
+} // namespace samphiretray::gateway
--- a/include/samphiretray/net/http.h
+++ b/include/samphiretray/net/http.h
@@ -14,6 +14,9 @@
 
 using http_headers = std::vector<http_header>;
 
+/// Compares header names without case.
+[[nodiscard]] bool is_same_header(std::string_view left, std::string_view right) noexcept;
+
 /// The value of the first header called `name` (compared without case), or an empty view.
 [[nodiscard]] std::string_view find_header(const http_headers& headers, std::string_view name) noexcept;
 
@@ -28,6 +31,8 @@
     /// Path without the query string.
     std::string path;
     std::string query;
+    /// Path and query string exactly as the caller sent them.
+    std::string target = {};
     http_headers headers;
     std::string body;
     /// Numeric address of the peer.
--- a/include/samphiretray/net/http_client.h
+++ b/include/samphiretray/net/http_client.h
@@ -21,6 +21,10 @@
     std::string body;
     /// From the call to the last byte of the answer.
     duration timeout = 5s;
+    /// For a new connection to be established; `timeout` alone bounds it if this is zero.
+    duration connect_timeout = 0s;
+    /// A pooled connection that was idle for longer is not used for this call.
+    duration max_idle = 1h;
 };
 
 struct http_call_events {
--- a/include/samphiretray/node/config_watcher-inl.h
+++ b/include/samphiretray/node/config_watcher-inl.h
@@ -16,18 +16,18 @@
 /// Bounds the calls when the manifest changes all the time.
 inline constexpr duration watch_pause = 50ms;
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 config_watcher<KeyValue>::config_watcher(net::loop& events, KeyValue& service, control::contact& evidence,
                                          config::replica& configuration, std::function<void()> on_change)
     : loop_(events), service_(service), evidence_(evidence), configuration_(configuration),
       on_change_(std::move(on_change)) {}
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 config_watcher<KeyValue>::~config_watcher() {
     *alive_ = false;
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void config_watcher<KeyValue>::set_active(bool active) {
     if (active && !active_) {
         log_event(log_level::info, "config_watch_started");
@@ -38,7 +38,7 @@
     }
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void config_watcher<KeyValue>::watch() {
     timer_.reset();
     if (!active_) {
@@ -47,7 +47,7 @@
     watching_ = true;
     const time_point sent = loop_.now();
     service_.watch(std::string{config::manifest_key}, seen_, watch_limit,
-                   [this, sent, alive = alive_](const result<platform::versioned_value>& answer) {
+                   [this, sent, alive = alive_](const result<ports::versioned_value>& answer) {
                        if (*alive) {
                            watching_ = false;
                            on_manifest(sent, answer);
@@ -55,8 +55,8 @@
                    });
 }
 
-template <platform::key_value_service KeyValue>
-void config_watcher<KeyValue>::on_manifest(time_point sent, const result<platform::versioned_value>& answer) {
+template <ports::key_value_service KeyValue>
+void config_watcher<KeyValue>::on_manifest(time_point sent, const result<ports::versioned_value>& answer) {
     if (!answer) {
         evidence_.on_own_failure(sent);
         watch_later(watch_retry);
@@ -86,14 +86,14 @@
     watch_later(watch_pause);
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void config_watcher<KeyValue>::fetch(const std::vector<std::string>& digests) {
     for (const std::string& digest : digests) {
         if (!fetching_.insert(digest).second) {
             continue;
         }
         service_.read(config::chunk_key(digest),
-                      [this, digest, alive = alive_](result<platform::versioned_value> answer) {
+                      [this, digest, alive = alive_](result<ports::versioned_value> answer) {
                           if (*alive) {
                               on_chunk(digest, std::move(answer));
                           }
@@ -101,8 +101,8 @@
     }
 }
 
-template <platform::key_value_service KeyValue>
-void config_watcher<KeyValue>::on_chunk(const std::string& digest, result<platform::versioned_value> answer) {
+template <ports::key_value_service KeyValue>
+void config_watcher<KeyValue>::on_chunk(const std::string& digest, result<ports::versioned_value> answer) {
     fetching_.erase(digest);
     if (!answer || answer->revision == 0) {
         // The next completed watch asks again, because the manifest is still newer than what is in force.
@@ -115,7 +115,7 @@
     on_change_();
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void config_watcher<KeyValue>::watch_later(duration pause) {
     timer_ = loop_.after(pause, [this] { watch(); });
 }
--- a/include/samphiretray/node/config_watcher.h
+++ b/include/samphiretray/node/config_watcher.h
@@ -3,7 +3,7 @@
 #include "samphiretray/config/replica.h"
 #include "samphiretray/control/contact.h"
 #include "samphiretray/net/loop.h"
-#include "samphiretray/platform/key_value.h"
+#include "samphiretray/ports/key_value.h"
 
 #include <functional>
 #include <memory>
@@ -16,7 +16,7 @@
 ///
 /// Each completed watch is evidence of contact as of the time it was sent, each failed one evidence of an
 /// outage. While it is off there are no calls.
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 class config_watcher {
 public:
     /// `on_change` is called after the configuration in force may have changed.
@@ -31,8 +31,8 @@
 
 private:
     void watch();
-    void on_manifest(time_point sent, const result<platform::versioned_value>& answer);
-    void on_chunk(const std::string& digest, result<platform::versioned_value> answer);
+    void on_manifest(time_point sent, const result<ports::versioned_value>& answer);
+    void on_chunk(const std::string& digest, result<ports::versioned_value> answer);
     void fetch(const std::vector<std::string>& digests);
     void watch_later(duration pause);
 
--- a/include/samphiretray/node/control_plane-inl.h
+++ b/include/samphiretray/node/control_plane-inl.h
@@ -16,7 +16,7 @@
 /// Longer than the longest request, so that no link is closed under one.
 inline constexpr duration idle_link_time = 10min;
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 control_plane<KeyValue, List>::control_plane(net::loop& events, const config::common_settings& settings,
                                              const peer_identity& self, KeyValue& service, List& vms,
                                              peer_directory& peers, control_plane_events handlers)
@@ -30,30 +30,30 @@
               hash64(self.incarnation), contact_, replica_),
       watcher_(events, service, contact_, replica_, [this] { configuration_changed(); }) {}
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 control_plane<KeyValue, List>::~control_plane() {
     *alive_ = false;
 }
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 void control_plane<KeyValue, List>::start() {
     fetch_vms();
     list_timer_ = loop_.every(settings_.vm_list_interval, [this] { fetch_vms(); });
     tick_timer_ = loop_.every(control_tick, [this] { on_tick(); });
 }
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 void control_plane<KeyValue, List>::fetch_vms() {
     peers_.close_idle(idle_link_time);
-    vms_.fetch([this, alive = alive_](result<std::vector<platform::vm>> list) {
+    vms_.fetch([this, alive = alive_](result<std::vector<ports::vm>> list) {
         if (*alive) {
             on_vms(std::move(list));
         }
     });
 }
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
-void control_plane<KeyValue, List>::on_vms(result<std::vector<platform::vm>> list) {
+template <ports::key_value_service KeyValue, ports::vm_list List>
+void control_plane<KeyValue, List>::on_vms(result<std::vector<ports::vm>> list) {
     if (!list) {
         log_event(log_level::warning, "vm_list_failed",
                   {{"peer", list.error().peer}, {"detail", list.error().detail}});
@@ -63,7 +63,7 @@
     members_changed();
 }
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 void control_plane<KeyValue, List>::members_changed() {
     if (members_.version() == members_version_) {
         return;
@@ -76,18 +76,18 @@
     handlers_.on_members();
 }
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 bool control_plane<KeyValue, List>::should_watch() const {
     if (self_.kind != wire::role::entry) {
         return false;
     }
     auto candidates = members_.live_entries(loop_.now());
     std::erase_if(candidates,
-                  [this](const platform::vm* vm) { return vm->data_centre != settings_.data_centre; });
+                  [this](const ports::vm* vm) { return vm->data_centre != settings_.data_centre; });
     return is_ranked("watch/" + settings_.data_centre, candidates, settings_.vm, watchers_per_data_centre);
 }
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 void control_plane<KeyValue, List>::configuration_changed() {
     if (replica_.revision() == revision_in_force_) {
         return;
@@ -99,7 +99,7 @@
     handlers_.on_configuration();
 }
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 void control_plane<KeyValue, List>::on_tick() {
     const time_point now = loop_.now();
     if (gossip_.next_time() <= now) {
@@ -107,16 +107,16 @@
     }
 }
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 void control_plane<KeyValue, List>::perform(std::vector<control::gossip_action> actions) {
     for (auto& action : actions) {
         std::visit([this](auto& each) { send(each.peer, std::move(each.message)); }, action);
     }
 }
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 void control_plane<KeyValue, List>::send(const std::string& vm, wire::message value) {
-    const platform::vm* listed = members_.find(vm);
+    const ports::vm* listed = members_.find(vm);
     if (listed == nullptr) {
         gossip_.on_peer_failed(loop_.now(), vm);
         return;
@@ -134,7 +134,7 @@
                    });
 }
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 bool control_plane<KeyValue, List>::handle(const peer_pointer& from, const wire::message& value) {
     if (const auto* pull = std::get_if<wire::state_pull>(&value)) {
         answer(from, *pull);
@@ -151,7 +151,7 @@
     return true;
 }
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 void control_plane<KeyValue, List>::answer(const peer_pointer& from, const wire::state_pull& pull) {
     const time_point now = loop_.now();
     wire::state_reply reply;
@@ -161,7 +161,7 @@
     from->send(reply);
 }
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 void control_plane<KeyValue, List>::accept(const peer_pointer& from, const wire::state_reply& reply) {
     const time_point now = loop_.now();
     std::ranges::for_each(reply.leaving, [&](const wire::leaving_vm& vm) { members_.on_leaving(now, vm); });
@@ -170,23 +170,23 @@
     members_changed();
 }
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 void control_plane<KeyValue, List>::on_peer_closed(const peer_pointer& gone) {
     gossip_.on_peer_failed(loop_.now(), gone->identity().vm);
 }
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 void control_plane<KeyValue, List>::on_peer_seen(const peer_pointer& seen) {
     members_.on_hello(loop_.now(), seen->identity().vm, seen->identity().incarnation);
     members_changed();
 }
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 void control_plane<KeyValue, List>::announce_leaving() {
     on_leaving({self_.vm, self_.incarnation});
 }
 
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 void control_plane<KeyValue, List>::on_leaving(const wire::leaving_vm& vm) {
     members_.on_leaving(loop_.now(), vm);
     members_changed();
--- a/include/samphiretray/node/control_plane.h
+++ b/include/samphiretray/node/control_plane.h
@@ -8,8 +8,8 @@
 #include "samphiretray/net/loop.h"
 #include "samphiretray/node/config_watcher.h"
 #include "samphiretray/node/peer_directory.h"
-#include "samphiretray/platform/key_value.h"
-#include "samphiretray/platform/vm_list.h"
+#include "samphiretray/ports/key_value.h"
+#include "samphiretray/ports/vm_list.h"
 
 #include <functional>
 #include <memory>
@@ -25,7 +25,7 @@
 };
 
 /// Configuration, freshness and membership of one process, kept up by gossip with its neighbours.
-template <platform::key_value_service KeyValue, platform::vm_list List>
+template <ports::key_value_service KeyValue, ports::vm_list List>
 class control_plane {
 public:
     control_plane(net::loop& events, const config::common_settings& settings, const peer_identity& self,
@@ -58,7 +58,7 @@
 
 private:
     void fetch_vms();
-    void on_vms(result<std::vector<platform::vm>> list);
+    void on_vms(result<std::vector<ports::vm>> list);
     void members_changed();
     void configuration_changed();
     void on_tick();
--- a/include/samphiretray/node/duty_runner-inl.h
+++ b/include/samphiretray/node/duty_runner-inl.h
@@ -6,13 +6,13 @@
 
 namespace samphiretray::node {
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 duty_runner<KeyValue>::duty_runner(net::loop& events, KeyValue& service, control::contact& evidence,
                                    control::duty_settings settings)
     : loop_(events), service_(service), evidence_(evidence),
       duty_(std::make_shared<control::duty>(std::move(settings))) {}
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void duty_runner<KeyValue>::set_candidate(bool candidate) {
     if (candidate == candidate_) {
         return;
@@ -26,7 +26,7 @@
     on_tick();
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void duty_runner<KeyValue>::on_tick() {
     const time_point now = loop_.now();
     duty_->on_contact(now, evidence_);
@@ -36,13 +36,13 @@
     }
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 bool duty_runner<KeyValue>::may_act() const {
     const time_point now = loop_.now();
     return duty_->may_act(now, evidence_.state(now));
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void duty_runner<KeyValue>::perform(std::optional<control::duty_action> action) {
     if (!action) {
         return;
@@ -50,13 +50,12 @@
     const std::weak_ptr<control::duty> weak = duty_;
     const time_point sent = loop_.now();
     if (auto* read = std::get_if<control::duty_read>(&*action)) {
-        service_.read(std::move(read->key),
-                      [this, weak, sent](const result<platform::versioned_value>& answer) {
-                          if (const auto duty = weak.lock()) {
-                              note_answer(sent, answer.has_value());
-                              perform(duty->on_read(loop_.now(), answer));
-                          }
-                      });
+        service_.read(std::move(read->key), [this, weak, sent](const result<ports::versioned_value>& answer) {
+            if (const auto duty = weak.lock()) {
+                note_answer(sent, answer.has_value());
+                perform(duty->on_read(loop_.now(), answer));
+            }
+        });
         return;
     }
     service_.compare_and_swap(std::move(std::get<control::duty_swap>(*action).swap),
@@ -68,7 +67,7 @@
                               });
 }
 
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 void duty_runner<KeyValue>::note_answer(time_point sent, bool answered) {
     if (answered) {
         evidence_.on_own_answer(sent);
--- a/include/samphiretray/node/duty_runner.h
+++ b/include/samphiretray/node/duty_runner.h
@@ -3,14 +3,14 @@
 #include "samphiretray/control/contact.h"
 #include "samphiretray/control/duty.h"
 #include "samphiretray/net/loop.h"
-#include "samphiretray/platform/key_value.h"
+#include "samphiretray/ports/key_value.h"
 
 #include <memory>
 
 namespace samphiretray::node {
 
 /// Connects a `control::duty` with the key-value service.
-template <platform::key_value_service KeyValue>
+template <ports::key_value_service KeyValue>
 class duty_runner {
 public:
     duty_runner(net::loop& events, KeyValue& service, control::contact& evidence,
--- /dev/null
+++ b/include/samphiretray/node/prefix_follower-inl.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "samphiretray/base/log.h"
+#include "samphiretray/node/prefix_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace samphiretray::node {
+
+/// Failed calls in a row that count as an outage; a single one is often a connection that was closed.
+inline constexpr std::uint32_t outage_failures = 2;
+
+template <ports::watched_store Store>
+prefix_follower<Store>::prefix_follower(net::loop& events, Store& store, follower_settings settings,
+                                        follower_events handlers)
+    : loop_(events), store_(store), settings_(std::move(settings)), handlers_(std::move(handlers)),
+      answered_at_(events.now()), lost_at_(events.now()) {}
+
+template <ports::watched_store Store>
+void prefix_follower<Store>::after(duration delay, void (prefix_follower::*next)()) {
+    timer_ = loop_.after(delay, [this, next] { (this->*next)(); });
+}
+
+template <ports::watched_store Store>
+void prefix_follower<Store>::list() {
+    asked_at_ = loop_.now();
+    store_.list(settings_.prefix, [this, weak = std::weak_ptr{alive_}](result<ports::store_listing> listing) {
+        if (weak.expired()) {
+            return;
+        }
+        if (!listing) {
+            failed(listing.error());
+            return;
+        }
+        succeeded();
+        apply(*listing);
+        after(settings_.pace, &prefix_follower::watch);
+    });
+}
+
+template <ports::watched_store Store>
+void prefix_follower<Store>::watch() {
+    asked_at_ = loop_.now();
+    store_.watch(settings_.prefix, revision_, settings_.wait,
+                 [this, weak = std::weak_ptr{alive_}](result<ports::store_changes> changes) {
+                     if (weak.expired()) {
+                         return;
+                     }
+                     if (!changes) {
+                         failed(changes.error());
+                         return;
+                     }
+                     succeeded();
+                     apply(*changes);
+                     const duration passed = loop_.now() - asked_at_;
+                     after(std::max<duration>(settings_.pace - passed, 0ms), &prefix_follower::watch);
+                 });
+}
+
+template <ports::watched_store Store>
+void prefix_follower<Store>::apply(const ports::store_listing& listing) {
+    std::set<std::string> present;
+    for (const ports::stored_item& item : listing.items) {
+        present.insert(item.key);
+        report({item.key, item.value, item.revision});
+    }
+    std::set<std::string> missing;
+    std::ranges::set_difference(known_, present, std::inserter(missing, missing.end()));
+    for (const std::string& key : missing) {
+        report({key, std::nullopt, listing.revision});
+    }
+    revision_ = std::max(revision_, listing.revision);
+    if (!std::exchange(synchronized_, true)) {
+        log_event(log_level::info, "store_prefix_read",
+                  {{"prefix", settings_.prefix}, {"keys", known_.size()}, {"revision", revision_}});
+    }
+    handlers_.on_synchronized();
+}
+
+template <ports::watched_store Store>
+void prefix_follower<Store>::apply(const ports::store_changes& changes) {
+    for (const ports::store_change& change : changes.changes) {
+        report(change);
+    }
+    revision_ = std::max(revision_, changes.revision);
+}
+
+template <ports::watched_store Store>
+void prefix_follower<Store>::report(const ports::store_change& change) {
+    if (change.value) {
+        known_.insert(change.key);
+    } else {
+        known_.erase(change.key);
+    }
+    const bool after_outage = regained_at_ && loop_.now() - *regained_at_ <= settings_.outage_memory;
+    handlers_.on_change(change, after_outage);
+}
+
+template <ports::watched_store Store>
+void prefix_follower<Store>::succeeded() {
+    const time_point now = loop_.now();
+    if (failures_ >= outage_failures) {
+        regained_at_ = now;
+        log_event(log_level::info, "store_regained",
+                  {{"prefix", settings_.prefix},
+                   {"after_ms", milliseconds_in(now - lost_at_)},
+                   {"revision", revision_}});
+    }
+    failures_ = 0;
+    answered_at_ = now;
+}
+
+template <ports::watched_store Store>
+void prefix_follower<Store>::failed(const error& failure) {
+    if (failure.code == errc::stale_revision) {
+        log_event(log_level::warning, "store_history_dropped",
+                  {{"prefix", settings_.prefix}, {"revision", revision_}});
+        after(0ms, &prefix_follower::list);
+        return;
+    }
+    if (failures_ == 0) {
+        lost_at_ = loop_.now();
+    }
+    if (++failures_ == outage_failures) {
+        log_event(log_level::warning, "store_lost",
+                  {{"prefix", settings_.prefix},
+                   {"revision", revision_},
+                   {"age_ms", milliseconds_in(age())},
+                   {"failure", to_string(failure)}});
+    }
+    const duration wait =
+        std::min(settings_.max_backoff, settings_.backoff * (1U << std::min(failures_ - 1, 8U)));
+    after(failures_ == 1 ? duration{1ms} : wait,
+          synchronized_ ? &prefix_follower::watch : &prefix_follower::list);
+}
+
+} // namespace samphiretray::node
--- a/include/samphiretray/node/rendezvous.h
+++ b/include/samphiretray/node/rendezvous.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "samphiretray/platform/vm_list.h"
+#include "samphiretray/ports/vm_list.h"
 
 #include <cstddef>
 #include <span>
@@ -18,15 +18,15 @@
 
 /// The VMs in the order in which they are to carry `duty`: by rendezvous hashing, so that all processes with
 /// the same list agree, and a change of the list moves few duties.
-[[nodiscard]] std::vector<const platform::vm*> rank_for(std::string_view duty,
-                                                        std::span<const platform::vm* const> candidates);
+[[nodiscard]] std::vector<const ports::vm*> rank_for(std::string_view duty,
+                                                     std::span<const ports::vm* const> candidates);
 
 /// Whether `vm` is among the first `count` of that order.
-[[nodiscard]] bool is_ranked(std::string_view duty, std::span<const platform::vm* const> candidates,
+[[nodiscard]] bool is_ranked(std::string_view duty, std::span<const ports::vm* const> candidates,
                              std::string_view vm, std::size_t count);
 
 /// Like `is_ranked` for a duty that an entry gives up when it leaves, unless no live candidate is left.
-[[nodiscard]] bool carries_duty(std::string_view duty, std::span<const platform::vm* const> live,
+[[nodiscard]] bool carries_duty(std::string_view duty, std::span<const ports::vm* const> live,
                                 std::string_view vm, std::size_t count);
 
 } // namespace samphiretray::node
--- a/include/samphiretray/orders/claim_batcher.h
+++ b/include/samphiretray/orders/claim_batcher.h
@@ -4,7 +4,7 @@
 #include "samphiretray/base/name_table.h"
 #include "samphiretray/base/time.h"
 #include "samphiretray/orders/claim_ledger.h"
-#include "samphiretray/platform/key_value.h"
+#include "samphiretray/ports/key_value.h"
 
 #include <cstdint>
 #include <optional>
@@ -69,7 +69,7 @@
 };
 struct write_claims {
     std::uint64_t call = 0;
-    platform::swap_request swap;
+    ports::swap_request swap;
 };
 using claims_call = std::variant<read_claims, write_claims>;
 
@@ -92,7 +92,7 @@
     /// The next call to the service, if one is due. `now_seconds` is the wall clock.
     [[nodiscard]] std::optional<claims_call> next_call(time_point now, std::int64_t now_seconds);
     /// Results; those of other than the pending call are dropped.
-    void on_read(std::uint64_t call, const result<platform::versioned_value>& answer, time_point now);
+    void on_read(std::uint64_t call, const result<ports::versioned_value>& answer, time_point now);
     void on_written(std::uint64_t call, const result<std::uint64_t>& answer, time_point now);
 
     /// Answers since the last call, each claim's once. Claims past their deadline are answered here.
@@ -120,7 +120,7 @@
         time_point since;
     };
     struct pending_write {
-        platform::swap_request swap;
+        ports::swap_request swap;
         /// How many of `outcomes_` it contains.
         std::size_t outcomes = 0;
         /// True if an attempt may have taken effect, or may still do so.
--- a/include/samphiretray/platform/call_set.h
+++ b/include/samphiretray/ports/call_set.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "samphiretray/net/http_client.h"
-#include "samphiretray/platform/key_value.h"
+#include "samphiretray/ports/key_value.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
 
-namespace samphiretray::platform {
+namespace samphiretray::ports {
 
 /// Keeps HTTP calls until they are done. Destroying it cancels them without further completions.
 class call_set {
@@ -21,4 +21,4 @@
     std::uint64_t next_ = 0;
 };
 
-} // namespace samphiretray::platform
+} // namespace samphiretray::ports
--- a/include/samphiretray/platform/engine.h
+++ b/include/samphiretray/ports/engine.h
@@ -2,7 +2,7 @@
 
 #include "samphiretray/base/error.h"
 #include "samphiretray/base/time.h"
-#include "samphiretray/platform/key_value.h"
+#include "samphiretray/ports/key_value.h"
 
 #include <concepts>
 #include <cstdint>
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <vector>
 
-namespace samphiretray::platform {
+namespace samphiretray::ports {
 
 /// The name of an adapter version as engines know it.
 struct adapter_version {
@@ -81,4 +81,4 @@
     { back_end.call(call, events) } -> std::same_as<std::unique_ptr<engine_exchange>>;
 };
 
-} // namespace samphiretray::platform
+} // namespace samphiretray::ports
--- a/include/samphiretray/platform/http_engine.h
+++ b/include/samphiretray/ports/http_engine.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "samphiretray/net/http_client.h"
-#include "samphiretray/platform/call_set.h"
-#include "samphiretray/platform/engine.h"
+#include "samphiretray/ports/call_set.h"
+#include "samphiretray/ports/engine.h"
 
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace samphiretray::platform {
+namespace samphiretray::ports {
 
 /// "<adapter>@<version>".
 [[nodiscard]] std::string to_string(const adapter_version& value);
@@ -50,4 +50,4 @@
     call_set calls_;
 };
 
-} // namespace samphiretray::platform
+} // namespace samphiretray::ports
--- a/include/samphiretray/platform/http_key_value.h
+++ b/include/samphiretray/ports/http_key_value.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "samphiretray/net/http_client.h"
-#include "samphiretray/platform/call_set.h"
-#include "samphiretray/platform/key_value.h"
+#include "samphiretray/ports/call_set.h"
+#include "samphiretray/ports/key_value.h"
 
-namespace samphiretray::platform {
+namespace samphiretray::ports {
 
 struct http_key_value_options {
     net::address service;
@@ -32,4 +32,4 @@
     call_set calls_;
 };
 
-} // namespace samphiretray::platform
+} // namespace samphiretray::ports
--- a/include/samphiretray/platform/http_vm_list.h
+++ b/include/samphiretray/ports/http_vm_list.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "samphiretray/net/http_client.h"
-#include "samphiretray/platform/call_set.h"
-#include "samphiretray/platform/vm_list.h"
+#include "samphiretray/ports/call_set.h"
+#include "samphiretray/ports/vm_list.h"
 
 #include <string_view>
 
-namespace samphiretray::platform {
+namespace samphiretray::ports {
 
 /// Parses the body of a VM list. An entry that is malformed or of an unknown kind is left out and logged, so
 /// that one bad entry does not hide the others. Fails with `errc::protocol_error` if there is no list.
@@ -27,4 +27,4 @@
     call_set calls_;
 };
 
-} // namespace samphiretray::platform
+} // namespace samphiretray::ports
--- a/include/samphiretray/platform/key_value.h
+++ b/include/samphiretray/ports/key_value.h
@@ -9,7 +9,7 @@
 #include <optional>
 #include <string>
 
-namespace samphiretray::platform {
+namespace samphiretray::ports {
 
 /// A stored value and the revision of its last write. Revisions of a key only grow; 0 means "absent".
 struct versioned_value {
@@ -45,4 +45,4 @@
         service.watch(key, after, limit, on_value);
     };
 
-} // namespace samphiretray::platform
+} // namespace samphiretray::ports
--- a/include/samphiretray/platform/vm_list.h
+++ b/include/samphiretray/ports/vm_list.h
@@ -2,14 +2,14 @@
 
 #include "samphiretray/base/error.h"
 #include "samphiretray/net/address.h"
-#include "samphiretray/platform/key_value.h"
+#include "samphiretray/ports/key_value.h"
 #include "samphiretray/wire/messages.h"
 
 #include <concepts>
 #include <string>
 #include <vector>
 
-namespace samphiretray::platform {
+namespace samphiretray::ports {
 
 enum class vm_state { live, leaving };
 
@@ -35,15 +35,15 @@
 template <typename List>
 concept vm_list = requires(List& list, completion<std::vector<vm>> on_list) { list.fetch(on_list); };
 
-} // namespace samphiretray::platform
+} // namespace samphiretray::ports
 
 namespace samphiretray {
 
 template <>
-inline constexpr auto name_table<platform::vm_state> =
-    std::to_array<std::pair<platform::vm_state, std::string_view>>({
-        {platform::vm_state::live, "live"},
-        {platform::vm_state::leaving, "leaving"},
+inline constexpr auto name_table<ports::vm_state> =
+    std::to_array<std::pair<ports::vm_state, std::string_view>>({
+        {ports::vm_state::live, "live"},
+        {ports::vm_state::leaving, "leaving"},
     });
 
 } // namespace samphiretray
--- a/include/samphiretray/rate/region_shares.h
+++ b/include/samphiretray/rate/region_shares.h
@@ -2,7 +2,7 @@
 
 #include "samphiretray/base/error.h"
 #include "samphiretray/base/time.h"
-#include "samphiretray/platform/key_value.h"
+#include "samphiretray/ports/key_value.h"
 #include "samphiretray/rate/grant_issuer.h"
 #include "samphiretray/rate/token_bucket.h"
 
@@ -59,7 +59,7 @@
 };
 struct write_shares {
     std::uint64_t call = 0;
-    platform::swap_request swap;
+    ports::swap_request swap;
 };
 using shares_call = std::variant<read_shares, write_shares>;
 
@@ -80,7 +80,7 @@
     [[nodiscard]] std::optional<shares_call> next_call(const region_demand& demand, bucket_limits whole,
                                                        bool lowered, time_point now);
     /// Results; those of other than the pending call are dropped.
-    void on_read(std::uint64_t call, const result<platform::versioned_value>& answer, time_point now);
+    void on_read(std::uint64_t call, const result<ports::versioned_value>& answer, time_point now);
     void on_written(std::uint64_t call, const result<std::uint64_t>& answer, time_point now);
 
     /// Part in force; 0 until the first write of the term succeeded.
@@ -92,7 +92,7 @@
 
 private:
     struct pending_write {
-        platform::swap_request swap;
+        ports::swap_request swap;
         shares_record record;
     };
 
--- a/include/samphiretray/routing/placement.h
+++ b/include/samphiretray/routing/placement.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "samphiretray/base/time.h"
-#include "samphiretray/platform/engine.h"
+#include "samphiretray/ports/engine.h"
 #include "samphiretray/wire/messages.h"
 
 #include <cstddef>
@@ -78,7 +78,7 @@
 struct placement_request {
     std::string_view pool;
     /// Empty names for plain services.
-    platform::adapter_version adapter;
+    ports::adapter_version adapter;
     /// True for a priority customer: it goes where it starts first, whatever that costs others.
     bool priority = false;
     /// Expected bytes of request and answer together.
@@ -98,7 +98,7 @@
 /// What an entry learns when an attempt's answer begins.
 struct answer_report {
     std::string_view endpoint;
-    platform::adapter_version adapter;
+    ports::adapter_version adapter;
     /// From `answer_head.cold`.
     bool cold = false;
     /// Time from sending the attempt to the head of its answer.
@@ -135,13 +135,13 @@
     void observe_load(std::string_view endpoint, const wire::load_report& load, time_point now);
     void observe_answer(const answer_report& report, time_point now);
     /// A refusal says that the adapter is not resident if its load failed; otherwise only its load counts.
-    void observe_refusal(std::string_view endpoint, const platform::adapter_version& adapter,
+    void observe_refusal(std::string_view endpoint, const ports::adapter_version& adapter,
                          wire::refusal reason, const wire::load_report& load, time_point now);
     /// Forgets all residency hints of an endpoint, as after a restart of its engine.
     void forget_residency(std::string_view endpoint);
 
     /// Number of home endpoints of an adapter at the moment.
-    [[nodiscard]] std::size_t homes(const platform::adapter_version& adapter) const;
+    [[nodiscard]] std::size_t homes(const ports::adapter_version& adapter) const;
     /// The estimated delay of a load at the moment.
     [[nodiscard]] duration load_delay() const noexcept;
 
--- a/src/agent/agent_process.cpp
+++ b/src/agent/agent_process.cpp
@@ -9,9 +9,9 @@
 #include "samphiretray/node/duty_runner.h"
 #include "samphiretray/node/peer_directory.h"
 #include "samphiretray/node/process_status.h"
-#include "samphiretray/platform/http_engine.h"
-#include "samphiretray/platform/http_key_value.h"
-#include "samphiretray/platform/http_vm_list.h"
+#include "samphiretray/ports/http_engine.h"
+#include "samphiretray/ports/http_key_value.h"
+#include "samphiretray/ports/http_vm_list.h"
 
 #include <utility>
 
@@ -23,9 +23,9 @@
 /// outage is told from a partition.
 constexpr duration key_value_timeout = 1s;
 
-using key_value = platform::http_key_value_service;
-using vm_list = platform::http_vm_list;
-using engine = platform::http_engine;
+using key_value = ports::http_key_value_service;
+using vm_list = ports::http_vm_list;
+using engine = ports::http_engine;
 
 constexpr duration tick_interval = 20ms;
 constexpr duration drain_check_interval = 50ms;
--- a/src/agent/answer_checker.cpp
+++ b/src/agent/answer_checker.cpp
@@ -1,6 +1,6 @@
 #include "samphiretray/agent/answer_checker.h"
 
-#include "samphiretray/platform/http_engine.h"
+#include "samphiretray/ports/http_engine.h"
 
 #include <nlohmann/json.hpp>
 
@@ -48,8 +48,8 @@
 
 } // namespace
 
-answer_checker::answer_checker(const platform::adapter_version& expected)
-    : expected_(platform::to_string(expected)) {}
+answer_checker::answer_checker(const ports::adapter_version& expected)
+    : expected_(ports::to_string(expected)) {}
 
 void answer_checker::start(int status, std::string_view content_type) {
     streamed_ = content_type.starts_with("text/event-stream");
--- a/src/agent/fair_queue.cpp
+++ b/src/agent/fair_queue.cpp
@@ -78,7 +78,7 @@
     return seconds_to_duration(ahead / rate_);
 }
 
-std::uint32_t fair_queue::load_weight(const platform::adapter_version& adapter) const {
+std::uint32_t fair_queue::load_weight(const ports::adapter_version& adapter) const {
     const double mean = mean_weight();
     double weight = 0.0;
     for (const service_class* in : {&priority_, &normal_}) {
--- a/src/agent/permit_client.cpp
+++ b/src/agent/permit_client.cpp
@@ -20,7 +20,7 @@
 
 permit_client::permit_client(net::loop& events, std::string endpoint, node::peer_directory& peers,
                              const control::membership& members,
-                             std::function<bool(const platform::adapter_version&)> granted)
+                             std::function<bool(const ports::adapter_version&)> granted)
     : loop_(events), endpoint_(std::move(endpoint)), peers_(peers), members_(members),
       granted_(std::move(granted)), random_(hash64(endpoint_)), local_({}, 1, random_, events.now()),
       issuer_seen_(events.now()) {}
@@ -58,8 +58,7 @@
     }
 }
 
-void permit_client::send(const platform::adapter_version& adapter, request& asked,
-                         const wanted_load& wanted) {
+void permit_client::send(const ports::adapter_version& adapter, request& asked, const wanted_load& wanted) {
     asked.priority = wanted.priority;
     asked.last_sent = loop_.now();
     asked.round = next_round_++;
@@ -68,7 +67,7 @@
     if (ranked.empty()) {
         return;
     }
-    const platform::vm& issuer = *ranked[issuer_rank_ % std::min(ranked.size(), node::duty_candidates)];
+    const ports::vm& issuer = *ranked[issuer_rank_ % std::min(ranked.size(), node::duty_candidates)];
     const wire::permit_request message{asked.round,     endpoint_,       adapter.adapter,
                                        adapter.version, wanted.priority, wanted.waiting};
     peers_.connect(issuer.name, issuer.peer_address,
@@ -94,9 +93,9 @@
     }
 }
 
-void permit_client::try_local(const platform::adapter_version& adapter, request& asked) {
-    const auto agents = static_cast<std::uint32_t>(
-        std::ranges::count_if(members_.live(loop_.now()), [](const platform::vm* vm) {
+void permit_client::try_local(const ports::adapter_version& adapter, request& asked) {
+    const auto agents =
+        static_cast<std::uint32_t>(std::ranges::count_if(members_.live(loop_.now()), [](const ports::vm* vm) {
             return vm->kind == wire::role::agent && !vm->base_model.empty();
         }));
     local_.set_agents(std::max(agents, 1U), loop_.now());
@@ -105,18 +104,18 @@
     }
 }
 
-void permit_client::start(const platform::adapter_version& adapter, request& asked, bool local) {
+void permit_client::start(const ports::adapter_version& adapter, request& asked, bool local) {
     asked.in_use = true;
     asked.local = local;
     // The load may end inside the call, which erases the request and the name that `adapter` refers to.
     // NOLINTNEXTLINE(performance-unnecessary-copy-initialization)
-    const platform::adapter_version target = adapter;
+    const ports::adapter_version target = adapter;
     if (!granted_(target)) {
         done(target, false);
     }
 }
 
-void permit_client::done(const platform::adapter_version& adapter, bool loaded) {
+void permit_client::done(const ports::adapter_version& adapter, bool loaded) {
     const auto found = requests_.find(adapter);
     if (found == requests_.end() || !found->second.in_use) {
         return;
--- a/src/agent/slot_table.cpp
+++ b/src/agent/slot_table.cpp
@@ -421,6 +421,16 @@
     return find(adapter) != nullptr;
 }
 
+std::vector<adapter_version> slot_table::residents() const {
+    std::vector<adapter_version> held;
+    for (const slot& of : slots_) {
+        if (of.state == slot_state::resident) {
+            held.push_back(of.holds);
+        }
+    }
+    return held;
+}
+
 std::uint32_t slot_table::pins(const adapter_version& adapter) const {
     const slot* of = find(adapter);
     return of == nullptr ? 0 : of->pins;
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,10 +1,15 @@
 #include "samphiretray/base/log.h"
 
+#include "samphiretray/base/time.h"
+
 #include <easylogging++.h>
+#include <fcntl.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <utility>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -60,9 +65,53 @@
     return el::Level::Error;
 }
 
+/// Bounds the lines of this process.
+class log_output {
+public:
+    explicit log_output(std::uint32_t lines_per_s) : rate_(lines_per_s), level_(lines_per_s) {}
+
+    void write(std::string line) {
+        refill();
+        if (level_ < 1.0) {
+            ++dropped_;
+            return;
+        }
+        level_ -= 1.0;
+        if (dropped_ > 0) {
+            line += format_event("log_lines_dropped", {{"lines", dropped_}}) + "\n";
+        }
+        // A line is shorter than what a pipe takes at once, so it is written whole or not at all.
+        if (::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size())) {
+            dropped_ = 0;
+        } else {
+            ++dropped_;
+        }
+    }
+
+private:
+    void refill() {
+        const time_point now = monotonic_clock::now();
+        const std::chrono::duration<double> passed = now - refilled_at_;
+        level_ = std::min(rate_, level_ + passed.count() * rate_);
+        refilled_at_ = now;
+    }
+
+    double rate_;
+    double level_;
+    time_point refilled_at_ = monotonic_clock::now();
+    std::uint64_t dropped_ = 0;
+};
+
+log_output output{default_log_lines_per_s};
+
 } // namespace
 
-void configure_logging(log_level minimum) {
+void configure_logging(log_level minimum, std::uint32_t lines_per_s) {
+    output = log_output{lines_per_s};
+    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0) {
+        ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
     el::Configurations settings;
     settings.setToDefault();
     settings.setGlobally(el::ConfigurationType::ToFile, "false");
@@ -100,7 +149,7 @@
     line += ' ';
     line += format_event(event, fields);
     line += '\n';
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    output.write(std::move(line));
 }
 
 } // namespace samphiretray
--- a/src/cli/configuration_store.h
+++ b/src/cli/configuration_store.h
@@ -3,7 +3,7 @@
 #include "samphiretray/config/editor.h"
 #include "samphiretray/net/http_client.h"
 #include "samphiretray/net/loop.h"
-#include "samphiretray/platform/http_key_value.h"
+#include "samphiretray/ports/http_key_value.h"
 
 #include <cstdint>
 #include <memory>
@@ -33,7 +33,7 @@
 
     net::loop loop_;
     std::unique_ptr<net::http_client> client_;
-    platform::http_key_value_service service_;
+    ports::http_key_value_service service_;
     std::vector<net::timer_handle> timers_;
 };
 
--- a/src/config/editor.cpp
+++ b/src/config/editor.cpp
@@ -58,7 +58,7 @@
     return read(std::string{manifest_key});
 }
 
-editor::actions editor::on_read(std::string_view key, const result<platform::versioned_value>& answer) {
+editor::actions editor::on_read(std::string_view key, const result<ports::versioned_value>& answer) {
     const std::string name{key};
     if (open_.erase(name) == 0) {
         return {};
@@ -90,7 +90,7 @@
     return key == manifest_key ? on_manifest_swap(answer) : on_chunk_swap(name, answer);
 }
 
-editor::actions editor::on_base(const platform::versioned_value& value) {
+editor::actions editor::on_base(const ports::versioned_value& value) {
     phase_ = phase::read_chunks;
     base_stored_as_ = value.revision;
     if (value.revision == 0) {
@@ -108,7 +108,7 @@
     return reads;
 }
 
-editor::actions editor::on_base_chunk(const platform::versioned_value& value) {
+editor::actions editor::on_base_chunk(const ports::versioned_value& value) {
     // `join` refuses a chunk that is missing or differs from its digest.
     base_chunks_.emplace(chunk_digest(value.value), value.value);
     return open_.empty() ? apply_edit() : actions{};
@@ -169,7 +169,7 @@
     return repeat(key, failure, [&](duration delay) { return write_chunk(key, delay); });
 }
 
-editor::actions editor::on_stored_chunk(const std::string& key, const platform::versioned_value& value) {
+editor::actions editor::on_stored_chunk(const std::string& key, const ports::versioned_value& value) {
     if (value.revision == 0) {
         const error cause = configure_error(errc::unavailable, "a chunk was not stored");
         return repeat(key, cause, [&](duration delay) { return write_chunk(key, delay); });
@@ -205,7 +205,7 @@
     return read(key);
 }
 
-editor::actions editor::on_read_back(const platform::versioned_value& value) {
+editor::actions editor::on_read_back(const ports::versioned_value& value) {
     const std::string key{manifest_key};
     if (value.revision == base_stored_as_) {
         // The write may still arrive. Writing the same text again is safe: only one of the two can win.
--- a/src/control/duty.cpp
+++ b/src/control/duty.cpp
@@ -132,7 +132,7 @@
     return std::nullopt;
 }
 
-std::optional<duty_action> duty::on_read(time_point now, const result<platform::versioned_value>& answer) {
+std::optional<duty_action> duty::on_read(time_point now, const result<ports::versioned_value>& answer) {
     if (phase_ != phase::reading) {
         return std::nullopt;
     }
@@ -155,7 +155,7 @@
     return contest(now, *answer);
 }
 
-std::optional<duty_action> duty::contest(time_point now, const platform::versioned_value& stored) {
+std::optional<duty_action> duty::contest(time_point now, const ports::versioned_value& stored) {
     other_holder_.clear();
     releasing_ = false;
     if (!running_) {
--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -24,11 +24,11 @@
     : settings_(std::move(settings)), evidence_(evidence), configuration_(configuration),
       random_(static_cast<std::minstd_rand::result_type>(seed)) {}
 
-void gossip::set_members(time_point now, std::span<const platform::vm* const> live) {
+void gossip::set_members(time_point now, std::span<const ports::vm* const> live) {
     near_.clear();
     in_region_.clear();
     far_.clear();
-    for (const platform::vm* vm : live) {
+    for (const ports::vm* vm : live) {
         if (vm->name == settings_.vm) {
             continue;
         }
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-auto fields_of(const platform::vm& vm) {
+auto fields_of(const ports::vm& vm) {
     return std::tie(vm.name, vm.kind, vm.region, vm.data_centre, vm.peer_address, vm.state, vm.endpoint,
                     vm.service, vm.base_model, vm.slots);
 }
@@ -18,13 +18,13 @@
 
 membership::membership(membership_settings settings) : settings_(settings) {}
 
-void membership::on_list(time_point now, std::vector<platform::vm> list) {
+void membership::on_list(time_point now, std::vector<ports::vm> list) {
     // The fleet is never empty, since this process is in it; such a list is a fault of its source.
     if (list.empty()) {
         return;
     }
     std::set<std::string, std::less<>> names;
-    for (platform::vm& vm : list) {
+    for (ports::vm& vm : list) {
         names.insert(vm.name);
         add_listed(std::move(vm));
     }
@@ -38,7 +38,7 @@
     forget_old(now);
 }
 
-void membership::add_listed(platform::vm vm) {
+void membership::add_listed(ports::vm vm) {
     vm_state& state = vms_[vm.name];
     if (state.is_listed && fields_of(state.listed) == fields_of(vm)) {
         return;
@@ -80,7 +80,7 @@
     const auto counts = [&](const auto& entry) {
         return entry.second.counts && now - entry.second.heard < settings_.notice_lifetime;
     };
-    return state.listed.state == platform::vm_state::leaving || std::ranges::any_of(state.notices, counts);
+    return state.listed.state == ports::vm_state::leaving || std::ranges::any_of(state.notices, counts);
 }
 
 bool membership::is_live(time_point now, const vm_state& state) const {
@@ -102,7 +102,7 @@
                   [](const auto& entry) { return !entry.second.is_listed && entry.second.notices.empty(); });
 }
 
-const platform::vm* membership::find(std::string_view name) const {
+const ports::vm* membership::find(std::string_view name) const {
     const auto found = vms_.find(name);
     return found != vms_.end() && found->second.is_listed ? &found->second.listed : nullptr;
 }
@@ -113,8 +113,8 @@
 }
 
 template <typename Predicate>
-std::vector<const platform::vm*> membership::select(time_point now, Predicate matches) const {
-    std::vector<const platform::vm*> selected;
+std::vector<const ports::vm*> membership::select(time_point now, Predicate matches) const {
+    std::vector<const ports::vm*> selected;
     for (const vm_state& state : vms_ | std::views::values) {
         if (is_live(now, state) && matches(state.listed)) {
             selected.push_back(&state.listed);
@@ -123,22 +123,22 @@
     return selected;
 }
 
-std::vector<const platform::vm*> membership::live_agents(time_point now, std::string_view service) const {
-    return select(now, [service](const platform::vm& vm) {
+std::vector<const ports::vm*> membership::live_agents(time_point now, std::string_view service) const {
+    return select(now, [service](const ports::vm& vm) {
         return vm.kind == wire::role::agent && vm.service == service;
     });
 }
 
-std::vector<const platform::vm*> membership::live_entries(time_point now) const {
-    return select(now, [](const platform::vm& vm) { return vm.kind == wire::role::entry; });
+std::vector<const ports::vm*> membership::live_entries(time_point now) const {
+    return select(now, [](const ports::vm& vm) { return vm.kind == wire::role::entry; });
 }
 
-std::vector<const platform::vm*> membership::peers_in(time_point now, std::string_view region) const {
-    return select(now, [region](const platform::vm& vm) { return vm.region == region; });
+std::vector<const ports::vm*> membership::peers_in(time_point now, std::string_view region) const {
+    return select(now, [region](const ports::vm& vm) { return vm.region == region; });
 }
 
-std::vector<const platform::vm*> membership::live(time_point now) const {
-    return select(now, [](const platform::vm&) { return true; });
+std::vector<const ports::vm*> membership::live(time_point now) const {
+    return select(now, [](const ports::vm&) { return true; });
 }
 
 std::vector<std::string> membership::regions() const {
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -55,7 +55,7 @@
     std::uint32_t number = 1;
     std::vector<std::string> tried;
     std::string endpoint;
-    platform::vm agent;
+    ports::vm agent;
     node::peer_pointer link;
     /// True if an earlier attempt may have run.
     bool earlier_may_have_run = false;
@@ -85,7 +85,7 @@
     agents_.clear();
     std::vector<routing::endpoint> endpoints;
     std::map<std::string, std::vector<std::string>> pools;
-    for (const platform::vm* vm : members_.live(loop_.now())) {
+    for (const ports::vm* vm : members_.live(loop_.now())) {
         if (vm->kind != wire::role::agent) {
             continue;
         }
@@ -240,7 +240,7 @@
     }
     request_context& request = *answered->request;
     const time_point now = loop_.now();
-    const platform::adapter_version ran{head.adapter, head.version};
+    const ports::adapter_version ran{head.adapter, head.version};
     if (ran != request.adapter || answered->has_head) {
         ++counts_.wrong_version;
         ejection_.failed(answered->endpoint, now);
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -14,8 +14,8 @@
 #include "samphiretray/node/control_plane.h"
 #include "samphiretray/node/peer_directory.h"
 #include "samphiretray/node/process_status.h"
-#include "samphiretray/platform/http_key_value.h"
-#include "samphiretray/platform/http_vm_list.h"
+#include "samphiretray/ports/http_key_value.h"
+#include "samphiretray/ports/http_vm_list.h"
 
 #include <algorithm>
 #include <charconv>
@@ -32,8 +32,8 @@
 /// outage is told from a partition.
 constexpr duration key_value_timeout = 1s;
 
-using key_value = platform::http_key_value_service;
-using vm_list = platform::http_vm_list;
+using key_value = ports::http_key_value_service;
+using vm_list = ports::http_vm_list;
 using control_plane = node::control_plane<key_value, vm_list>;
 using rates = rate_controller<key_value>;
 using claims = claims_controller<key_value>;
--- /dev/null
+++ b/src/gateway/agent_protocol.cpp
@@ -0,0 +1,75 @@
+#include "samphiretray/gateway/agent_protocol.h"
+
+#include "samphiretray/base/split.h"
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <ranges>
+
+namespace samphiretray::gateway {
+
+namespace {
+
+constexpr std::string_view max_wait_header = "samphiretray-max-wait-ms";
+constexpr std::string_view load_header = "samphiretray-engine-load";
+constexpr std::string_view refusal_header = "samphiretray-refusal";
+constexpr std::array all_headers{max_wait_header, load_header, refusal_header};
+/// Backlog, running requests and reserved memory come before the names of adapters.
+constexpr std::size_t load_numbers = 3;
+
+} // namespace
+
+void add_max_wait(net::http_headers& headers, duration wait) {
+    headers.push_back({std::string{max_wait_header}, std::to_string(milliseconds_in(wait))});
+}
+
+std::optional<duration> read_max_wait(const net::http_headers& headers) {
+    const auto value = parse_number<std::uint32_t>(net::find_header(headers, max_wait_header));
+    return value ? std::optional<duration>{std::chrono::milliseconds{*value}} : std::nullopt;
+}
+
+void add_engine_load(net::http_headers& headers, const routing::engine_load& load) {
+    std::string text = std::to_string(load.backlog_tokens) + "," + std::to_string(load.running) + "," +
+                       std::to_string(load.kv_reserved);
+    for (const std::string& name : load.resident) {
+        text += "," + name;
+    }
+    headers.push_back({std::string{load_header}, std::move(text)});
+}
+
+std::optional<routing::engine_load> read_engine_load(const net::http_headers& headers) {
+    const auto parts = split(net::find_header(headers, load_header), ',');
+    if (parts.size() < load_numbers) {
+        return std::nullopt;
+    }
+    const auto backlog = parse_number<std::uint64_t>(parts[0]);
+    const auto running = parse_number<std::uint32_t>(parts[1]);
+    const auto reserved = parse_number<std::uint64_t>(parts[2]);
+    if (!backlog || !running || !reserved) {
+        return std::nullopt;
+    }
+    routing::engine_load load{*backlog, *running, *reserved, {}};
+    for (const std::string_view name : parts | std::views::drop(load_numbers)) {
+        load.resident.emplace_back(name);
+    }
+    return load;
+}
+
+void add_refusal(net::http_headers& headers, agent_refusal reason) {
+    headers.push_back({std::string{refusal_header}, std::string{name_of(reason)}});
+}
+
+std::optional<agent_refusal> read_refusal(const net::http_headers& headers) {
+    const std::string_view text = net::find_header(headers, refusal_header);
+    return text.empty() ? std::nullopt : parse_name<agent_refusal>(text);
+}
+
+void remove_agent_headers(net::http_headers& headers) {
+    std::erase_if(headers, [](const net::http_header& header) {
+        return std::ranges::any_of(
+            all_headers, [&header](std::string_view name) { return net::is_same_header(header.name, name); });
+    });
+}
+
+} // namespace samphiretray::gateway
--- /dev/null
+++ b/src/gateway/endpoint_directory.cpp
@@ -0,0 +1,66 @@
+#include "samphiretray/gateway/endpoint_directory.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+namespace samphiretray::gateway {
+
+bool endpoint_directory::update(endpoint value) {
+    removed_at_.erase(value.id);
+    const auto found = endpoints_.find(value.id);
+    const bool restarted = found == endpoints_.end() || found->second.started_at != value.started_at;
+    endpoints_.insert_or_assign(value.id, std::move(value));
+    return restarted;
+}
+
+void endpoint_directory::remove(const std::string& id, bool after_outage, time_point now) {
+    if (!endpoints_.contains(id)) {
+        return;
+    }
+    if (after_outage) {
+        removed_at_.try_emplace(id, now);
+        return;
+    }
+    removed_at_.erase(id);
+    endpoints_.erase(id);
+}
+
+void endpoint_directory::mark_draining(const std::string& id) {
+    if (const auto found = endpoints_.find(id); found != endpoints_.end()) {
+        found->second.draining = true;
+    }
+}
+
+void endpoint_directory::expire(time_point now) {
+    std::erase_if(removed_at_, [this, now](const auto& removed) {
+        const bool due = now - removed.second >= return_grace;
+        if (due) {
+            endpoints_.erase(removed.first);
+        }
+        return due;
+    });
+}
+
+const endpoint* endpoint_directory::find(const std::string& id) const {
+    const auto found = endpoints_.find(id);
+    return found == endpoints_.end() ? nullptr : &found->second;
+}
+
+std::vector<const endpoint*> endpoint_directory::live(std::string_view service) const {
+    std::vector<const endpoint*> chosen;
+    for (const endpoint& each : endpoints_ | std::views::values) {
+        if (each.service == service && !each.draining) {
+            chosen.push_back(&each);
+        }
+    }
+    return chosen;
+}
+
+std::vector<std::string> endpoint_directory::ids() const {
+    std::vector<std::string> names;
+    std::ranges::copy(endpoints_ | std::views::keys, std::back_inserter(names));
+    return names;
+}
+
+} // namespace samphiretray::gateway
--- /dev/null
+++ b/src/gateway/usage_report.cpp
@@ -0,0 +1,47 @@
+#include "samphiretray/gateway/usage_report.h"
+
+#include <nlohmann/json.hpp>
+
+namespace samphiretray::gateway {
+
+namespace {
+
+using json = nlohmann::json;
+
+} // namespace
+
+std::string encode(const usage_report& report) {
+    json spent = json::object();
+    for (const rate::spent_tokens& each : report.spent) {
+        spent[each.organisation] = each.tokens;
+    }
+    return json{{"vm", report.vm},
+                {"incarnation", report.incarnation},
+                {"configuration", report.configuration},
+                {"spent", std::move(spent)}}
+        .dump();
+}
+
+result<usage_report> decode_usage_report(std::string_view text, std::string_view peer) {
+    const json parsed = json::parse(text, nullptr, false);
+    const auto has = [&parsed](const char* name, auto is_type) {
+        return parsed.contains(name) && is_type(parsed[name]);
+    };
+    const auto is_text = [](const json& value) { return value.is_string(); };
+    const bool well_formed =
+        parsed.is_object() && has("vm", is_text) && has("incarnation", is_text) &&
+        has("configuration", [](const json& value) { return value.is_number_unsigned(); }) &&
+        has("spent", [](const json& value) { return value.is_object(); });
+    if (!well_formed) {
+        return make_error(errc::protocol_error, step::parse, std::string{peer}, "not a report of usage");
+    }
+    usage_report report{parsed["vm"], parsed["incarnation"], parsed["configuration"], {}};
+    for (const auto& [organisation, tokens] : parsed["spent"].items()) {
+        if (tokens.is_number()) {
+            report.spent.push_back({organisation, tokens.get<double>()});
+        }
+    }
+    return report;
+}
+
+} // namespace samphiretray::gateway
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,8 @@
 #include "samphiretray/cli/daemon.h"
 #include "samphiretray/cli/report.h"
 
+#include "platform/processes.h"
+
 #include <cstdio>
 #include <string_view>
 
@@ -14,6 +16,12 @@
     if (command == "agent") {
         return cli::run_agent(argc - 1, argv + 1);
     }
+    if (command == "gateway") {
+        return platform::run_gateway(argc - 1, argv + 1);
+    }
+    if (command == "engine-agent") {
+        return platform::run_engine_agent(argc - 1, argv + 1);
+    }
     if (command == "--version") {
         std::puts("samphiretray " SAMPHIRETRAY_VERSION);
         return cli::exit_ok;
@@ -28,6 +36,8 @@
     std::fputs("usage: samphiretray COMMAND [OPTION...]\n"
                "  entry   serve callers on an entry VM\n"
                "  agent   serve the endpoint on an endpoint VM\n"
+               "  gateway       serve callers on an entry VM of the users' platform\n"
+               "  engine-agent  serve the engine on an endpoint VM of the users' platform\n"
                "  check   check settings, rules and inventory files\n"
                "  config  show, import, diff and apply the configuration\n"
                "  key     grant, withdraw and list keys\n"
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -11,6 +11,9 @@
 // that crosses a server's close would fail without an answer.
 constexpr duration idle_limit = 20s;
 constexpr duration cleaning_interval = 5s;
+// Part of the idle time announced by the peer in which a connection is still used; the rest covers the way of
+// a request that would cross the peer's close.
+constexpr double announced_part = 0.5;
 // For each peer; bounds the descriptors that a burst leaves behind.
 constexpr std::size_t max_idle = 256;
 
@@ -24,26 +27,34 @@
     }
 }
 
-h2o_socket_t* connection_pool::take(const address& peer) {
+h2o_socket_t* connection_pool::take(const address& peer, duration max_idle) {
     const auto found = idle_.find(peer);
     if (found == idle_.end() || found->second.empty()) {
         return nullptr;
     }
+    const time_point now = events_.now();
     // The one used last is the least likely to be closed by the peer.
+    const idle_connection& latest = *found->second.back();
+    if (latest.expires <= now || now - latest.idle_since > max_idle) {
+        return nullptr;
+    }
     h2o_socket_t* socket = found->second.back()->socket;
     found->second.pop_back();
     h2o_socket_read_stop(socket);
     return socket;
 }
 
-void connection_pool::put(const address& peer, h2o_socket_t* socket) {
+void connection_pool::put(const address& peer, h2o_socket_t* socket, std::optional<duration> peer_limit) {
     auto& connections = idle_[peer];
     if (connections.size() >= max_idle) {
         h2o_socket_close(socket);
         return;
     }
-    connections.push_back(
-        std::make_unique<idle_connection>(idle_connection{this, peer, socket, events_.now() + idle_limit}));
+    const time_point now = events_.now();
+    const duration usable =
+        std::chrono::duration_cast<duration>(peer_limit.value_or(idle_limit * 2) * announced_part);
+    connections.push_back(std::make_unique<idle_connection>(
+        idle_connection{this, peer, socket, now, now + std::min(usable, idle_limit)}));
     socket->data = connections.back().get();
     h2o_socket_read_start(socket, on_idle_read);
     if (!cleaner_) {
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace samphiretray::net {
@@ -19,16 +20,18 @@
     connection_pool(const connection_pool&) = delete;
     connection_pool& operator=(const connection_pool&) = delete;
 
-    /// An idle connection to `peer`, or null. The caller owns it.
-    [[nodiscard]] h2o_socket_t* take(const address& peer);
-    /// Keeps `socket` for the next call, or closes it if enough are idle.
-    void put(const address& peer, h2o_socket_t* socket);
+    /// A connection to `peer` that has been idle for at most `max_idle`, or null. The caller owns it.
+    [[nodiscard]] h2o_socket_t* take(const address& peer, duration max_idle);
+    /// Keeps `socket` for the next call, or closes it if enough are idle. `peer_limit` is the idle time that
+    /// the peer has announced, if it did.
+    void put(const address& peer, h2o_socket_t* socket, std::optional<duration> peer_limit);
 
 private:
     struct idle_connection {
         connection_pool* pool = nullptr;
         address peer;
         h2o_socket_t* socket = nullptr;
+        time_point idle_since;
         time_point expires;
     };
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -43,6 +43,10 @@
 
 } // namespace
 
+bool is_same_header(std::string_view left, std::string_view right) noexcept {
+    return equal_without_case(left, right);
+}
+
 std::string_view find_header(const http_headers& headers, std::string_view name) noexcept {
     const auto found = std::ranges::find_if(
         headers, [name](const http_header& header) { return equal_without_case(header.name, name); });
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -81,6 +81,7 @@
     void fail(errc code, step at, std::string detail);
     void end(std::optional<error> failure);
     void on_timeout();
+    void on_connect_timeout();
     [[nodiscard]] bool is_active() const noexcept { return socket_ != nullptr && !ended_; }
 
     loop& events_;
@@ -89,6 +90,7 @@
     http_call_events handlers_;
     std::string head_bytes_;
     timer_handle timeout_;
+    timer_handle connect_limit_;
     h2o_socket_t* socket_ = nullptr;
     response_head head_;
     body_decoder body_;
@@ -107,7 +109,7 @@
         return;
     }
     head_bytes_ = format_head(call_);
-    socket_ = pool_->take(call_.peer);
+    socket_ = pool_->take(call_.peer, call_.max_idle);
     if (socket_ != nullptr) {
         socket_->data = this;
         write_request();
@@ -126,6 +128,9 @@
         return;
     }
     socket_->data = this;
+    if (call_.connect_timeout > 0s) {
+        connect_limit_ = events_.after(call_.connect_timeout, [this] { on_connect_timeout(); });
+    }
 }
 
 void client_call::fail_later(errc code, step at, std::string detail) {
@@ -142,6 +147,7 @@
         self->fail(errc::connection_failed, step::connect, failure);
         return;
     }
+    self->connect_limit_.reset();
     self->write_request();
 }
 
@@ -235,7 +241,7 @@
     const bool reusable = head_.keep_alive && !writing_ && socket_->input->size == 0;
     if (reusable) {
         h2o_socket_read_stop(socket_);
-        pool_->put(call_.peer, std::exchange(socket_, nullptr));
+        pool_->put(call_.peer, std::exchange(socket_, nullptr), head_.idle_limit);
     }
     end(std::nullopt);
 }
@@ -258,6 +264,7 @@
 void client_call::cancel() {
     ended_ = true;
     timeout_.reset();
+    connect_limit_.reset();
     if (socket_ != nullptr) {
         h2o_socket_close(std::exchange(socket_, nullptr));
     }
@@ -270,6 +277,12 @@
          connected_ ? "no whole response within " + limit : "no connection within " + limit);
 }
 
+void client_call::on_connect_timeout() {
+    const auto self = shared_from_this();
+    fail(errc::timeout, step::connect,
+         "no connection within " + std::to_string(milliseconds_in(call_.connect_timeout)) + " ms");
+}
+
 class exchange_handle final : public http_exchange {
 public:
     explicit exchange_handle(std::shared_ptr<client_call> call) : call_(std::move(call)) {}
--- a/src/net/http_server_core.cpp
+++ b/src/net/http_server_core.cpp
@@ -48,6 +48,7 @@
     const std::string_view target{request->input.path.base, request->input.path.len};
     const std::size_t query_at = request->input.query_at;
     http_request read;
+    read.target = target;
     read.method = to_text(request->input.method);
     read.path = target.substr(0, query_at);
     if (query_at < target.size()) {
@@ -59,6 +60,32 @@
     return read;
 }
 
+std::string_view trim(std::string_view text) {
+    const auto first = text.find_first_not_of(" \t");
+    return first == std::string_view::npos ? std::string_view{}
+                                           : text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+/// Whether the head states the length of the body in more than one way. RFC 9112 section 6.3 treats such a
+/// request as an attempt at smuggling; h2o takes the last statement.
+bool has_ambiguous_length(std::string_view head) {
+    std::size_t statements = 0;
+    while (!head.empty()) {
+        const std::size_t end = head.find('\n');
+        const std::string_view line = head.substr(0, end);
+        head = end == std::string_view::npos ? std::string_view{} : head.substr(end + 1);
+        if (line.empty() || line == "\r") {
+            break;
+        }
+        const std::string_view name = trim(line.substr(0, line.find(':')));
+        const auto is = [name](std::string_view other) {
+            return h2o_lcstris(name.data(), name.size(), other.data(), other.size()) != 0;
+        };
+        statements += is("content-length") || is("transfer-encoding") ? 1 : 0;
+    }
+    return statements > 1;
+}
+
 bool has_unread_input(h2o_socket_t* socket) {
     pollfd state{h2o_socket_get_fd(socket), POLLIN, 0};
     return socket->input->size != 0 || ::poll(&state, 1, 0) > 0;
@@ -147,6 +174,12 @@
     auto& connection = *static_cast<server_connection*>(socket->on_close.data);
     const auto response = std::make_shared<h2o_response>(connection, request);
     response->attach();
+    const std::string_view input{socket->input->bytes, socket->input->size};
+    if (request->version < http_2 && has_ambiguous_length(input)) {
+        ++refused_requests_;
+        response->send(400, {{"connection", "close"}}, "the length of the body is stated more than once\n");
+        return;
+    }
     if (handler_) {
         handler_(read_request(request), response);
     } else {
--- a/src/net/response_parser.cpp
+++ b/src/net/response_parser.cpp
@@ -1,5 +1,7 @@
 #include "response_parser.h"
 
+#include "samphiretray/base/split.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -63,6 +65,18 @@
     return wanted && head.framing != body_framing::until_close;
 }
 
+std::optional<duration> find_idle_limit(const response_head& head) {
+    constexpr std::string_view parameter = "timeout=";
+    std::string_view text = find_header(head.headers, "keep-alive");
+    const auto at = text.find(parameter);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    text.remove_prefix(at + parameter.size());
+    const auto seconds = parse_number<std::uint16_t>(text.substr(0, text.find_first_not_of("0123456789")));
+    return seconds ? std::optional<duration>{std::chrono::seconds{*seconds}} : std::nullopt;
+}
+
 } // namespace
 
 head_result parse_response_head(std::string_view input, std::size_t seen, bool answers_head) {
@@ -92,6 +106,7 @@
     }
     if (find_framing(parsed.head, answers_head)) {
         parsed.head.keep_alive = find_keep_alive(parsed.head, minor_version);
+        parsed.head.idle_limit = find_idle_limit(parsed.head);
         parsed.progress = parse_progress::done;
     }
     return parsed;
--- a/src/net/response_parser.h
+++ b/src/net/response_parser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "samphiretray/base/time.h"
 #include "samphiretray/net/http.h"
 
 #include "picohttpparser.h"
@@ -20,6 +21,8 @@
     /// With `body_framing::length`.
     std::uint64_t length = 0;
     bool keep_alive = false;
+    /// Idle time after which the peer closes the connection, if "Keep-Alive: timeout=" states it.
+    std::optional<duration> idle_limit;
     /// Bytes of the head in the input.
     std::size_t size = 0;
 };
--- a/src/node/rendezvous.cpp
+++ b/src/node/rendezvous.cpp
@@ -7,24 +7,23 @@
 
 namespace samphiretray::node {
 
-std::vector<const platform::vm*> rank_for(std::string_view duty,
-                                          std::span<const platform::vm* const> candidates) {
+std::vector<const ports::vm*> rank_for(std::string_view duty, std::span<const ports::vm* const> candidates) {
     const std::uint64_t seed = hash64(duty);
-    std::vector<const platform::vm*> ranked(candidates.begin(), candidates.end());
-    std::ranges::sort(ranked, std::ranges::greater{}, [seed](const platform::vm* vm) {
+    std::vector<const ports::vm*> ranked(candidates.begin(), candidates.end());
+    std::ranges::sort(ranked, std::ranges::greater{}, [seed](const ports::vm* vm) {
         return std::pair{hash64(vm->name, seed), vm->name};
     });
     return ranked;
 }
 
-bool is_ranked(std::string_view duty, std::span<const platform::vm* const> candidates, std::string_view vm,
+bool is_ranked(std::string_view duty, std::span<const ports::vm* const> candidates, std::string_view vm,
                std::size_t count) {
     const auto ranked = rank_for(duty, candidates);
     const auto first = std::views::take(ranked, static_cast<std::ptrdiff_t>(count));
-    return std::ranges::any_of(first, [vm](const platform::vm* each) { return each->name == vm; });
+    return std::ranges::any_of(first, [vm](const ports::vm* each) { return each->name == vm; });
 }
 
-bool carries_duty(std::string_view duty, std::span<const platform::vm* const> live, std::string_view vm,
+bool carries_duty(std::string_view duty, std::span<const ports::vm* const> live, std::string_view vm,
                   std::size_t count) {
     return live.empty() || is_ranked(duty, live, vm, count);
 }
--- a/src/orders/claim_batcher.cpp
+++ b/src/orders/claim_batcher.cpp
@@ -88,7 +88,7 @@
         outcomes_.clear();
         return std::nullopt;
     }
-    platform::swap_request swap{
+    ports::swap_request swap{
         .key = key_, .value = ledger_.format(), .expected = revision_, .lease = std::nullopt};
     write_ = pending_write{.swap = std::move(swap), .outcomes = outcomes_.size()};
     return start_write();
@@ -151,7 +151,7 @@
     answers_.push_back({.request = asked.asked.request, .result = result, .answer = {}, .reason = reason});
 }
 
-void claim_batcher::on_read(std::uint64_t call, const result<platform::versioned_value>& answer,
+void claim_batcher::on_read(std::uint64_t call, const result<ports::versioned_value>& answer,
                             time_point now) {
     if (pending_call_ != call) {
         return;
--- a/src/platform/call_set.cpp
+++ b/src/ports/call_set.cpp
@@ -1,8 +1,8 @@
-#include "samphiretray/platform/call_set.h"
+#include "samphiretray/ports/call_set.h"
 
 #include <utility>
 
-namespace samphiretray::platform {
+namespace samphiretray::ports {
 
 void call_set::fetch(net::http_client& client, net::http_call call, std::size_t max_bytes,
                      completion<net::http_answer> done) {
@@ -15,4 +15,4 @@
     calls_[id] = client.fetch(std::move(call), std::move(finish), max_bytes);
 }
 
-} // namespace samphiretray::platform
+} // namespace samphiretray::ports
--- a/src/platform/http_engine.cpp
+++ b/src/ports/http_engine.cpp
@@ -1,11 +1,11 @@
-#include "samphiretray/platform/http_engine.h"
+#include "samphiretray/ports/http_engine.h"
 
 #include <nlohmann/json.hpp>
 
 #include <limits>
 #include <utility>
 
-namespace samphiretray::platform {
+namespace samphiretray::ports {
 
 static_assert(engine<http_engine>);
 
@@ -190,4 +190,4 @@
     return std::make_unique<http_engine_exchange>(client_.send(std::move(sent), std::move(handlers)));
 }
 
-} // namespace samphiretray::platform
+} // namespace samphiretray::ports
--- a/src/platform/http_key_value.cpp
+++ b/src/ports/http_key_value.cpp
@@ -1,10 +1,10 @@
-#include "samphiretray/platform/http_key_value.h"
+#include "samphiretray/ports/http_key_value.h"
 
 #include <nlohmann/json.hpp>
 
 #include <utility>
 
-namespace samphiretray::platform {
+namespace samphiretray::ports {
 
 static_assert(key_value_service<http_key_value_service>);
 
@@ -135,4 +135,4 @@
                  });
 }
 
-} // namespace samphiretray::platform
+} // namespace samphiretray::ports
--- a/src/platform/http_vm_list.cpp
+++ b/src/ports/http_vm_list.cpp
@@ -1,4 +1,4 @@
-#include "samphiretray/platform/http_vm_list.h"
+#include "samphiretray/ports/http_vm_list.h"
 
 #include "samphiretray/base/log.h"
 
@@ -7,7 +7,7 @@
 #include <limits>
 #include <utility>
 
-namespace samphiretray::platform {
+namespace samphiretray::ports {
 
 static_assert(vm_list<http_vm_list>);
 
@@ -139,4 +139,4 @@
                  });
 }
 
-} // namespace samphiretray::platform
+} // namespace samphiretray::ports
--- /dev/null
+++ b/src/rate/fleet_usage.cpp
@@ -0,0 +1,163 @@
+#include "samphiretray/rate/fleet_usage.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace samphiretray::rate {
+
+namespace {
+
+double seconds(duration value) {
+    return std::chrono::duration<double>(value).count();
+}
+
+} // namespace
+
+void fleet_usage::set_limits(const std::string& organisation, bucket_limits limits, time_point now) {
+    if (limits.rate <= 0) {
+        accounts_.erase(organisation);
+        return;
+    }
+    const auto found = accounts_.find(organisation);
+    if (found == accounts_.end()) {
+        accounts_.emplace(organisation, account{token_bucket{limits, 0.0, now}, 0.0, 0.0});
+        return;
+    }
+    found->second.bucket.set_limits(limits, now);
+}
+
+void fleet_usage::retain(const std::vector<std::string>& organisations) {
+    std::erase_if(accounts_, [&organisations](const auto& each) {
+        return std::ranges::find(organisations, each.first) == organisations.end();
+    });
+}
+
+void fleet_usage::set_peers(const std::vector<std::string>& peers, time_point now) {
+    std::erase_if(peers_,
+                  [&peers](const auto& each) { return std::ranges::find(peers, each.first) == peers.end(); });
+    for (const std::string& name : peers) {
+        peers_.try_emplace(name, peer{{}, now, now, {}});
+    }
+}
+
+void fleet_usage::charge(account& of, double tokens) {
+    of.debt += tokens;
+    if (of.debt < 0) {
+        of.bucket.put_back(-of.debt);
+        of.debt = 0;
+    }
+    // More than this is not worth remembering: it would refuse callers long after the window of the limit.
+    of.debt = std::min(of.debt, 2 * of.bucket.limits().burst);
+}
+
+void fleet_usage::refill(account& of, time_point now) {
+    of.bucket.refill(now);
+    const double paid = std::min(of.debt, of.bucket.level());
+    if (paid > 0 && of.bucket.try_take(paid)) {
+        of.debt -= paid;
+    }
+}
+
+void fleet_usage::assume_spending(peer& of, time_point now) {
+    const bool silent = now - of.heard_at > settings_.silence;
+    const double elapsed = seconds(now - of.assumed_until);
+    if (elapsed <= 0) {
+        return;
+    }
+    of.assumed_until = now;
+    const auto parts = static_cast<double>(peers_.size() + 1);
+    for (auto& [organisation, each] : accounts_) {
+        peer_spending& spending = of.spending[organisation];
+        const double even = each.bucket.limits().rate / parts;
+        const double rate = silent ? std::max(even, spending.rate) : spending.rate;
+        const double tokens = rate * elapsed;
+        spending.assumed += tokens;
+        charge(each, tokens);
+    }
+}
+
+std::optional<duration> fleet_usage::take(const std::string& organisation, double tokens, time_point now) {
+    const auto found = accounts_.find(organisation);
+    if (found == accounts_.end()) {
+        return std::nullopt;
+    }
+    for (peer& each : peers_ | std::views::values) {
+        assume_spending(each, now);
+    }
+    account& of = found->second;
+    refill(of, now);
+    const double needed = std::min(tokens, of.bucket.limits().burst * settings_.full_part);
+    if (of.debt <= 0 && of.bucket.level() >= needed) {
+        const double at_once = std::min(tokens, of.bucket.level());
+        of.debt += of.bucket.try_take(at_once) ? tokens - at_once : 0;
+        of.spent += tokens;
+        return std::nullopt;
+    }
+    const double missing = needed + of.debt - of.bucket.level();
+    const std::chrono::duration<double> wait{missing / of.bucket.limits().rate};
+    return std::min(std::chrono::duration_cast<duration>(wait), settings_.max_wait);
+}
+
+double fleet_usage::level(const std::string& organisation) const {
+    const auto found = accounts_.find(organisation);
+    return found == accounts_.end() ? 0 : found->second.bucket.level() - found->second.debt;
+}
+
+void fleet_usage::put_back(const std::string& organisation, double tokens) {
+    if (const auto found = accounts_.find(organisation); found != accounts_.end()) {
+        charge(found->second, -tokens);
+        found->second.spent -= tokens;
+    }
+}
+
+void fleet_usage::observe(const std::string& name, std::string_view incarnation,
+                          const std::vector<spent_tokens>& spent, time_point now) {
+    const auto found = peers_.find(name);
+    if (found == peers_.end()) {
+        return;
+    }
+    peer& from = found->second;
+    const bool restarted = from.incarnation != incarnation;
+    const bool first = from.incarnation.empty();
+    if (restarted) {
+        from.incarnation = incarnation;
+        for (peer_spending& each : from.spending | std::views::values) {
+            each.counted = 0;
+        }
+    }
+    const double elapsed = seconds(now - from.heard_at);
+    from.heard_at = now;
+    from.assumed_until = now;
+    for (const spent_tokens& report : spent) {
+        const auto account_found = accounts_.find(report.organisation);
+        if (account_found == accounts_.end()) {
+            continue;
+        }
+        peer_spending& spending = from.spending[report.organisation];
+        // What a peer spent before this process knew it is not in this bucket, which started empty.
+        const double fresh = first ? 0.0 : report.tokens - spending.counted;
+        spending.counted = report.tokens;
+        charge(account_found->second, fresh - spending.assumed);
+        spending.assumed = 0;
+        if (elapsed > 0) {
+            const double rate = std::max(fresh, 0.0) / elapsed;
+            spending.rate += (rate - spending.rate) * settings_.rate_step;
+        }
+    }
+}
+
+std::vector<spent_tokens> fleet_usage::spent() const {
+    std::vector<spent_tokens> all;
+    for (const auto& [organisation, each] : accounts_) {
+        all.push_back({organisation, each.spent});
+    }
+    return all;
+}
+
+std::size_t fleet_usage::heard_peers(time_point now) const {
+    return static_cast<std::size_t>(std::ranges::count_if(peers_ | std::views::values, [&](const peer& each) {
+        return now - each.heard_at <= settings_.silence;
+    }));
+}
+
+} // namespace samphiretray::rate
--- a/src/rate/region_shares.cpp
+++ b/src/rate/region_shares.cpp
@@ -205,7 +205,7 @@
     shares_record record = *record_;
     set_line(record, {.region = region_, .part = part, .wanted = wanted, .owner = owner_});
     in_force_ = std::min(in_force_, part);
-    platform::swap_request swap{
+    ports::swap_request swap{
         .key = shares_key(organisation_), .value = format_shares(record), .expected = revision_, .lease = {}};
     write_ = pending_write{.swap = std::move(swap), .record = std::move(record)};
 }
@@ -228,7 +228,7 @@
     return write_shares{.call = last_call_, .swap = write_->swap};
 }
 
-void region_shares::on_read(std::uint64_t call, const result<platform::versioned_value>& answer,
+void region_shares::on_read(std::uint64_t call, const result<ports::versioned_value>& answer,
                             time_point now) {
     if (pending_call_ != call) {
         return;
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -29,7 +29,7 @@
 /// Time in which the estimated load delay halves its distance to the configured one without new answers.
 constexpr duration load_delay_half_life = 20s;
 
-std::uint64_t hash_of(const platform::adapter_version& adapter) {
+std::uint64_t hash_of(const ports::adapter_version& adapter) {
     return hash64(adapter.version, hash64(adapter.adapter));
 }
 
@@ -119,11 +119,11 @@
     node* find(std::string_view endpoint);
     void observe_load(std::string_view endpoint, const wire::load_report& load, time_point now);
     void observe_cold_start(duration time_to_head, time_point now);
-    void add_hint(std::string_view endpoint, const platform::adapter_version& adapter, time_point now);
-    void remove_hint(std::string_view endpoint, const platform::adapter_version& adapter);
+    void add_hint(std::string_view endpoint, const ports::adapter_version& adapter, time_point now);
+    void remove_hint(std::string_view endpoint, const ports::adapter_version& adapter);
     void forget_residency(std::string_view endpoint);
     void observe_service_time(node& of, duration occupied) const;
-    [[nodiscard]] std::size_t homes(const platform::adapter_version& adapter) const;
+    [[nodiscard]] std::size_t homes(const ports::adapter_version& adapter) const;
     [[nodiscard]] duration load_delay() const { return std::chrono::duration_cast<duration>(load_delay_); }
 
 private:
@@ -454,7 +454,7 @@
     }
 }
 
-void placement::state::add_hint(std::string_view endpoint, const platform::adapter_version& adapter,
+void placement::state::add_hint(std::string_view endpoint, const ports::adapter_version& adapter,
                                 time_point now) {
     const std::uint64_t at = hash64(endpoint);
     std::vector<hint>& hints = record_of(hash_of(adapter)).hints;
@@ -468,7 +468,7 @@
     drop_oldest_records();
 }
 
-void placement::state::remove_hint(std::string_view endpoint, const platform::adapter_version& adapter) {
+void placement::state::remove_hint(std::string_view endpoint, const ports::adapter_version& adapter) {
     const auto record = adapters_.find(hash_of(adapter));
     if (record != adapters_.end()) {
         hints_ -= std::erase_if(record->second.hints,
@@ -483,7 +483,7 @@
     }
 }
 
-std::size_t placement::state::homes(const platform::adapter_version& adapter) const {
+std::size_t placement::state::homes(const ports::adapter_version& adapter) const {
     const auto record = adapters_.find(hash_of(adapter));
     return record == adapters_.end() ? 1 : record->second.homes;
 }
@@ -536,7 +536,7 @@
     }
 }
 
-void placement::observe_refusal(std::string_view endpoint, const platform::adapter_version& adapter,
+void placement::observe_refusal(std::string_view endpoint, const ports::adapter_version& adapter,
                                 wire::refusal reason, const wire::load_report& load, time_point now) {
     state_->observe_load(endpoint, load, now);
     if (reason == wire::refusal::load_failed) {
@@ -548,7 +548,7 @@
     state_->forget_residency(endpoint);
 }
 
-std::size_t placement::homes(const platform::adapter_version& adapter) const {
+std::size_t placement::homes(const ports::adapter_version& adapter) const {
     return state_->homes(adapter);
 }
 
--- a/tests/agent/answer_checker_test.cpp
+++ b/tests/agent/answer_checker_test.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const platform::adapter_version target{"splint", "3"};
+const ports::adapter_version target{"splint", "3"};
 
 answer_checker streaming() {
     answer_checker checker{target};
--- a/tests/config/editor_test.cpp
+++ b/tests/config/editor_test.cpp
@@ -150,7 +150,7 @@
 
     void carry_out(slot_state& slot, const editor_action& call, fate happens) {
         if (const auto* read = std::get_if<read_action>(&call)) {
-            result<platform::versioned_value> answer = service_.read({}, read->key);
+            result<ports::versioned_value> answer = service_.read({}, read->key);
             push(slot, slot.running->on_read(read->key, is_answered(happens) ? answer : failure(happens)));
             return;
         }
@@ -167,7 +167,7 @@
         push(slot, slot.running->on_swap(request.key, answer));
     }
 
-    result<std::uint64_t> write(const platform::swap_request& request) {
+    result<std::uint64_t> write(const ports::swap_request& request) {
         auto answer = service_.swap({}, request);
         if (answer && request.key == manifest_key) {
             note_manifest(request.value);
@@ -222,7 +222,7 @@
             return;
         }
         const auto position = late_.begin() + static_cast<std::ptrdiff_t>(detail % late_.size());
-        const platform::swap_request request = *position;
+        const ports::swap_request request = *position;
         late_.erase(position);
         static_cast<void>(write(request));
     }
@@ -252,7 +252,7 @@
     std::array<slot_state, editors> slots_;
     std::array<replica_state, replicas> replicas_;
     std::array<std::uint64_t, replicas> shown_{};
-    std::vector<platform::swap_request> late_;
+    std::vector<ports::swap_request> late_;
     std::uint64_t edits_ = 0;
     std::map<std::string, std::pair<std::string, std::uint64_t>> edits_by_token_;
     std::vector<rates> history_;
@@ -324,7 +324,7 @@
                 },
                 "token"};
     static_cast<void>(edit.start());
-    CHECK(edit.on_read(manifest_key, platform::versioned_value{}).empty());
+    CHECK(edit.on_read(manifest_key, ports::versioned_value{}).empty());
     REQUIRE(edit.outcome());
     CHECK(edit.outcome()->error().code == errc::invalid_argument);
 }
--- a/tests/control/duty_test.cpp
+++ b/tests/control/duty_test.cpp
@@ -225,7 +225,7 @@
     std::array<std::optional<state>, candidates> processes_;
     time_point now_{1s};
     bool service_up_ = true;
-    std::deque<platform::swap_request> late_;
+    std::deque<ports::swap_request> late_;
     std::uint64_t incarnations_ = 0;
     std::uint64_t highest_number_ = 0;
 };
@@ -293,12 +293,12 @@
         return settings;
     }()};
     time_point start{100s};
-    platform::swap_request request;
+    ports::swap_request request;
 
     acquisition() {
         holder.run_for(start);
         static_cast<void>(holder.on_time(start));
-        request = std::get<duty_swap>(*holder.on_read(start, platform::versioned_value{})).swap;
+        request = std::get<duty_swap>(*holder.on_read(start, ports::versioned_value{})).swap;
     }
 };
 
@@ -315,7 +315,7 @@
     acquisition held;
     const error lost = make_error(errc::timeout, step::lease, "kv", "injected");
     REQUIRE(held.holder.on_swap(held.start + 2s, lost));
-    CHECK_FALSE(held.holder.on_read(held.start + 3s, platform::versioned_value{held.request.value, 7}));
+    CHECK_FALSE(held.holder.on_read(held.start + 3s, ports::versioned_value{held.request.value, 7}));
     CHECK(held.holder.fencing_number() == 7);
     CHECK(held.holder.may_act(held.start + 9s, contact_state::fresh));
 }
--- a/tests/control/fleet.h
+++ b/tests/control/fleet.h
@@ -35,7 +35,7 @@
 class fleet {
 public:
     struct node {
-        platform::vm vm;
+        ports::vm vm;
         duration clock_offset{};
         control::contact evidence;
         config::replica configuration;
@@ -58,7 +58,7 @@
         for (std::size_t i = 0; i < options.nodes; ++i) {
             add_node(i);
         }
-        std::vector<const platform::vm*> all;
+        std::vector<const ports::vm*> all;
         std::vector<std::string> regions;
         for (const auto& each : nodes_) {
             all.push_back(&each->vm);
--- a/tests/control/gossip_test.cpp
+++ b/tests/control/gossip_test.cpp
@@ -190,13 +190,13 @@
     control::contact evidence{{"r", 10s}};
     control::gossip under_test{
         {.vm = "self", .region = "r", .data_centre = "d1"}, 1, evidence, configuration};
-    std::vector<platform::vm> vms(3);
+    std::vector<ports::vm> vms(3);
     for (std::size_t i = 0; i < vms.size(); ++i) {
         vms[i].name = "vm" + std::to_string(i);
         vms[i].region = "r";
         vms[i].data_centre = "d" + std::to_string(i + 1);
     }
-    const std::vector<const platform::vm*> live{&vms[0], &vms[1], &vms[2]};
+    const std::vector<const ports::vm*> live{&vms[0], &vms[1], &vms[2]};
     time_point now{100s};
     under_test.set_members(now, live);
     auto parts = config::split(test::sample_configuration(1), 1);
--- a/tests/control/membership_test.cpp
+++ b/tests/control/membership_test.cpp
@@ -9,8 +9,8 @@
 
 constexpr time_point start{1000s};
 
-platform::vm agent(const std::string& name, platform::vm_state state = platform::vm_state::live) {
-    platform::vm vm;
+ports::vm agent(const std::string& name, ports::vm_state state = ports::vm_state::live) {
+    ports::vm vm;
     vm.name = name;
     vm.kind = wire::role::agent;
     vm.region = "luzon";
@@ -24,7 +24,7 @@
 
 TEST_CASE("live agents of a service are listed without those that leave") {
     membership members;
-    members.on_list(start, {agent("a"), agent("b", platform::vm_state::leaving), agent("c")});
+    members.on_list(start, {agent("a"), agent("b", ports::vm_state::leaving), agent("c")});
     members.on_leaving(start, {"c", "1"});
     const auto live = members.live_agents(start, "assistant");
     REQUIRE(live.size() == 1);
--- a/tests/orders/world.h
+++ b/tests/orders/world.h
@@ -111,7 +111,7 @@
         }
     }
 
-    result<platform::versioned_value> apply(const read_claims&) {
+    result<ports::versioned_value> apply(const read_claims&) {
         ++reads;
         if (fault.service_down) {
             return make_error(errc::unavailable, step::claim, "kv", "down");
@@ -140,7 +140,7 @@
     std::multimap<time_point, std::function<void()>> events;
     faults fault;
     time_point now{1'000'000s};
-    platform::versioned_value stored;
+    ports::versioned_value stored;
     std::uint64_t requests = 0;
     int crashes = 0;
     int reads = 0;
--- a/tests/platform/fake_service.h
+++ b/tests/ports/fake_service.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace samphiretray::platform::testing {
+namespace samphiretray::ports::testing {
 
 /// Bounds a hanging test; no verdict depends on it otherwise.
 inline constexpr duration hang_limit = 30s;
@@ -67,4 +67,4 @@
     return [&outcome](result<T> given) { outcome.emplace(std::move(given)); };
 }
 
-} // namespace samphiretray::platform::testing
+} // namespace samphiretray::ports::testing
--- a/tests/platform/http_engine_test.cpp
+++ b/tests/ports/http_engine_test.cpp
@@ -1,13 +1,13 @@
-#include "samphiretray/platform/http_engine.h"
+#include "samphiretray/ports/http_engine.h"
 
-#include "tests/platform/fake_service.h"
+#include "tests/ports/fake_service.h"
 
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 using namespace samphiretray;
-using namespace samphiretray::platform;
-using namespace samphiretray::platform::testing;
+using namespace samphiretray::ports;
+using namespace samphiretray::ports::testing;
 
 namespace {
 
--- a/tests/platform/http_key_value_test.cpp
+++ b/tests/ports/http_key_value_test.cpp
@@ -1,12 +1,12 @@
-#include "samphiretray/platform/http_key_value.h"
+#include "samphiretray/ports/http_key_value.h"
 
-#include "tests/platform/fake_service.h"
+#include "tests/ports/fake_service.h"
 
 #include <nlohmann/json.hpp>
 
 using namespace samphiretray;
-using namespace samphiretray::platform;
-using namespace samphiretray::platform::testing;
+using namespace samphiretray::ports;
+using namespace samphiretray::ports::testing;
 
 namespace {
 
--- a/tests/platform/http_vm_list_test.cpp
+++ b/tests/ports/http_vm_list_test.cpp
@@ -1,10 +1,10 @@
-#include "samphiretray/platform/http_vm_list.h"
+#include "samphiretray/ports/http_vm_list.h"
 
-#include "tests/platform/fake_service.h"
+#include "tests/ports/fake_service.h"
 
 using namespace samphiretray;
-using namespace samphiretray::platform;
-using namespace samphiretray::platform::testing;
+using namespace samphiretray::ports;
+using namespace samphiretray::ports::testing;
 
 namespace {
 
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -52,14 +52,14 @@
 /// Runs an editor's actions against the key-value service until it has an outcome.
 class edit_run {
 public:
-    edit_run(net::loop& events, platform::http_key_value_service& service, config::editor& edit)
+    edit_run(net::loop& events, ports::http_key_value_service& service, config::editor& edit)
         : loop_(events), service_(service), edit_(edit) {}
 
     void perform(std::vector<config::editor_action> actions) {
         for (auto& action : actions) {
             if (auto* read = std::get_if<config::read_action>(&action)) {
                 later(read->delay, [this, key = read->key] {
-                    service_.read(key, [this, key](result<platform::versioned_value> answer) {
+                    service_.read(key, [this, key](result<ports::versioned_value> answer) {
                         perform(edit_.on_read(key, std::move(answer)));
                     });
                 });
@@ -80,7 +80,7 @@
     }
 
     net::loop& loop_;
-    platform::http_key_value_service& service_;
+    ports::http_key_value_service& service_;
     config::editor& edit_;
     std::list<net::timer_handle> timers_;
 };
@@ -188,8 +188,8 @@
     for (const std::string& endpoint : options_.endpoints) {
         start_endpoint(endpoint);
     }
-    key_value_ = std::make_unique<platform::http_key_value_service>(
-        *client_, platform::http_key_value_options{.service = key_value_address("luzon")});
+    key_value_ = std::make_unique<ports::http_key_value_service>(
+        *client_, ports::http_key_value_options{.service = key_value_address("luzon")});
     if (!wait_until([this] { return answers(key_value_address("luzon"), "/admin/counters"); })) {
         throw std::runtime_error("the key-value stand-in did not start");
     }
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -3,7 +3,7 @@
 #include "samphiretray/config/configuration.h"
 #include "samphiretray/net/http_client.h"
 #include "samphiretray/net/loop.h"
-#include "samphiretray/platform/http_key_value.h"
+#include "samphiretray/ports/http_key_value.h"
 
 #include "tests/process/child_process.h"
 
@@ -115,7 +115,7 @@
     std::map<std::string, std::string> files_;
     net::loop loop_;
     std::unique_ptr<net::http_client> client_;
-    std::unique_ptr<platform::http_key_value_service> key_value_;
+    std::unique_ptr<ports::http_key_value_service> key_value_;
     config::configuration initial_;
     std::map<std::string, child_process> processes_;
     std::uint64_t next_token_ = 1;
--- a/tests/rate/region_shares_test.cpp
+++ b/tests/rate/region_shares_test.cpp
@@ -29,8 +29,8 @@
 
     std::vector<region> regions;
     /// Writes on their way, also those of earlier terms.
-    std::vector<platform::swap_request> late;
-    platform::versioned_value stored;
+    std::vector<ports::swap_request> late;
+    ports::versioned_value stored;
     time_point now{100s};
     std::uint64_t terms = 0;
 
@@ -42,7 +42,7 @@
                 {.write_interval = 1s, .read_interval = 500ms, .retry = 100ms}};
     }
 
-    result<std::uint64_t> apply(const platform::swap_request& swap) {
+    result<std::uint64_t> apply(const ports::swap_request& swap) {
         if (swap.expected != stored.revision) {
             return make_error(errc::conflict, step::lease, "kv", "conflict");
         }
@@ -123,7 +123,7 @@
 
 // Guards against a delayed write of an earlier term that lowers a part which the new term has put in force.
 TEST_CASE("a new term uses no part before its own first write") {
-    const platform::versioned_value stored{"shares 1\na 500000 0 7\n", 3};
+    const ports::versioned_value stored{"shares 1\na 500000 0 7\n", 3};
     region_shares shares{"org", "a", 8, 2};
     const time_point now{1s};
     const auto read = shares.next_call({}, {1000, 1000}, true, now);
--- a/tests/rate/world.cpp
+++ b/tests/rate/world.cpp
@@ -122,7 +122,7 @@
         post([this, by, call = std::get<read_shares>(made).call] {
             post([this, by, call, value = stored_, down = fault.service_down] {
                 const auto failure = make_error(errc::unavailable, step::lease, "kv", "down");
-                by->shares.on_read(call, down ? result<platform::versioned_value>{failure} : value,
+                by->shares.on_read(call, down ? result<ports::versioned_value>{failure} : value,
                                    now + by->clock_offset);
                 return true;
             });
--- a/tests/rate/world.h
+++ b/tests/rate/world.h
@@ -106,7 +106,7 @@
     std::vector<std::pair<time_point, int>> takeovers_;
     std::vector<holder> holders_;
     std::multimap<time_point, std::function<bool()>> events_;
-    platform::versioned_value stored_;
+    ports::versioned_value stored_;
     std::uint64_t revisions_ = 0;
     std::uint64_t terms_ = 0;
     std::uint64_t ids_ = 0;
--- a/tests/support/fake_key_value.h
+++ b/tests/support/fake_key_value.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "samphiretray/base/time.h"
-#include "samphiretray/platform/key_value.h"
+#include "samphiretray/ports/key_value.h"
 
 #include <cstdint>
 #include <map>
@@ -12,13 +12,13 @@
 /// The stored state of a key-value service: compare-and-swap and leases on one clock.
 class fake_key_value {
 public:
-    [[nodiscard]] platform::versioned_value read(time_point now, const std::string& key) {
+    [[nodiscard]] ports::versioned_value read(time_point now, const std::string& key) {
         expire(now);
         const auto found = entries_.find(key);
-        return found == entries_.end() ? platform::versioned_value{} : found->second.stored;
+        return found == entries_.end() ? ports::versioned_value{} : found->second.stored;
     }
 
-    [[nodiscard]] result<std::uint64_t> swap(time_point now, const platform::swap_request& request) {
+    [[nodiscard]] result<std::uint64_t> swap(time_point now, const ports::swap_request& request) {
         if (read(now, request.key).revision != request.expected) {
             return make_error(errc::conflict, step::configure, "kv", "the revision differs");
         }
@@ -30,7 +30,7 @@
 
 private:
     struct entry {
-        platform::versioned_value stored;
+        ports::versioned_value stored;
         std::optional<time_point> expires;
     };
 
