--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "samphiretray/base/hash.h"
 #include "samphiretray/base/log.h"
 #include "samphiretray/base/split.h"
 #include "samphiretray/gateway/engine_agent.h"
@@ -19,6 +20,9 @@
 inline constexpr std::uint32_t engine_down_polls = 3;
 /// Failed loads in a row after which the requests that wait for the adapter are refused.
 inline constexpr std::uint32_t failed_loads = 3;
+/// A request whose adapter is not there after this long goes back to its entry, which tries another engine:
+/// four times a load from the store.
+inline constexpr duration longest_load_wait = 1s;
 inline constexpr duration agent_tick = 20ms;
 /// A planned stop ends this long before the process would be killed.
 inline constexpr duration agent_stop_margin = 400ms;
@@ -97,6 +101,7 @@
     if (found == state.services.end() || !found->engine) {
         return;
     }
+    possible_models_ = found->engine->models;
     admission_.set_capacity(found->engine->batch, found->engine->kv_tokens);
     prefixes_.set_capacity(found->engine->kv_tokens);
     if (!slots_) {
@@ -164,7 +169,7 @@
     if (drain_started_) {
         return agent_refusal::draining;
     }
-    if (!is_engine_up() || !slots_) {
+    if (!is_engine_up() || !slots_ || !holds_model()) {
         return agent_refusal::engine_down;
     }
     const bool is_resident = asked.adapter.adapter.empty() || slots_->resident(asked.adapter);
@@ -397,7 +402,7 @@
 
 template <request_binding Binding, ordered_engine Engine>
 void engine_agent<Binding, Engine>::want_loads() {
-    if (fencing_number_ == 0 || !is_engine_up()) {
+    if (fencing_number_ == 0 || !is_engine_up() || !holds_model()) {
         return;
     }
     for (const ports::adapter_version& adapter : slots_->loads_wanted(loop_.now())) {
@@ -412,8 +417,13 @@
 template <request_binding Binding, ordered_engine Engine>
 void engine_agent<Binding, Engine>::refuse_failed_loads() {
     std::vector<work_pointer> hopeless;
+    const time_point now = loop_.now();
     for (const work_pointer& each : works_ | std::views::values) {
-        if (each->waits && slots_->failures(each->adapter) >= limits::failed_loads) {
+        if (!each->waits || slots_->resident(each->adapter)) {
+            continue;
+        }
+        const bool is_stuck = now - each->arrived > limits::longest_load_wait;
+        if (is_stuck || slots_->failures(each->adapter) >= limits::failed_loads) {
             hopeless.push_back(each);
         }
     }
@@ -508,6 +518,10 @@
         prefixes_.clear();
         slots_->adopt(report->loaded, now);
     }
+    if (!report->models.empty()) {
+        model_ = report->models.front();
+    }
+    restore_model();
     if (effect) {
         log_event(log_level::warning, "engine_restarted",
                   {{"started_at", report->started_at}, {"reload", effect->reload.size()}});
@@ -515,6 +529,34 @@
     pump();
 }
 
+template <request_binding Binding, ordered_engine Engine>
+bool engine_agent<Binding, Engine>::holds_model() const {
+    return report_ && !report_->models.empty();
+}
+
+/// Engines restart empty. One that held a model gets it back; a new one gets one of its service's.
+template <request_binding Binding, ordered_engine Engine>
+void engine_agent<Binding, Engine>::restore_model() {
+    if (holds_model() || restoring_ || fencing_number_ == 0) {
+        return;
+    }
+    if (model_.empty() && !possible_models_.empty()) {
+        model_ = possible_models_[hash64(settings_.node.vm) % possible_models_.size()];
+    }
+    if (model_.empty()) {
+        return;
+    }
+    restoring_ = true;
+    log_event(log_level::info, "model_load_started",
+              {{"model", model_}, {"fencing_number", fencing_number_}, {"started_at", report_->started_at}});
+    engine_.load({{model_, ""}, fencing_number_}, [this](const result<std::string>& outcome) {
+        restoring_ = false;
+        orders_.add({"model", outcome ? "done" : "failed"});
+        log_event(log_level::info, "model_load_ended",
+                  {{"model", model_}, {"failure", outcome ? "" : to_string(outcome.error())}});
+    });
+}
+
 template <request_binding Binding, ordered_engine Engine>
 routing::engine_load engine_agent<Binding, Engine>::load() const {
     routing::engine_load load;
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -93,6 +93,8 @@
     void poll();
     void on_report(const result<engine_report>& report);
     void refuse_failed_loads();
+    void restore_model();
+    [[nodiscard]] bool holds_model() const;
     void check_drained();
     [[nodiscard]] routing::engine_load load() const;
     [[nodiscard]] bool is_engine_up() const;
@@ -114,6 +116,10 @@
     std::optional<engine_report> report_;
     std::uint32_t failed_polls_ = 0;
     std::uint32_t loads_in_progress_ = 0;
+    /// The base model that the engine is to hold.
+    std::string model_;
+    std::vector<std::string> possible_models_;
+    bool restoring_ = false;
     std::optional<time_point> drain_started_;
     net::timer_handle poll_timer_;
     net::timer_handle tick_timer_;
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -16,6 +16,9 @@
 inline constexpr duration connect_timeout = 250ms;
 /// An agent whose machine or process does not take connections is not tried again for this long.
 inline constexpr duration agent_pause = 1s;
+/// An engine whose agent has refused for another reason than load is avoided for this long: half of the
+/// shortest load of a base model.
+inline constexpr duration endpoint_pause = 300ms;
 /// A request that runs at most once uses only connections that were in use lately: on an older one it may
 /// meet the peer's close, and its outcome would be unknown.
 inline constexpr duration recent_connection = 1500ms;
@@ -262,6 +265,7 @@
               {{"endpoint", id}, {"after_outage", after_outage ? "true" : "false"}});
     if (directory_.find(id) == nullptr) {
         choice_.remove(id);
+        paused_until_.erase(id);
         refresh_pools();
     }
 }
@@ -381,7 +385,9 @@
         if (std::ranges::find(request.tried, each->id) != request.tried.end()) {
             continue;
         }
-        (ejection_.usable(each->id, now) ? usable : ejected).push_back(each->id);
+        const auto pause = paused_until_.find(each->id);
+        const bool paused = pause != paused_until_.end() && now < pause->second;
+        (!paused && ejection_.usable(each->id, now) ? usable : ejected).push_back(each->id);
     }
     // With all others gone, an endpoint that fails a part of its requests is still the best choice.
     return usable.empty() ? ejected : usable;
@@ -578,6 +584,10 @@
     if (refused && !failure) {
         ejection_.abandoned(request->endpoint, now);
         request->tried.push_back(request->endpoint);
+        if (request->last_refusal != agent_refusal::busy &&
+            request->last_refusal != agent_refusal::deadline) {
+            paused_until_[request->endpoint] = now + limits::endpoint_pause;
+        }
         place(request);
         return;
     }
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -162,6 +162,7 @@
     rate::fleet_usage usage_;
     usage_exchange<Store> exchange_;
     std::map<std::string, time_point> agents_down_until_;
+    std::map<std::string, time_point> paused_until_;
     std::unordered_map<std::uint64_t, request_pointer> active_;
     std::uint64_t next_id_ = 1;
     std::optional<time_point> drain_started_;
--- a/include/samphiretray/gateway/model.h
+++ b/include/samphiretray/gateway/model.h
@@ -56,6 +56,8 @@
     std::uint32_t batch = 0;
     std::uint64_t kv_tokens = 0;
     std::uint32_t adapter_slots = 0;
+    /// Base models that the engines of the service may hold.
+    std::vector<std::string> models;
 };
 
 struct service {
@@ -172,6 +174,10 @@
 /// What an engine says of itself.
 struct engine_report {
     std::uint64_t started_at = 0;
+    /// Base models that are loaded.
+    std::vector<std::string> models;
+    /// True while an order for a base model is carried out.
+    bool busy = false;
     /// Count of accepted orders.
     std::uint64_t order_sequence = 0;
     /// Names as "model/adapter".
