--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -216,7 +216,10 @@
 
 template <request_binding Binding, ordered_engine Engine>
 void engine_agent<Binding, Engine>::enqueue(const work_pointer& asked) {
-    if (!admission_.enqueue(admission_of(*asked))) {
+    const agent::admission_request wanted = admission_of(*asked);
+    asked->unread_tokens = wanted.unread_tokens;
+    asked->cold = !asked->adapter.adapter.empty() && !slots_->resident(asked->adapter);
+    if (!admission_.enqueue(wanted)) {
         refuse(asked, agent_refusal::busy, "too many requests wait");
         return;
     }
@@ -333,6 +336,7 @@
     }
     if (!std::exchange(running->seen_body, true)) {
         admission_.read(running->id);
+        running->first_byte_at = loop_.now();
     }
     running->response->write(bytes);
 }
@@ -388,7 +392,11 @@
                {"adapter", finished->adapter.adapter},
                {"version", finished->adapter.version},
                {"outcome", outcome},
+               {"cold", finished->cold ? "true" : "false"},
+               {"unread_tokens", finished->unread_tokens},
                {"wait_ms", finished->run_at ? milliseconds_in(*finished->run_at - finished->arrived) : -1},
+               {"first_ms",
+                finished->first_byte_at ? milliseconds_in(*finished->first_byte_at - *finished->run_at) : -1},
                {"total_ms", milliseconds_in(now - finished->arrived)},
                {"backlog_tokens", admission_.backlog_tokens()},
                {"running", admission_.running_count()},
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -66,7 +66,10 @@
         bool waits = false;
         bool ended = false;
         bool seen_body = false;
+        bool cold = false;
+        std::uint32_t unread_tokens = 0;
         std::optional<time_point> run_at;
+        std::optional<time_point> first_byte_at;
         std::optional<agent::slot_pin> pin;
         std::unique_ptr<net::http_exchange> exchange;
     };
--- a/include/samphiretray/routing/endpoint_choice.h
+++ b/include/samphiretray/routing/endpoint_choice.h
@@ -19,9 +19,11 @@
     /// Load of an adapter that the engine does not hold: between a load from its memory (25 ms) and one from
     /// the store (250 ms).
     duration load_time = 100ms;
-    /// Added for each place in the adapter's order of homes at engines that do not hold it, so that entries
-    /// agree on few engines for one adapter.
-    duration home_step = 12ms;
+    /// Added for an engine that neither holds the adapter nor is its first home, and for each further place
+    /// in the order of homes. A load from the store costs about as much as a late answer of a short request,
+    /// so a second home is worth it only when the first would be late.
+    duration second_home = 200ms;
+    duration home_step = 40ms;
     /// Added for each request in flight at an engine: each running request lengthens the steps of all.
     duration running_cost = 1ms;
     /// Added when the memory of an engine cannot take the request before others end.
--- a/src/routing/endpoint_choice.cpp
+++ b/src/routing/endpoint_choice.cpp
@@ -84,7 +84,8 @@
     }
     chosen.resident = holds(of, request);
     if (!chosen.resident) {
-        chosen.estimate += settings_.load_time + settings_.home_step * home;
+        chosen.estimate += settings_.load_time;
+        chosen.estimate += home == 0 ? 0ms : settings_.second_home + settings_.home_step * home;
     }
     chosen.kept_tokens =
         chosen.resident ? std::min(of.prefixes.kept(request.adapter, request.prompt), request.prompt_tokens)
