--- a/include/samphiretray/agent/engine_admission.h
+++ b/include/samphiretray/agent/engine_admission.h
@@ -17,6 +17,9 @@
     /// Part of the engine's memory that admitted requests may need together. The rest covers what the stated
     /// lengths leave out; beyond the whole the engine would preempt a running stream.
     double memory_part = 0.95;
+    /// Prompt tokens given to the engine and not yet read, unless one request alone has more. The engine
+    /// reads prompts in the order in which it got them; the others wait here, where the urgent ones pass.
+    std::uint64_t unread_window = 10'000;
     /// Expected wait for memory when it is short.
     duration memory_wait = 500ms;
     /// Requests waiting here at most.
--- a/src/agent/engine_admission.cpp
+++ b/src/agent/engine_admission.cpp
@@ -16,7 +16,9 @@
         return true;
     }
     const auto usable = static_cast<std::uint64_t>(static_cast<double>(memory_) * settings_.memory_part);
-    return running_.size() < batch_ && reserved_ + request.memory_tokens <= usable;
+    const bool is_readable =
+        unread_tokens_ == 0 || unread_tokens_ + request.unread_tokens <= settings_.unread_window;
+    return is_readable && running_.size() < batch_ && reserved_ + request.memory_tokens <= usable;
 }
 
 duration engine_admission::reading_time(std::uint64_t tokens) const {
@@ -29,7 +31,8 @@
     for (const admission_request& each : waiting_) {
         ahead += each.urgency <= request.urgency ? each.unread_tokens : 0;
     }
-    return reading_time(ahead) + (fits(request) ? 0ms : settings_.memory_wait);
+    const bool lacks_memory = !running_.empty() && memory_ > 0 && reserved_ + request.memory_tokens > memory_;
+    return reading_time(ahead) + (lacks_memory ? settings_.memory_wait : 0ms);
 }
 
 bool engine_admission::enqueue(const admission_request& request) {
