Test the decision modules, and bound what partitioned entries spend

Between reports, peers are now taken to spend half of what the process itself does; the bucket keeps its debt as a negative level.

--- a/include/samphiretray/rate/fleet_usage.h
+++ b/include/samphiretray/rate/fleet_usage.h
@@ -18,6 +18,9 @@
     duration silence = 1500ms;
     /// Weight of the newest interval in a peer's rate of spending.
     double rate_step = 0.4;
+    /// Between two reports, a peer is taken to have spent at least this part of what this process has: demand
+    /// that jumps does so at all entries, before any has told the others.
+    double expected_part = 0.5;
     /// Part of the burst with which a request of any size is admitted.
     double full_part = 0.5;
     /// Longest wait that a refused caller is told.
@@ -68,18 +71,20 @@
         double rate = 0;
         /// Taken from the bucket ahead of the next report.
         double assumed = 0;
+        /// What this process itself had spent when it last heard of the peer.
+        double own_spent = 0;
     };
     struct peer {
         std::string incarnation;
         time_point heard_at;
-        time_point assumed_until;
         std::map<std::string, peer_spending> spending;
     };
     struct account {
-        token_bucket bucket;
+        bucket_limits limits;
+        /// Below zero while a debt is paid from what flows in.
+        double level = 0;
+        time_point refilled_at;
         double spent = 0;
-        /// Tokens that peers have spent beyond the bucket's level; paid from what flows in.
-        double debt = 0;
     };
 
     void assume_spending(peer& of, time_point now);
--- a/src/rate/fleet_usage.cpp
+++ b/src/rate/fleet_usage.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Largest debt, in bursts.
+constexpr double max_debt_bursts = 2;
+
 double seconds(duration value) {
     return std::chrono::duration<double>(value).count();
 }
@@ -18,12 +21,10 @@
         accounts_.erase(organisation);
         return;
     }
-    const auto found = accounts_.find(organisation);
-    if (found == accounts_.end()) {
-        accounts_.emplace(organisation, account{token_bucket{limits, 0.0, now}, 0.0, 0.0});
-        return;
-    }
-    found->second.bucket.set_limits(limits, now);
+    account& of = accounts_.try_emplace(organisation, account{limits, 0.0, now, 0.0}).first->second;
+    refill(of, now);
+    of.limits = limits;
+    of.level = std::min(of.level, limits.burst);
 }
 
 void fleet_usage::retain(const std::vector<std::string>& organisations) {
@@ -36,43 +37,36 @@
     std::erase_if(peers_,
                   [&peers](const auto& each) { return std::ranges::find(peers, each.first) == peers.end(); });
     for (const std::string& name : peers) {
-        peers_.try_emplace(name, peer{{}, now, now, {}});
+        peers_.try_emplace(name, peer{{}, now, {}});
     }
 }
 
 void fleet_usage::charge(account& of, double tokens) {
-    of.debt += tokens;
-    if (of.debt < 0) {
-        of.bucket.put_back(-of.debt);
-        of.debt = 0;
-    }
-    // More than this is not worth remembering: it would refuse callers long after the window of the limit.
-    of.debt = std::min(of.debt, 2 * of.bucket.limits().burst);
+    of.level = std::min(of.level - tokens, of.limits.burst);
+    // A larger debt is not worth remembering: it would refuse callers long after the window of the limit.
+    of.level = std::max(of.level, -max_debt_bursts * of.limits.burst);
 }
 
 void fleet_usage::refill(account& of, time_point now) {
-    of.bucket.refill(now);
-    const double paid = std::min(of.debt, of.bucket.level());
-    if (paid > 0 && of.bucket.try_take(paid)) {
-        of.debt -= paid;
-    }
+    const double passed = std::max(seconds(now - of.refilled_at), 0.0);
+    of.level = std::min(of.level + of.limits.rate * passed, of.limits.burst);
+    of.refilled_at = std::max(now, of.refilled_at);
 }
 
 void fleet_usage::assume_spending(peer& of, time_point now) {
     const bool silent = now - of.heard_at > settings_.silence;
-    const double elapsed = seconds(now - of.assumed_until);
-    if (elapsed <= 0) {
-        return;
-    }
-    of.assumed_until = now;
+    const double elapsed = seconds(now - of.heard_at);
     const auto parts = static_cast<double>(peers_.size() + 1);
     for (auto& [organisation, each] : accounts_) {
         peer_spending& spending = of.spending[organisation];
-        const double even = each.bucket.limits().rate / parts;
+        const double even = each.limits.rate / parts;
         const double rate = silent ? std::max(even, spending.rate) : spending.rate;
-        const double tokens = rate * elapsed;
-        spending.assumed += tokens;
-        charge(each, tokens);
+        const double like_own = settings_.expected_part * (each.spent - spending.own_spent);
+        const double fresh = std::max(rate * elapsed, like_own) - spending.assumed;
+        if (fresh > 0) {
+            spending.assumed += fresh;
+            charge(each, fresh);
+        }
     }
 }
 
@@ -81,26 +75,24 @@
     if (found == accounts_.end()) {
         return std::nullopt;
     }
+    account& of = found->second;
+    refill(of, now);
     for (peer& each : peers_ | std::views::values) {
         assume_spending(each, now);
     }
-    account& of = found->second;
-    refill(of, now);
-    const double needed = std::min(tokens, of.bucket.limits().burst * settings_.full_part);
-    if (of.debt <= 0 && of.bucket.level() >= needed) {
-        const double at_once = std::min(tokens, of.bucket.level());
-        of.debt += of.bucket.try_take(at_once) ? tokens - at_once : 0;
+    const double needed = std::min(tokens, of.limits.burst * settings_.full_part);
+    if (of.level >= needed) {
+        of.level -= tokens;
         of.spent += tokens;
         return std::nullopt;
     }
-    const double missing = needed + of.debt - of.bucket.level();
-    const std::chrono::duration<double> wait{missing / of.bucket.limits().rate};
+    const std::chrono::duration<double> wait{(needed - of.level) / of.limits.rate};
     return std::min(std::chrono::duration_cast<duration>(wait), settings_.max_wait);
 }
 
 double fleet_usage::level(const std::string& organisation) const {
     const auto found = accounts_.find(organisation);
-    return found == accounts_.end() ? 0 : found->second.bucket.level() - found->second.debt;
+    return found == accounts_.end() ? 0 : found->second.level;
 }
 
 void fleet_usage::put_back(const std::string& organisation, double tokens) {
@@ -127,7 +119,6 @@
     }
     const double elapsed = seconds(now - from.heard_at);
     from.heard_at = now;
-    from.assumed_until = now;
     for (const spent_tokens& report : spent) {
         const auto account_found = accounts_.find(report.organisation);
         if (account_found == accounts_.end()) {
@@ -139,6 +130,7 @@
         spending.counted = report.tokens;
         charge(account_found->second, fresh - spending.assumed);
         spending.assumed = 0;
+        spending.own_spent = account_found->second.spent;
         if (elapsed > 0) {
             const double rate = std::max(fresh, 0.0) / elapsed;
             spending.rate += (rate - spending.rate) * settings_.rate_step;
--- /dev/null
+++ b/tests/gateway/records_test.cpp
@@ -0,0 +1,82 @@
+#include "samphiretray/gateway/agent_protocol.h"
+#include "samphiretray/gateway/settings.h"
+#include "samphiretray/gateway/usage_report.h"
+
+#include <catch2/catch.hpp>
+
+using namespace samphiretray;
+using namespace samphiretray::gateway;
+
+TEST_CASE("an agent's load survives the way to the entry, and never reaches a caller") {
+    net::http_headers headers{{"content-type", "text/plain"}};
+    add_engine_load(headers, {1200, 3, 40'000, {"m/a1@1", "m/a7@2"}});
+    add_refusal(headers, agent_refusal::engine_down);
+    add_max_wait(headers, 350ms);
+    const auto load = read_engine_load(headers);
+    REQUIRE(load);
+    CHECK(load->backlog_tokens == 1200);
+    CHECK(load->running == 3);
+    CHECK(load->kv_reserved == 40'000);
+    CHECK(load->resident == std::vector<std::string>{"m/a1@1", "m/a7@2"});
+    CHECK(read_refusal(headers) == agent_refusal::engine_down);
+    CHECK(read_max_wait(headers) == 350ms);
+    remove_agent_headers(headers);
+    CHECK(headers.size() == 1);
+}
+
+TEST_CASE("a load header that cannot be read counts as none instead of as an idle engine") {
+    CHECK_FALSE(read_engine_load({{"samphiretray-engine-load", "12,x,3"}}));
+    CHECK_FALSE(read_engine_load({{"samphiretray-engine-load", "12"}}));
+    CHECK_FALSE(read_engine_load({}));
+    CHECK_FALSE(read_refusal({{"samphiretray-refusal", "other"}}));
+}
+
+TEST_CASE("a usage report survives the way to a peer") {
+    const usage_report report{"entry-1", "abc", 17, {{"coop", 1250.5}, {"city", 0}}};
+    const auto decoded = decode_usage_report(encode(report), "entry-1");
+    REQUIRE(decoded);
+    CHECK(decoded->vm == "entry-1");
+    CHECK(decoded->incarnation == "abc");
+    CHECK(decoded->configuration == 17);
+    REQUIRE(decoded->spent.size() == 2);
+    CHECK(decoded->spent[1].organisation == "coop");
+    CHECK(decoded->spent[1].tokens == 1250.5);
+}
+
+TEST_CASE("what is not a usage report is refused with the peer's name") {
+    for (const char* text : {"", "[]", "{}", R"({"vm":1,"incarnation":"a","configuration":1,"spent":{}})"}) {
+        const auto decoded = decode_usage_report(text, "entry-2");
+        REQUIRE_FALSE(decoded);
+        CHECK(decoded.error().code == errc::protocol_error);
+        CHECK(decoded.error().peer == "entry-2");
+    }
+}
+
+namespace {
+
+constexpr const char* entry_settings_text = R"({
+    "vm": "entry-1", "region": "north", "data_centre": "north-a", "store": "10.0.0.9:80",
+    "data_centres": [{ "name": "north-a", "region": "north" }, { "name": "south-a", "region": "south" }],
+    "listen": "10.0.0.1:80", "ready_listen": "10.0.0.1:81", "control_listen": "10.0.0.1:82",
+    "agent_port": 7601, "retry_floor": 56, "drain_limit_ms": 8000
+})";
+
+} // namespace
+
+TEST_CASE("settings of an entry name the regions of all data centres") {
+    const auto settings = parse_gateway_settings(entry_settings_text, "boot");
+    REQUIRE(settings);
+    CHECK(settings->regions.at("south-a") == "south");
+    CHECK(settings->agent_port == 7601);
+    CHECK(settings->node.drain_limit == 8s);
+    CHECK(settings->retry_floor == 56);
+}
+
+TEST_CASE("a wrong setting stops the start with the name of the field") {
+    std::string text = entry_settings_text;
+    text.replace(text.find("7601"), 4, "70000");
+    const auto settings = parse_gateway_settings(text, "boot");
+    REQUIRE_FALSE(settings);
+    CHECK(settings.error().detail.find("agent_port") != std::string::npos);
+    CHECK_FALSE(parse_engine_agent_settings(R"({"vm": "e"})", "boot"));
+}
--- /dev/null
+++ b/tests/node/prefix_follower_test.cpp
@@ -0,0 +1,160 @@
+#include "samphiretray/node/prefix_follower-inl.h"
+#include "samphiretray/node/registration.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace samphiretray;
+using namespace samphiretray::node;
+
+namespace {
+
+/// Bounds a hanging test; no verdict depends on it otherwise.
+constexpr duration hang_limit = 10s;
+
+error outage() {
+    return make_error(errc::unavailable, step::receive, "store", "status 503");
+}
+
+/// Answers calls from queues; without an answer a call stays open.
+struct scripted_store {
+    net::loop& loop;
+    std::deque<result<ports::store_listing>> listings;
+    std::deque<result<ports::store_changes>> watches;
+    std::deque<result<std::uint64_t>> grants;
+    std::deque<result<std::uint64_t>> renewals;
+    std::deque<result<std::uint64_t>> puts;
+    std::vector<std::uint64_t> watched_after;
+    std::vector<std::uint64_t> put_leases;
+
+    template <typename T>
+    void answer(std::deque<result<T>>& from, ports::completion<T> done) {
+        if (from.empty()) {
+            return;
+        }
+        loop.post([next = std::move(from.front()), done = std::move(done)] { done(next); });
+        from.pop_front();
+    }
+
+    void list(const std::string&, ports::completion<ports::store_listing> done) {
+        answer(listings, std::move(done));
+    }
+    void watch(const std::string&, std::uint64_t after, duration,
+               ports::completion<ports::store_changes> done) {
+        watched_after.push_back(after);
+        answer(watches, std::move(done));
+    }
+    void grant_lease(duration, ports::completion<std::uint64_t> done) { answer(grants, std::move(done)); }
+    void renew_lease(std::uint64_t, ports::completion<std::uint64_t> done) {
+        answer(renewals, std::move(done));
+    }
+    void put(const std::string&, const std::string&, std::uint64_t lease,
+             ports::completion<std::uint64_t> done) {
+        put_leases.push_back(lease);
+        answer(puts, std::move(done));
+    }
+};
+
+struct reported {
+    std::string key;
+    std::optional<std::string> value;
+    bool after_outage = false;
+};
+
+struct followed {
+    net::loop loop;
+    scripted_store store{loop, {}, {}, {}, {}, {}, {}, {}};
+    std::vector<reported> changes;
+    int synchronized = 0;
+    prefix_follower<scripted_store> follower{
+        loop,
+        store,
+        {.prefix = "op/", .pace = 1ms, .backoff = 1ms, .max_backoff = 2ms},
+        {.on_change =
+             [this](const ports::store_change& change, bool after_outage) {
+                 changes.push_back({change.key, change.value, after_outage});
+             },
+         .on_synchronized = [this] { ++synchronized; }}};
+
+    void run_until(const std::function<bool()>& done) { REQUIRE(loop.run_until(done, hang_limit)); }
+};
+
+} // namespace
+
+TEST_CASE("changes between the listing and the first watch are not missed") {
+    followed all;
+    all.store.listings.push_back(ports::store_listing{{{"op/a", "1", 5}}, 9});
+    all.store.watches.push_back(ports::store_changes{{{"op/a", "2", 10}, {"op/b", "1", 11}}, 11});
+    all.follower.start();
+    all.run_until([&] { return all.store.watched_after.size() == 2; });
+    CHECK(all.store.watched_after == std::vector<std::uint64_t>{9, 11});
+    REQUIRE(all.changes.size() == 3);
+    CHECK(all.changes[1].value == "2");
+    CHECK(all.follower.is_synchronized());
+}
+
+TEST_CASE("after dropped history, keys that vanished meanwhile are reported as removed") {
+    // A server that left while its watchers' history was dropped would otherwise be sent requests for ever.
+    followed all;
+    all.store.listings.push_back(ports::store_listing{{{"op/a", "1", 5}, {"op/b", "1", 6}}, 9});
+    all.store.watches.push_back(make_error(errc::stale_revision, step::receive, "store", "status 410"));
+    all.store.listings.push_back(ports::store_listing{{{"op/b", "1", 6}}, 40});
+    all.follower.start();
+    all.run_until([&] { return all.synchronized == 2; });
+    CHECK(all.changes.back().key == "op/a");
+    CHECK_FALSE(all.changes.back().value);
+    CHECK(all.follower.revision() == 40);
+}
+
+TEST_CASE("removals right after an outage are marked, since the entries may be written again") {
+    followed all;
+    all.store.listings.push_back(ports::store_listing{{{"op/a", "1", 5}}, 9});
+    all.store.watches.push_back(outage());
+    all.store.watches.push_back(outage());
+    all.store.watches.push_back(outage());
+    all.store.watches.push_back(ports::store_changes{{{"op/a", std::nullopt, 12}}, 12});
+    all.follower.start();
+    all.run_until([&] { return all.changes.size() == 2; });
+    CHECK(all.changes[1].after_outage);
+    CHECK(all.follower.in_contact());
+    CHECK(all.store.watched_after.back() == 9);
+}
+
+TEST_CASE("a start during an outage goes on until the first listing") {
+    followed all;
+    for (int i = 0; i < 6; ++i) {
+        all.store.listings.push_back(outage());
+    }
+    all.store.listings.push_back(ports::store_listing{{}, 3});
+    all.follower.start();
+    all.run_until([&] { return all.synchronized == 1; });
+    CHECK(all.follower.revision() == 3);
+}
+
+TEST_CASE("a registration whose lease has ended is written again under a new one") {
+    // A lease that ended during a freeze would leave the entry unknown to its peers.
+    net::loop loop;
+    scripted_store store{loop, {}, {}, {}, {}, {}, {}, {}};
+    store.grants = {std::uint64_t{7}, std::uint64_t{8}};
+    store.puts = {std::uint64_t{1}, std::uint64_t{2}};
+    store.renewals = {std::uint64_t{10'000},
+                      make_error(errc::not_found, step::receive, "store", "status 404")};
+    registration<scripted_store> kept{
+        loop, store, {.key = "entries/a", .value = "x", .renewal = 1ms, .retry = 1ms}};
+    kept.start();
+    REQUIRE(loop.run_until([&] { return store.put_leases.size() == 2; }, hang_limit));
+    CHECK(store.put_leases == std::vector<std::uint64_t>{7, 8});
+}
+
+TEST_CASE("a registration survives lost answers of the store") {
+    net::loop loop;
+    scripted_store store{loop, {}, {}, {}, {}, {}, {}, {}};
+    store.grants = {outage(), std::uint64_t{7}};
+    store.puts = {make_error(errc::timeout, step::receive, "store", "no answer"), std::uint64_t{2}};
+    registration<scripted_store> kept{
+        loop, store, {.key = "entries/a", .value = "x", .renewal = 1ms, .retry = 1ms}};
+    kept.start();
+    REQUIRE(loop.run_until([&] { return store.put_leases.size() == 2; }, hang_limit));
+    CHECK(store.put_leases == std::vector<std::uint64_t>{7, 7});
+}
