--- a/include/samphiretray/agent/slot_table.h
+++ b/include/samphiretray/agent/slot_table.h
@@ -100,6 +100,15 @@
     /// agent). Adapters beyond the number of slots are ignored.
     void adopt(const std::vector<adapter_version>& loaded, time_point now);
 
+    /// Compares the table with what the engine says that it holds. What two comparisons in a row show counts:
+    /// a resident adapter that the engine does not hold is forgotten unless requests run on it, and one that
+    /// the engine holds besides takes a free slot. Returns those for which there is no slot; they are to be
+    /// unloaded.
+    [[nodiscard]] std::vector<adapter_version> reconcile(const std::vector<adapter_version>& loaded,
+                                                         time_point now);
+    /// The engine has refused a request because it does not hold the adapter.
+    void forget(const adapter_version& adapter);
+
     /// A request began to wait for `adapter`.
     void wait_started(const adapter_version& adapter, bool priority, time_point now);
     /// A request stopped waiting. A load that nobody waits for any more is cancelled.
@@ -160,6 +169,8 @@
         bool cancelling = false;
         /// Loaded for waiting requests and not used yet; it may not be evicted without use.
         bool promised = false;
+        /// The last comparison did not find the adapter at the engine.
+        bool missing = false;
         /// The adapter to load after an unload.
         std::optional<adapter_version> next;
         /// Set while a failed unload waits to be repeated.
@@ -207,6 +218,7 @@
     std::size_t reserved_;
     std::vector<slot> slots_;
     std::map<adapter_version, demand> demands_;
+    std::vector<adapter_version> unexpected_;
     std::map<adapter_version, use> uses_;
     time_point uses_pruned_at_;
     std::string incarnation_;
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -323,6 +323,10 @@
     if (running->ended) {
         return;
     }
+    if (Binding::decode_answer(code, headers).misdirected && running->pin) {
+        slots_->unpin(*std::exchange(running->pin, std::nullopt), loop_.now());
+        slots_->forget(running->adapter);
+    }
     net::http_headers copy = headers;
     remove_agent_headers(copy);
     add_engine_load(copy, load());
@@ -442,7 +446,8 @@
 
 template <request_binding Binding, ordered_engine Engine>
 void engine_agent<Binding, Engine>::perform(std::vector<agent::slot_command> commands) {
-    for (const agent::slot_command& command : commands) {
+    for (agent::slot_command& command : commands) {
+        command.order.adapter_slots = slots_->size();
         switch (command.kind) {
         case agent::slot_command_kind::load:
             ++loads_in_progress_;
@@ -530,6 +535,11 @@
         model_ = report->models.front();
     }
     restore_model();
+    for (const ports::adapter_version& unexpected : slots_->reconcile(report->loaded, now)) {
+        log_event(log_level::warning, "unexpected_adapter",
+                  {{"adapter", unexpected.adapter}, {"version", unexpected.version}});
+        engine_.unload({unexpected, fencing_number_}, [](const result<std::string>&) {});
+    }
     if (effect) {
         log_event(log_level::warning, "engine_restarted",
                   {{"started_at", report->started_at}, {"reload", effect->reload.size()}});
--- a/include/samphiretray/ports/engine.h
+++ b/include/samphiretray/ports/engine.h
@@ -7,6 +7,7 @@
 #include <concepts>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -40,6 +41,8 @@
     adapter_version target;
     /// Engines that check fencing numbers refuse an order with a lower number than they have seen.
     std::uint64_t fencing_number = 0;
+    /// A load is refused while the engine holds or loads this many adapters already.
+    std::size_t adapter_slots = std::numeric_limits<std::size_t>::max();
 };
 
 struct engine_call {
--- a/src/agent/slot_table.cpp
+++ b/src/agent/slot_table.cpp
@@ -104,6 +104,39 @@
     }
 }
 
+std::vector<adapter_version> slot_table::reconcile(const std::vector<adapter_version>& loaded,
+                                                   time_point now) {
+    const auto holds = [&loaded](const adapter_version& adapter) {
+        return std::ranges::find(loaded, adapter) != loaded.end();
+    };
+    for (slot& of : slots_) {
+        const bool missing = of.state == slot_state::resident && of.pins == 0 && !holds(of.holds);
+        if (missing && of.missing) {
+            of = slot{};
+            continue;
+        }
+        of.missing = missing;
+    }
+    std::vector<adapter_version> unexpected;
+    std::ranges::copy_if(loaded, std::back_inserter(unexpected),
+                         [this](const adapter_version& adapter) { return !assigned(adapter); });
+    std::vector<adapter_version> confirmed;
+    std::ranges::copy_if(unexpected, std::back_inserter(confirmed), [this](const adapter_version& adapter) {
+        return std::ranges::find(unexpected_, adapter) != unexpected_.end();
+    });
+    unexpected_ = std::move(unexpected);
+    adopt(confirmed, now);
+    std::erase_if(confirmed, [this](const adapter_version& adapter) { return assigned(adapter); });
+    return confirmed;
+}
+
+void slot_table::forget(const adapter_version& adapter) {
+    slot* of = find(adapter);
+    if (of != nullptr && of->pins == 0) {
+        *of = slot{};
+    }
+}
+
 void slot_table::wait_started(const adapter_version& adapter, bool priority, time_point now) {
     demand& wanted = demands_[adapter];
     if (wanted.waiting == 0) {
--- a/tests/agent/slot_table_test.cpp
+++ b/tests/agent/slot_table_test.cpp
@@ -224,3 +224,34 @@
     CHECK(table.count(slot_state::resident) == 2);
     CHECK(table.pin(name(0), false, start).has_value());
 }
+
+TEST_CASE(
+    "an adapter that the engine holds beside the table's is found before the engine runs out of places") {
+    // An order from before a restart was carried out after it; the next load would have been one too many.
+    slot_settings settings;
+    settings.slots = 2;
+    slot_table table{settings};
+    const adapter_version known{"m/a1", "1"};
+    const adapter_version stray{"m/a2", "1"};
+    const adapter_version second{"m/a3", "1"};
+    table.adopt({known}, start);
+    CHECK(table.reconcile({known, stray}, start).empty());
+    CHECK_FALSE(table.resident(stray));
+    CHECK(table.reconcile({known, stray}, start).empty());
+    CHECK(table.resident(stray));
+    CHECK(table.reconcile({known, stray, second}, start).empty());
+    CHECK(table.reconcile({known, stray, second}, start) == std::vector{second});
+}
+
+TEST_CASE("an adapter that the engine has lost is not taken for resident for ever") {
+    slot_table table{slot_settings{}};
+    const adapter_version lost{"m/a1", "1"};
+    table.adopt({lost}, start);
+    CHECK(table.reconcile({}, start).empty());
+    CHECK(table.resident(lost));
+    CHECK(table.reconcile({}, start).empty());
+    CHECK_FALSE(table.resident(lost));
+    table.adopt({lost}, start);
+    table.forget(lost);
+    CHECK_FALSE(table.resident(lost));
+}
