Fence off orders from before an engine's restart, and let waiting requests leave a lost engine

Cause: a restarted engine starts its count of orders anew, so the condition of an order that is carried out late may hold again; it loaded one adapter too many. Ruled out: the slot table, whose loads were refused by the check of free places. Each restart that the agent sees now raises the fencing number, without a call to the store.

--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -13,8 +13,8 @@
 
 namespace limits {
 
-/// Loads of this agent in progress at once: one from the store and one from the engine's memory. The fleet's
-/// store slows down beyond eight.
+/// Loads of this agent in progress at once. The engine takes four, but the store slows down beyond eight
+/// loads of the whole fleet.
 inline constexpr std::uint32_t agent_loads = 2;
 /// Failed reports in a row after which the engine counts as down: with the poll interval, half a second.
 inline constexpr std::uint32_t engine_down_polls = 3;
@@ -24,6 +24,8 @@
 /// four times a load from the store.
 inline constexpr duration longest_load_wait = 1s;
 inline constexpr duration agent_tick = 20ms;
+/// Fencing numbers of one agent: one for each restart of its engine that it may see.
+inline constexpr std::uint64_t fencing_numbers = 1U << 16U;
 /// A planned stop ends this long before the process would be killed.
 inline constexpr duration agent_stop_margin = 400ms;
 /// The engine is on the same machine.
@@ -125,7 +127,7 @@
 
 template <request_binding Binding, ordered_engine Engine>
 void engine_agent<Binding, Engine>::set_fencing_number(std::uint64_t number) {
-    fencing_number_ = std::max(fencing_number_, number);
+    fencing_number_ = std::max(fencing_number_, number * limits::fencing_numbers + engine_restarts_);
     log_event(log_level::info, "fencing_number_taken", {{"number", fencing_number_}});
 }
 
@@ -509,8 +511,13 @@
 void engine_agent<Binding, Engine>::on_report(const result<engine_report>& report) {
     const time_point now = loop_.now();
     if (!report) {
-        if (++failed_polls_ == limits::engine_down_polls) {
+        // A refused connection is certain; silence may be a slow answer.
+        const bool is_refused = report.error().code == errc::connection_failed;
+        const bool was_up = is_engine_up();
+        failed_polls_ = is_refused ? limits::engine_down_polls : failed_polls_ + 1;
+        if (was_up && !is_engine_up()) {
             log_event(log_level::warning, "engine_lost", {{"failure", to_string(report.error())}});
+            refuse_waiting(agent_refusal::engine_down);
         }
         return;
     }
@@ -527,6 +534,12 @@
         return;
     }
     const auto effect = slots_->incarnation_seen(std::to_string(report->started_at), now);
+    if (restarted) {
+        // The engine has forgotten the numbers it saw. An order from before the restart may still be carried
+        // out, and its condition may hold again; the new number fences it off.
+        ++engine_restarts_;
+        fencing_number_ += fencing_number_ > 0 ? 1 : 0;
+    }
     if (first || restarted) {
         prefixes_.clear();
         slots_->adopt(report->loaded, now);
@@ -535,6 +548,9 @@
         model_ = report->models.front();
     }
     restore_model();
+    if (!holds_model()) {
+        refuse_waiting(agent_refusal::engine_down);
+    }
     for (const ports::adapter_version& unexpected : slots_->reconcile(report->loaded, now)) {
         log_event(log_level::warning, "unexpected_adapter",
                   {{"adapter", unexpected.adapter}, {"version", unexpected.version}});
@@ -547,6 +563,17 @@
     pump();
 }
 
+/// Requests that have not been passed on are better off at another engine.
+template <request_binding Binding, ordered_engine Engine>
+void engine_agent<Binding, Engine>::refuse_waiting(agent_refusal reason) {
+    std::vector<work_pointer> waiting;
+    std::ranges::copy_if(works_ | std::views::values, std::back_inserter(waiting),
+                         [](const work_pointer& each) { return !each->run_at; });
+    for (const work_pointer& each : waiting) {
+        refuse(each, reason, "");
+    }
+}
+
 template <request_binding Binding, ordered_engine Engine>
 bool engine_agent<Binding, Engine>::holds_model() const {
     return report_ && !report_->models.empty();
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -49,9 +49,9 @@
 
     void apply(const routing_state& state);
     void apply(const adapter_release& release);
-    /// The number that orders carry; larger than that of any earlier agent of this engine.
+    /// A number that is larger than that of any earlier agent of this engine; orders carry numbers made from
+    /// it.
     void set_fencing_number(std::uint64_t number);
-    [[nodiscard]] std::uint64_t fencing_number() const noexcept { return fencing_number_; }
 
 private:
     struct work {
@@ -97,6 +97,7 @@
     void on_report(const result<engine_report>& report);
     void refuse_failed_loads();
     void restore_model();
+    void refuse_waiting(agent_refusal reason);
     [[nodiscard]] bool holds_model() const;
     void check_drained();
     [[nodiscard]] routing::engine_load load() const;
@@ -116,6 +117,7 @@
     std::unordered_map<std::uint64_t, work_pointer> works_;
     std::uint64_t next_id_ = 1;
     std::uint64_t fencing_number_ = 0;
+    std::uint32_t engine_restarts_ = 0;
     std::optional<engine_report> report_;
     std::uint32_t failed_polls_ = 0;
     std::uint32_t loads_in_progress_ = 0;
--- a/include/samphiretray/node/prefix_follower-inl.h
+++ b/include/samphiretray/node/prefix_follower-inl.h
@@ -42,7 +42,8 @@
 template <ports::watched_store Store>
 void prefix_follower<Store>::watch() {
     asked_at_ = loop_.now();
-    store_.watch(settings_.prefix, revision_, settings_.wait,
+    const duration wait = in_contact() ? settings_.wait : settings_.recheck_wait;
+    store_.watch(settings_.prefix, revision_, wait,
                  [this, weak = std::weak_ptr{alive_}](result<ports::store_changes> changes) {
                      if (weak.expired()) {
                          return;
--- a/include/samphiretray/node/prefix_follower.h
+++ b/include/samphiretray/node/prefix_follower.h
@@ -18,6 +18,8 @@
     /// Time that one watch waits. Connections can fall silent without an error, so a watch bounds how long
     /// changes stay unseen.
     duration wait = 3s;
+    /// Time that the first watch after a failure waits, so that the end of an outage is known soon.
+    duration recheck_wait = 50ms;
     /// Wait after a failed call; doubles up to `max_backoff`.
     duration backoff = 100ms;
     duration max_backoff = 800ms;
