--- a/include/samphiretray/gateway/model.h
+++ b/include/samphiretray/gateway/model.h
@@ -141,10 +141,10 @@
 struct forward_fields {
     duration time_left{0};
     /// The incarnation that is meant; any other refuses the request.
-    std::string endpoint;
-    std::string organisation;
+    std::string endpoint = {};
+    std::string organisation = {};
     /// The adapter's version; empty if none has been announced.
-    std::string version;
+    std::string version = {};
     /// 0 is the most urgent.
     std::uint32_t urgency = 5;
 };
--- /dev/null
+++ b/tests/platform/decode_test.cpp
@@ -0,0 +1,125 @@
+#include "samphiretray/base/hash.h"
+
+#include "platform/decode.h"
+
+#include <catch2/catch.hpp>
+
+using namespace samphiretray;
+using namespace samphiretray::platform;
+
+namespace {
+
+constexpr const char* configuration_text = R"({"version":7,"unknown":{"x":1},
+  "routes":[
+    {"name":"r1","hostname":"a.example","prefix":"/x/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":1000,
+     "priority":1,"service":"engines","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"targetGapMs":300},
+    {"name":"r2","hostname":"a.example","prefix":"/y/","kind":"unsafe","timeoutMs":800,"targetLatencyMs":300,
+     "priority":2,"weightedServices":[{"service":"orders","weight":90},{"service":"new","weight":10}],"maxAttempts":1},
+    {"name":"r3","hostname":"a.example","prefix":"/z/","kind":"something-new","service":"orders","public":true}],
+  "services":[
+    {"name":"engines","engine":{"slots":96,"kvCapacityTokens":191783,"adapterSlots":8,
+       "models":[{"name":"m0","weightsMb":34300.0}]}},
+    {"name":"orders","healthPath":"/healthz","maxConnections":110}],
+  "limits":{"maxBodyBytes":4194304,"idleTimeoutMs":15000},
+  "tenants":[{"name":"coop","apiKeys":["k1","k2"],"priority":1,"unit":"token_metered","plainTokens":200,
+              "ratePerS":83540,"burst":90000}]})";
+
+std::string replaced(std::string text, std::string_view from, std::string_view to) {
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("the operator's configuration becomes routes, services and organisations") {
+    const auto state = decode_configuration(configuration_text);
+    REQUIRE(state);
+    CHECK(state->version == 7);
+    REQUIRE(state->routes.size() == 3);
+    CHECK(state->routes[0].kind == gateway::call_kind::streaming);
+    CHECK(state->routes[0].timeout == 8s);
+    CHECK(state->routes[0].max_attempts == 2);
+    CHECK(state->routes[0].resumable);
+    CHECK(state->routes[1].kind == gateway::call_kind::at_most_once);
+    CHECK(state->routes[1].services[1].service == "new");
+    CHECK(state->routes[1].services[1].weight == 10);
+    CHECK(state->services[0].engine->kv_tokens == 191783);
+    CHECK(state->services[0].engine->models == std::vector<std::string>{"m0"});
+    CHECK_FALSE(state->services[1].engine);
+    CHECK(state->organisations[0].burst == 90000);
+}
+
+TEST_CASE("a kind of route that is not known is never repeated") {
+    CHECK(decode_configuration(configuration_text)->routes[2].kind == gateway::call_kind::at_most_once);
+}
+
+TEST_CASE("keys are kept as digests only") {
+    const auto state = decode_configuration(configuration_text);
+    CHECK(state->organisations[0].key_digests == std::vector{sha256_hex("k1"), sha256_hex("k2")});
+}
+
+TEST_CASE("a configuration with one wrong field is refused whole, and the field is named") {
+    const auto check = [](std::string_view from, std::string_view to, std::string_view field) {
+        const auto state = decode_configuration(replaced(configuration_text, from, to));
+        REQUIRE_FALSE(state);
+        CHECK(state.error().code == errc::protocol_error);
+        CHECK(state.error().detail.find(field) != std::string::npos);
+    };
+    check(R"("timeoutMs":8000)", R"("timeoutMs":"8000")", "routes[0].timeoutMs");
+    check(R"("version":7)", R"("version":-7)", "version");
+    check(R"("service":"engines",)", "", "routes[0].service");
+    check(R"("apiKeys":["k1","k2"])", R"("apiKeys":["k1",2])", "apiKeys");
+    check(R"("tenants":[)", R"("tenants":[7,)", "tenants[0]");
+    CHECK_FALSE(decode_configuration("{"));
+    CHECK_FALSE(decode_configuration("[]"));
+}
+
+TEST_CASE("a server's entry becomes an endpoint with the versions of its adapters") {
+    const auto endpoint = decode_endpoint(
+        "i-1", R"({"service":"engines","address":"10.0.0.9:8080","zone":"north-a","version":"v1","slots":96,
+                   "state":"ready","coldMs":0,"seq":4,"born":1790000000000,
+                   "models":[{"name":"m0","version":1,"adapters":["a1@1","a7@3"]}]})");
+    REQUIRE(endpoint);
+    CHECK(endpoint->id == "i-1");
+    CHECK(net::to_string(endpoint->at) == "10.0.0.9:8080");
+    CHECK(endpoint->started_at == 1790000000000);
+    CHECK_FALSE(endpoint->draining);
+    CHECK(endpoint->adapters == std::vector<ports::adapter_version>{{"m0/a1", "1"}, {"m0/a7", "3"}});
+}
+
+TEST_CASE("an entry of another writer names no endpoint, whatever is wrong with it") {
+    const std::string good =
+        R"({"service":"orders","address":"10.0.0.9:80","zone":"a","slots":6,"state":"draining","seq":1})";
+    REQUIRE(decode_endpoint("i-1", good));
+    CHECK(decode_endpoint("i-1", good)->draining);
+    for (const auto& [from, to] :
+         std::vector<std::pair<std::string, std::string>>{{R"("draining")", R"("asleep")"},
+                                                          {R"("10.0.0.9:80")", R"("somewhere:80")"},
+                                                          {R"("slots":6)", R"("slots":"6")"},
+                                                          {R"("service":"orders",)", ""},
+                                                          {R"("zone":"a")", R"("zone":null)"}}) {
+        CHECK_FALSE(decode_endpoint("i-1", replaced(good, from, to)));
+    }
+    CHECK_FALSE(decode_endpoint("i-1", "\xff\xfe"));
+    CHECK_FALSE(decode_endpoint("i-1", "7"));
+}
+
+TEST_CASE("an engine's report tells loaded adapters from those on their way") {
+    const auto report = decode_report(
+        R"({"stage":"both","models":[{"name":"m0","version":1,"adapters":["a1@2"]}],"busy":false,"seq":2,"queued":1,
+            "running":12,"kvUsed":41000,"kvTotal":90000,"handles":0,"born":5,"pending":["m0/a9@1"]})");
+    REQUIRE(report);
+    CHECK(report->order_sequence == 2);
+    CHECK(report->models == std::vector<std::string>{"m0"});
+    CHECK(report->loaded == std::vector<ports::adapter_version>{{"m0/a1", "2"}});
+    CHECK(report->loading == std::vector<ports::adapter_version>{{"m0/a9", "1"}});
+    CHECK_FALSE(decode_report(R"({"models":[]})"));
+}
+
+TEST_CASE("an announced version names its adapter; one of a whole model has none") {
+    const auto release = decode_release(R"({"model":"m0","adapter":"a3","version":4})");
+    REQUIRE(release);
+    CHECK(release->adapter == "m0/a3");
+    CHECK(release->version == 4);
+    CHECK(decode_release(R"({"model":"m0","version":4})")->adapter.empty());
+    CHECK_FALSE(decode_release(R"({"model":"m0","adapter":"a3","version":"4"})"));
+}
--- /dev/null
+++ b/tests/platform/engine_agent_test.cpp
@@ -0,0 +1,227 @@
+#include "samphiretray/gateway/engine_agent-inl.h"
+
+#include "platform/engine_port.h"
+#include "platform/request_binding.h"
+#include "tests/platform/fake_engine.h"
+
+#include <algorithm>
+
+using namespace samphiretray;
+using namespace samphiretray::platform;
+using platform::testing::fake_engine;
+using platform::testing::hang_limit;
+using platform::testing::order_fate;
+
+namespace {
+
+/// An agent and its engine as one process, with a client in the place of an entry.
+struct agent_beside_engine {
+    net::loop events;
+    net::address listen;
+    fake_engine engine{events};
+    std::unique_ptr<net::http_client> client = net::http_client::create(events);
+    engine_port port{
+        events,
+        *client,
+        {.engine = engine.address(), .owner = "side-1", .order_timeout = 30ms, .look_interval = 2ms}};
+    gateway::engine_agent<request_binding, engine_port> agent{events, settings(), port};
+    std::vector<result<net::http_answer>> answers;
+    std::vector<std::unique_ptr<net::http_exchange>> calls;
+
+    gateway::engine_agent_settings settings() {
+        gateway::engine_agent_settings values;
+        values.node.vm = "side-1";
+        values.listen = free_address();
+        values.control_listen = free_address();
+        values.engine = engine.address();
+        values.service = "engines";
+        values.poll_interval = 10ms;
+        listen = values.listen;
+        return values;
+    }
+
+    net::address free_address() {
+        auto probe = net::http_server::create(events, {{"127.0.0.1", 0}}, nullptr);
+        REQUIRE(probe);
+        return (*probe)->local_address();
+    }
+
+    void start() {
+        REQUIRE(agent.start());
+        gateway::routing_state state;
+        state.version = 1;
+        state.services = {{"engines", gateway::engine_capacity{8, 100'000, 2, {"m0"}}}};
+        agent.apply(state);
+        agent.set_fencing_number(5);
+        const int before = engine.reports;
+        REQUIRE(events.run_until([&] { return engine.reports > before + 2; }, hang_limit));
+    }
+
+    void ask(const std::string& attempt, const std::string& adapter, const std::string& version = "",
+             duration time = 5s) {
+        net::http_call call;
+        call.peer = listen;
+        call.method = "POST";
+        call.target = "/x/1";
+        call.headers = request_binding::forward_headers(
+            {{"x-samphiretray-attempt-id", attempt},
+             {"x-samphiretray-model", adapter.empty() ? "m0" : "m0/" + adapter},
+             {"x-samphiretray-token-count", "1000,50"}},
+            {.time_left = time, .endpoint = "i-1", .organisation = "coop", .version = version});
+        calls.push_back(client->fetch(std::move(call), [this](result<net::http_answer> answer) {
+            answers.push_back(std::move(answer));
+        }));
+    }
+
+    void wait_for(std::size_t count) {
+        REQUIRE(events.run_until([&] { return answers.size() == count; }, hang_limit));
+    }
+
+    void run_for(duration time) {
+        events.run_until([] { return false; }, time);
+    }
+};
+
+} // namespace
+
+TEST_CASE("a request waits for the load of its adapter and its answer tells the engine's load") {
+    agent_beside_engine all;
+    all.start();
+    all.ask("1", "a1");
+    all.wait_for(1);
+    REQUIRE(all.answers[0]);
+    CHECK(all.answers[0]->status == 200);
+    const auto load = gateway::read_engine_load(all.answers[0]->headers);
+    REQUIRE(load);
+    CHECK(load->resident == std::vector<std::string>{"m0/a1@1"});
+    CHECK(all.engine.requests.size() == 1);
+    CHECK(net::find_header(all.engine.requests[0].headers, "samphiretray-max-wait-ms").empty());
+}
+
+TEST_CASE("adapters take turns at the engine's places without ever being one too many") {
+    agent_beside_engine all;
+    all.engine.places = 2;
+    all.start();
+    for (int i = 0; i < 12; ++i) {
+        all.ask(std::to_string(i), "a" + std::to_string(i % 5));
+    }
+    all.wait_for(12);
+    for (const auto& answer : all.answers) {
+        REQUIRE(answer);
+        CHECK(answer->status == 200);
+    }
+    CHECK_FALSE(all.engine.overloaded);
+}
+
+TEST_CASE("an engine that restarts empty gets its base model back and serves again") {
+    agent_beside_engine all;
+    all.start();
+    all.engine.restart();
+    all.run_for(200ms);
+    CHECK(all.engine.models == std::vector<std::string>{"m0"});
+    all.ask("1", "a1");
+    all.wait_for(1);
+    CHECK(all.answers[0]->status == 200);
+}
+
+TEST_CASE("an order from before the engine's restart is fenced off although its condition holds again") {
+    // Seen as LIMIT on scale-1: a late load made an adapter one too many for a restarted engine.
+    agent_beside_engine all;
+    all.engine.places = 2;
+    all.start();
+    all.engine.fates = {order_fate::late};
+    all.ask("1", "a1");
+    REQUIRE(all.events.run_until([&] { return all.engine.late_orders.size() == 1; }, hang_limit));
+    all.wait_for(1);
+    all.engine.restart();
+    all.run_for(200ms);
+    REQUIRE(all.engine.models.size() == 1);
+    // The late order was given on the condition that none had been accepted.
+    all.engine.seq = 0;
+    CHECK(all.engine.carry_out(all.engine.late_orders[0]) == 412);
+}
+
+TEST_CASE("requests that wait at an agent whose engine is lost go back to their entries at once") {
+    // Seen on scale-1: thirteen requests were held for three seconds beside a crashed engine.
+    agent_beside_engine all;
+    all.start();
+    for (int i = 0; i < 400; ++i) {
+        all.engine.fates.push_back(order_fate::late);
+    }
+    all.ask("1", "a1");
+    all.run_for(50ms);
+    CHECK(all.answers.empty());
+    all.engine.server.reset();
+    all.wait_for(1);
+    REQUIRE(all.answers[0]);
+    CHECK(gateway::read_refusal(all.answers[0]->headers) == gateway::agent_refusal::engine_down);
+    CHECK(all.engine.requests.empty());
+}
+
+TEST_CASE("an announced version replaces the one that is loaded before the next request") {
+    agent_beside_engine all;
+    all.start();
+    all.ask("1", "a1");
+    all.wait_for(1);
+    all.agent.apply(gateway::adapter_release{"m0/a1", 2});
+    all.ask("2", "a1");
+    all.wait_for(2);
+    CHECK(all.answers[1]->status == 200);
+    CHECK(all.engine.adapters == std::vector<std::string>{"a1@2"});
+    CHECK(net::find_header(all.engine.requests[1].headers, "x-samphiretray-expect-version") == "2");
+}
+
+TEST_CASE("an agent that has not heard of a version takes it from the entry's request") {
+    // The agent is cut off from the store while a version is announced.
+    agent_beside_engine all;
+    all.start();
+    all.ask("1", "a1", "3");
+    all.wait_for(1);
+    CHECK(all.answers[0]->status == 200);
+    CHECK(all.engine.adapters == std::vector<std::string>{"a1@3"});
+}
+
+TEST_CASE("a request that the engine broke off is unknown to the entry, never refused as not run") {
+    agent_beside_engine all;
+    all.engine.on_request = [](const net::http_request&,
+                               const std::shared_ptr<net::http_response>& response) { response->abort(); };
+    all.start();
+    all.ask("1", "");
+    all.wait_for(1);
+    REQUIRE(all.answers[0]);
+    CHECK(all.answers[0]->status == 502);
+    CHECK(gateway::read_refusal(all.answers[0]->headers) == gateway::agent_refusal::outcome_unknown);
+}
+
+TEST_CASE("a stopping agent refuses new requests as not run and finishes the running ones") {
+    agent_beside_engine all;
+    std::shared_ptr<net::http_response> running;
+    all.engine.on_request = [&](const net::http_request&, std::shared_ptr<net::http_response> response) {
+        running = std::move(response);
+    };
+    all.start();
+    all.ask("1", "");
+    REQUIRE(all.events.run_until([&] { return running != nullptr; }, hang_limit));
+    all.agent.drain();
+    all.ask("2", "");
+    all.wait_for(1);
+    CHECK(gateway::read_refusal(all.answers[0]->headers) == gateway::agent_refusal::draining);
+    running->send(200, {{"x-samphiretray-server-seal", "s"}}, "whole");
+    all.wait_for(2);
+    CHECK(all.answers[1]->body == "whole");
+}
+
+TEST_CASE("an entry that leaves takes its request from the engine") {
+    agent_beside_engine all;
+    std::shared_ptr<net::http_response> running;
+    bool cancelled = false;
+    all.engine.on_request = [&](const net::http_request&, std::shared_ptr<net::http_response> response) {
+        running = std::move(response);
+        running->on_closed([&] { cancelled = true; });
+    };
+    all.start();
+    all.ask("1", "");
+    REQUIRE(all.events.run_until([&] { return running != nullptr; }, hang_limit));
+    all.calls.clear();
+    CHECK(all.events.run_until([&] { return cancelled; }, hang_limit));
+}
--- /dev/null
+++ b/tests/platform/entry_gateway_test.cpp
@@ -0,0 +1,347 @@
+#include "samphiretray/base/split.h"
+#include "samphiretray/gateway/entry_gateway-inl.h"
+
+#include "platform/request_binding.h"
+#include "tests/platform/fake_engine.h"
+
+using namespace samphiretray;
+using namespace samphiretray::platform;
+using platform::testing::fake_engine;
+using platform::testing::hang_limit;
+
+namespace {
+
+/// A store that never answers: what an entry knows is given to it by the test.
+struct silent_store {
+    void list(const std::string&, const ports::completion<ports::store_listing>&) {}
+    void watch(const std::string&, std::uint64_t, duration, const ports::completion<ports::store_changes>&) {}
+    void grant_lease(duration, const ports::completion<std::uint64_t>&) {}
+    void renew_lease(std::uint64_t, const ports::completion<std::uint64_t>&) {}
+    void put(const std::string&, const std::string&, std::uint64_t, const ports::completion<std::uint64_t>&) {
+    }
+};
+
+using responder = std::function<void(const net::http_request&, std::shared_ptr<net::http_response>)>;
+
+void send_signed(const net::http_request& request, const std::shared_ptr<net::http_response>& response,
+                 int status = 200, std::string_view body = "whole") {
+    response->send(status,
+                   {{"x-samphiretray-attempt-id",
+                     std::string{net::find_header(request.headers, "x-samphiretray-attempt-id")}},
+                    {"x-samphiretray-server-seal", "seal"}},
+                   body);
+}
+
+void send_not_run(const net::http_request&, const std::shared_ptr<net::http_response>& response) {
+    response->send(503, {{"x-samphiretray-not-executed", "1"}}, "");
+}
+
+/// An entry with two plain servers. Routes: /s/ safe, /u/ at most once, /p/ public.
+struct entry_with_servers {
+    net::loop events;
+    silent_store store;
+    std::unique_ptr<net::http_client> client = net::http_client::create(events);
+    std::unique_ptr<gateway::entry_gateway<request_binding, silent_store>> entry;
+    std::vector<std::unique_ptr<net::http_server>> servers;
+    std::vector<std::vector<net::http_request>> seen{2};
+    std::vector<responder> responders;
+    net::address listen;
+    net::address ready;
+    std::vector<std::unique_ptr<net::http_exchange>> calls;
+
+    entry_with_servers() {
+        const responder whole = [](const auto& request, const auto& response) {
+            send_signed(request, response);
+        };
+        responders = {whole, whole};
+        for (std::size_t i = 0; i < 2; ++i) {
+            auto created = net::http_server::create(
+                events, {{"127.0.0.1", 0}},
+                [this, i](net::http_request request, std::shared_ptr<net::http_response> response) {
+                    seen[i].push_back(request);
+                    responders[i](request, std::move(response));
+                });
+            REQUIRE(created);
+            servers.push_back(std::move(*created));
+        }
+        gateway::gateway_settings settings;
+        settings.node.vm = "entry-1";
+        settings.node.data_centre = "north-a";
+        settings.listen = listen = free_address();
+        settings.ready_listen = ready = free_address();
+        settings.control_listen = free_address();
+        settings.agent_port = 1;
+        entry =
+            std::make_unique<gateway::entry_gateway<request_binding, silent_store>>(events, settings, store);
+        REQUIRE(entry->start());
+    }
+
+    net::address free_address() {
+        auto probe = net::http_server::create(events, {{"127.0.0.1", 0}}, nullptr);
+        REQUIRE(probe);
+        return (*probe)->local_address();
+    }
+
+    static gateway::route make_route(std::string prefix, gateway::call_kind kind, bool is_public = false) {
+        gateway::route made;
+        made.name = prefix;
+        made.host = "a.example";
+        made.prefix = std::move(prefix);
+        made.kind = kind;
+        made.services = {{"orders", 1}};
+        made.timeout = 2s;
+        made.max_attempts = 2;
+        made.is_public = is_public;
+        return made;
+    }
+
+    static gateway::routing_state make_state(std::uint64_t version, const std::string& key = "key") {
+        gateway::routing_state state;
+        state.version = version;
+        state.routes = {make_route("/s/", gateway::call_kind::safe),
+                        make_route("/u/", gateway::call_kind::at_most_once),
+                        make_route("/e/", gateway::call_kind::streaming),
+                        make_route("/p/", gateway::call_kind::safe, true)};
+        state.services = {{"orders", std::nullopt}};
+        state.organisations = {{"coop", {sha256_hex(key)}, std::nullopt, 0, 0, 1}};
+        return state;
+    }
+
+    void know_server(std::size_t i, bool draining = false) {
+        gateway::endpoint server;
+        server.id = "i-" + std::to_string(i);
+        server.service = "orders";
+        server.at = servers[i]->local_address();
+        server.data_centre = i == 0 ? "north-a" : "south-a";
+        server.slots = 6;
+        server.draining = draining;
+        entry->update_endpoint(server);
+    }
+
+    void know_all() {
+        entry->apply(make_state(3));
+        know_server(0);
+        know_server(1);
+        entry->endpoints_complete();
+    }
+
+    std::optional<result<net::http_answer>> outcome;
+
+    const result<net::http_answer>& ask(const std::string& path, net::http_headers more = {},
+                                        const std::string& key = "key", std::string body = "order") {
+        outcome.reset();
+        net::http_call call;
+        call.peer = listen;
+        call.method = "POST";
+        call.target = path;
+        call.body = std::move(body);
+        call.headers = {{"host", "a.example"},
+                        {"x-samphiretray-attempt-id", "attempt-1"},
+                        {"x-samphiretray-deadline-ms", "1500"},
+                        {"x-samphiretray-credential", key}};
+        call.headers.insert(call.headers.end(), more.begin(), more.end());
+        calls.push_back(client->fetch(std::move(call), [this](result<net::http_answer> answer) {
+            outcome.emplace(std::move(answer));
+        }));
+        REQUIRE(events.run_until([&] { return outcome.has_value(); }, hang_limit));
+        return *outcome;
+    }
+
+    [[nodiscard]] std::size_t arrivals() const { return seen[0].size() + seen[1].size(); }
+};
+
+int status_of(const result<net::http_answer>& answer) {
+    REQUIRE(answer);
+    return answer->status;
+}
+
+} // namespace
+
+TEST_CASE("an answer comes back whole, and the server sees the organisation instead of the key") {
+    entry_with_servers all;
+    all.know_all();
+    const auto& answer = all.ask("/u/1?x=1&y=");
+    CHECK(status_of(answer) == 200);
+    CHECK(answer->body == "whole");
+    CHECK(net::find_header(answer->headers, "x-samphiretray-server-seal") == "seal");
+    REQUIRE(all.seen[0].size() == 1);
+    const net::http_request& arrived = all.seen[0][0];
+    CHECK(arrived.target == "/u/1?x=1&y=");
+    CHECK(arrived.body == "order");
+    CHECK(net::find_header(arrived.headers, "x-samphiretray-credential").empty());
+    CHECK(net::find_header(arrived.headers, "x-samphiretray-tenant") == "coop");
+    CHECK(net::find_header(arrived.headers, "x-samphiretray-expect-instance") == "i-0");
+}
+
+TEST_CASE("an entry without a configuration refuses as not run and is not ready") {
+    entry_with_servers all;
+    CHECK(status_of(all.ask("/u/1")) == 503);
+    CHECK_FALSE(net::find_header(all.outcome->value().headers, "retry-after").empty());
+}
+
+TEST_CASE("unknown routes and keys are refused, and a removed key stops with its configuration") {
+    entry_with_servers all;
+    all.know_all();
+    CHECK(status_of(all.ask("/x/1")) == 404);
+    CHECK(status_of(all.ask("/u/1", {}, "other")) == 401);
+    CHECK(status_of(all.ask("/p/1", {}, "")) == 200);
+    all.entry->apply(entry_with_servers::make_state(4, "new"));
+    CHECK(status_of(all.ask("/u/1")) == 401);
+    CHECK(status_of(all.ask("/u/1", {}, "new")) == 200);
+}
+
+TEST_CASE("an older configuration never comes back into force") {
+    entry_with_servers all;
+    all.know_all();
+    all.entry->apply(entry_with_servers::make_state(9, "new"));
+    all.entry->apply(entry_with_servers::make_state(4, "key"));
+    CHECK(status_of(all.ask("/u/1")) == 401);
+}
+
+TEST_CASE("a call that runs at most once is not repeated when its outcome is unknown") {
+    entry_with_servers all;
+    all.know_all();
+    all.responders[0] = [](const auto&, const auto& response) { response->abort(); };
+    CHECK(status_of(all.ask("/u/1")) == 502);
+    CHECK(all.arrivals() == 1);
+}
+
+TEST_CASE("a call that the server says has not run goes to another one") {
+    entry_with_servers all;
+    all.know_all();
+    all.responders[0] = send_not_run;
+    CHECK(status_of(all.ask("/u/1")) == 200);
+    CHECK(all.seen[1].size() == 1);
+}
+
+TEST_CASE("a refusal says not run only if that is so") {
+    entry_with_servers all;
+    all.know_all();
+    all.responders = {send_not_run, send_not_run};
+    CHECK(status_of(all.ask("/u/1")) == 503);
+    all.responders[1] = [](const auto&, const auto& response) { response->abort(); };
+    CHECK(status_of(all.ask("/u/1")) == 502);
+}
+
+TEST_CASE("a safe call is repeated after a cut answer, which never reaches the caller") {
+    entry_with_servers all;
+    all.know_all();
+    all.responders[0] = [](const net::http_request& request,
+                           const std::shared_ptr<net::http_response>& response) {
+        response->start(200, {{"content-length", "100"},
+                              {"x-samphiretray-attempt-id",
+                               std::string{net::find_header(request.headers, "x-samphiretray-attempt-id")}},
+                              {"x-samphiretray-server-seal", "seal"}});
+        response->write("half");
+        response->abort();
+    };
+    const auto& answer = all.ask("/s/1");
+    CHECK(status_of(answer) == 200);
+    CHECK(answer->body == "whole");
+}
+
+TEST_CASE("a safe call leaves a server that fails, and the failure is passed on when all do") {
+    entry_with_servers all;
+    all.know_all();
+    const responder fails = [](const auto& request, const auto& response) {
+        send_signed(request, response, 500, "broken");
+    };
+    all.responders[0] = fails;
+    CHECK(status_of(all.ask("/s/1")) == 200);
+    all.responders[1] = fails;
+    const auto& answer = all.ask("/s/1");
+    CHECK(status_of(answer) == 500);
+    CHECK(answer->body == "broken");
+}
+
+TEST_CASE("an answer to another request, an unsigned one and an encoded one are not passed on") {
+    entry_with_servers all;
+    all.know_all();
+    const auto check = [&all](net::http_headers headers) {
+        all.responders[0] = all.responders[1] = [headers](const auto&, const auto& response) {
+            response->send(200, headers, "x");
+        };
+        CHECK(status_of(all.ask("/u/1")) == 502);
+    };
+    check({{"x-samphiretray-attempt-id", "other"}, {"x-samphiretray-server-seal", "seal"}});
+    check({{"x-samphiretray-attempt-id", "attempt-1"}});
+    check({{"x-samphiretray-attempt-id", "attempt-1"},
+           {"x-samphiretray-server-seal", "seal"},
+           {"content-encoding", "gzip"}});
+}
+
+TEST_CASE("a stream that breaks off does not look complete") {
+    entry_with_servers all;
+    all.know_all();
+    all.responders[0] = [](const auto& request, const auto& response) {
+        response->start(200, {{"x-samphiretray-attempt-id",
+                               std::string{net::find_header(request.headers, "x-samphiretray-attempt-id")}},
+                              {"x-samphiretray-server-seal", "seal"}});
+        response->write("id: 1\n\n");
+        response->abort();
+    };
+    CHECK_FALSE(all.ask("/e/1"));
+    CHECK(all.arrivals() == 1);
+}
+
+TEST_CASE("a server that is leaving gets no new requests") {
+    entry_with_servers all;
+    all.know_all();
+    all.know_server(0, true);
+    CHECK(status_of(all.ask("/u/1")) == 200);
+    CHECK(all.seen[0].empty());
+    all.entry->remove_endpoint("i-1", false);
+    CHECK(status_of(all.ask("/u/1")) == 503);
+}
+
+TEST_CASE("a request past its route's time gets its final answer then") {
+    entry_with_servers all;
+    all.know_all();
+    std::vector<std::shared_ptr<net::http_response>> held;
+    all.responders[0] = [&held](const auto&, auto response) { held.push_back(std::move(response)); };
+    const time_point begun = all.events.now();
+    CHECK(status_of(all.ask("/u/1")) == 504);
+    const duration took = all.events.now() - begun;
+    CHECK(took >= 1500ms);
+    CHECK(took < 2s);
+}
+
+TEST_CASE("the time that a server is given is what the caller has left") {
+    entry_with_servers all;
+    all.know_all();
+    CHECK(status_of(all.ask("/u/1")) == 200);
+    const auto given =
+        parse_number<int>(net::find_header(all.seen[0][0].headers, "x-samphiretray-deadline-ms"));
+    REQUIRE(given);
+    CHECK(*given <= 1500);
+    CHECK(*given > 1000);
+}
+
+TEST_CASE("an organisation over its rate is told when to come back, and nothing of it runs") {
+    entry_with_servers all;
+    auto state = entry_with_servers::make_state(3);
+    state.organisations[0].rate = 1000;
+    state.organisations[0].burst = 1000;
+    all.entry->apply(state);
+    all.know_server(0);
+    const net::http_headers tokens{{"x-samphiretray-token-count", "5000,100"}};
+    const auto& answer = all.ask("/u/1", tokens);
+    CHECK(status_of(answer) == 429);
+    CHECK_FALSE(net::find_header(answer->headers, "retry-after").empty());
+    CHECK(all.arrivals() == 0);
+}
+
+TEST_CASE("a stopping entry asks its callers to reconnect elsewhere and is not ready") {
+    entry_with_servers all;
+    all.know_all();
+    all.entry->drain();
+    CHECK(status_of(all.ask("/u/1")) == 200);
+    std::optional<result<net::http_answer>> ready;
+    net::http_call call;
+    call.peer = all.ready;
+    call.target = "/ready";
+    const auto asked = all.client->fetch(
+        std::move(call), [&](result<net::http_answer> answer) { ready.emplace(std::move(answer)); });
+    REQUIRE(all.events.run_until([&] { return ready.has_value(); }, hang_limit));
+    CHECK((*ready)->status == 503);
+}
--- /dev/null
+++ b/tests/platform/request_binding_test.cpp
@@ -0,0 +1,137 @@
+#include "platform/request_binding.h"
+
+#include <catch2/catch.hpp>
+
+using namespace samphiretray;
+using platform::request_binding;
+
+namespace {
+
+net::http_request make_request(net::http_headers more = {}) {
+    net::http_request request;
+    request.method = "POST";
+    request.headers = {{"host", "Ficu95.example:80"},
+                       {"x-samphiretray-attempt-id", "9c41"},
+                       {"x-samphiretray-model", "m0/a7"},
+                       {"x-samphiretray-token-count", "1460,80"},
+                       {"x-samphiretray-prompt-prefix", "5c1e:800,91bd:410,e440:250"},
+                       {"x-samphiretray-deadline-ms", "6000"},
+                       {"x-samphiretray-credential", "secret"}};
+    request.headers.insert(request.headers.end(), more.begin(), more.end());
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("a caller's request is decoded into the product's fields") {
+    const auto decoded = request_binding::decode_request(make_request());
+    REQUIRE(decoded);
+    CHECK(decoded->attempt_id == "9c41");
+    CHECK(decoded->host == "ficu95.example");
+    CHECK(decoded->model == "m0");
+    CHECK(decoded->adapter == "m0/a7");
+    CHECK(decoded->prompt_tokens == 1460);
+    CHECK(decoded->max_output_tokens == 80);
+    CHECK(decoded->time_left == 6s);
+    REQUIRE(decoded->prefix.size() == 3);
+    CHECK(decoded->prefix[1].id == "91bd");
+    CHECK(decoded->prefix[1].tokens == 410);
+}
+
+TEST_CASE("a request for a base model or a plain service names no adapter") {
+    net::http_request request;
+    request.headers = {{"x-samphiretray-model", "m0"}};
+    CHECK(request_binding::decode_request(request)->adapter.empty());
+    CHECK(request_binding::decode_request({})->model.empty());
+}
+
+TEST_CASE("headers that cannot be read are refused instead of being taken for zero") {
+    for (const net::http_header& wrong : net::http_headers{{"x-samphiretray-deadline-ms", "soon"},
+                                                           {"x-samphiretray-token-count", "1460"},
+                                                           {"x-samphiretray-token-count", "1460,-1"},
+                                                           {"x-samphiretray-prompt-prefix", "5c1e"}}) {
+        net::http_request request;
+        request.headers = {wrong};
+        CHECK_FALSE(request_binding::decode_request(request));
+    }
+}
+
+TEST_CASE("the key never reaches an endpoint, nor does what only the system may set") {
+    const auto headers = request_binding::forward_headers(
+        make_request({{"X-Samphiretray-Tenant", "forged"},
+                      {"X-Samphiretray-Hold", "h"},
+                      {"X-Samphiretray-Pin-Ms", "4000"},
+                      {"X-Samphiretray-Kv-Backup", "10.0.0.1:1"},
+                      {"Kv-From", "10.0.0.1:1/2"},
+                      {"X-Samphiretray-Expect-Instance", "i-other"},
+                      {"X-Samphiretray-Request-Urgency", "0"},
+                      {"Last-Event-Id", "12"}})
+            .headers,
+        {.time_left = 2500ms, .endpoint = "i-1", .organisation = "coop", .version = "3", .urgency = 1});
+    const auto value = [&headers](std::string_view name) { return net::find_header(headers, name); };
+    CHECK(value("x-samphiretray-credential").empty());
+    CHECK(value("x-samphiretray-hold").empty());
+    CHECK(value("x-samphiretray-pin-ms").empty());
+    CHECK(value("x-samphiretray-kv-backup").empty());
+    CHECK(value("kv-from").empty());
+    CHECK(value("x-samphiretray-tenant") == "coop");
+    CHECK(value("x-samphiretray-expect-instance") == "i-1");
+    CHECK(value("x-samphiretray-expect-version") == "3");
+    CHECK(value("x-samphiretray-request-urgency") == "1");
+    CHECK(value("x-samphiretray-deadline-ms") == "2500");
+    CHECK(value("x-samphiretray-attempt-id") == "9c41");
+    CHECK(value("last-event-id") == "12");
+    CHECK(value("host") == "Ficu95.example:80");
+}
+
+TEST_CASE("a caller on a public route gets no organisation, even if it names one") {
+    const auto headers = request_binding::forward_headers({{"x-samphiretray-tenant", "forged"}},
+                                                          {.time_left = 1s, .endpoint = "i"});
+    CHECK(net::find_header(headers, "x-samphiretray-tenant").empty());
+}
+
+TEST_CASE("headers of one connection stay on it, with those that Connection names") {
+    const auto headers = request_binding::forward_headers({{"Connection", "keep-alive, X-Private"},
+                                                           {"X-Private", "1"},
+                                                           {"Keep-Alive", "timeout=5"},
+                                                           {"X-Kept", "1"}},
+                                                          {.time_left = 1s});
+    CHECK(net::find_header(headers, "x-private").empty());
+    CHECK(net::find_header(headers, "keep-alive").empty());
+    CHECK(net::find_header(headers, "connection").empty());
+    CHECK(net::find_header(headers, "x-kept") == "1");
+}
+
+TEST_CASE("an answer without the server's signature, or of another request, is told apart") {
+    const auto whole = request_binding::decode_answer(200, {{"X-Samphiretray-Attempt-Id", "9c41"},
+                                                            {"X-Samphiretray-Server-Seal", "3e"},
+                                                            {"X-Samphiretray-Server-Load", "3,1,8"}});
+    CHECK(whole.is_signed);
+    CHECK(whole.attempt_id == "9c41");
+    CHECK_FALSE(whole.not_run);
+    CHECK(whole.running == 3);
+    CHECK(whole.waiting == 1);
+    CHECK_FALSE(request_binding::decode_answer(200, {}).is_signed);
+    CHECK(request_binding::decode_answer(503, {{"X-Samphiretray-Not-Executed", "1"}}).not_run);
+    CHECK(request_binding::decode_answer(421, {}).misdirected);
+    CHECK(request_binding::decode_answer(421, {}).not_run);
+    CHECK_FALSE(request_binding::decode_answer(503, {}).not_run);
+    CHECK(request_binding::decode_answer(200, {{"Content-Encoding", "gzip"}}).is_encoded);
+    CHECK_FALSE(request_binding::decode_answer(200, {{"Content-Encoding", "identity"}}).is_encoded);
+}
+
+TEST_CASE("an entry's request reaches the agent with its organisation, version and urgency") {
+    net::http_request request = make_request();
+    request.headers = request_binding::forward_headers(
+        request.headers,
+        {.time_left = 900ms, .endpoint = "i-1", .organisation = "coop", .version = "2", .urgency = 0});
+    const auto decoded = request_binding::decode_forwarded(request);
+    REQUIRE(decoded);
+    CHECK(decoded->fields.time_left == 900ms);
+    CHECK(decoded->fields.endpoint == "i-1");
+    CHECK(decoded->fields.organisation == "coop");
+    CHECK(decoded->fields.version == "2");
+    CHECK(decoded->fields.urgency == 0);
+    CHECK(decoded->caller.adapter == "m0/a7");
+    CHECK(decoded->caller.key.empty());
+}
