Wait longer for a load, and keep an adapter at its first home up to the target latency

Cause: a request that waited 1 s for a load moved to another engine, which loaded the adapter too; 2,895 loads of 1,153 adapters slowed the store for all.

--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -22,7 +22,7 @@
 inline constexpr std::uint32_t failed_loads = 3;
 /// A request whose adapter is not there after this long goes back to its entry, which tries another engine:
 /// four times a load from the store.
-inline constexpr duration longest_load_wait = 1s;
+inline constexpr duration longest_load_wait = 2500ms;
 inline constexpr duration agent_tick = 20ms;
 /// Fencing numbers of one agent: one for each restart of its engine that it may see.
 inline constexpr std::uint64_t fencing_numbers = 1U << 16U;
