--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -25,7 +25,7 @@
 /// Time that a caller has when it states none.
 inline constexpr duration default_time = 60s;
 /// Part of the target latency that the first choice may let a request wait while others could take it.
-inline constexpr double first_choice_wait = 1.0;
+inline constexpr double first_choice_wait = 1.5;
 /// Told to refused callers: long enough for one request of the usual length to end.
 inline constexpr duration retry_after = 400ms;
 /// Told to callers while this process has no configuration or is stopping; another entry may be ready at
--- a/include/samphiretray/routing/endpoint_choice.h
+++ b/include/samphiretray/routing/endpoint_choice.h
@@ -22,7 +22,7 @@
     /// Added for an engine that neither holds the adapter nor is its first home, and for each further place
     /// in the order of homes. A load from the store costs about as much as a late answer of a short request,
     /// so a second home is worth it only when the first would be late.
-    duration second_home = 400ms;
+    duration second_home = 700ms;
     duration home_step = 40ms;
     /// Added for each request in flight at an engine: each running request lengthens the steps of all.
     duration running_cost = 1ms;
