Count free adapter slots in the choice of the engine

Pattern: many rare adapters at once; a stream keeps its adapter's slot for two seconds, and requests whose adapter was resident nowhere waited up to 2 s for a slot.

--- a/include/samphiretray/agent/slot_table.h
+++ b/include/samphiretray/agent/slot_table.h
@@ -148,6 +148,10 @@
     [[nodiscard]] std::size_t size() const noexcept { return slots_.size(); }
     [[nodiscard]] std::size_t count(slot_state state) const;
     [[nodiscard]] std::size_t pinned() const;
+    /// Slots that a load could take now.
+    [[nodiscard]] std::size_t free_slots() const;
+    /// Adapters that requests wait for and that no slot has.
+    [[nodiscard]] std::size_t wanted() const;
     /// Estimated time from the first wait for an adapter to the end of its load, from the loads of late.
     [[nodiscard]] duration load_delay(time_point now) const;
     /// Failed loads in a row; the process refuses waiting requests after a few.
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -609,6 +609,8 @@
     load.running = static_cast<std::uint32_t>(admission_.running_count());
     load.kv_reserved = admission_.reserved_memory();
     if (slots_) {
+        load.free_slots = static_cast<std::uint32_t>(slots_->free_slots());
+        load.wanted_adapters = static_cast<std::uint32_t>(slots_->wanted());
         for (const ports::adapter_version& each : slots_->residents()) {
             load.resident.push_back(each.adapter + "@" + each.version);
         }
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -238,6 +238,8 @@
         refresh_endpoint(copy);
         if (!copy.adapters.empty()) {
             routing::engine_load load;
+            // Until its agent tells otherwise, no slot is in use.
+            load.free_slots = copy.slots;
             for (const ports::adapter_version& each : copy.adapters) {
                 load.resident.push_back(each.adapter + "@" + each.version);
             }
--- a/include/samphiretray/routing/endpoint_choice.h
+++ b/include/samphiretray/routing/endpoint_choice.h
@@ -24,6 +24,9 @@
     /// so a second home is worth it only when the first would be late.
     duration second_home = 700ms;
     duration home_step = 40ms;
+    /// Added for each adapter, with the request's own, that waits for a slot beyond the free ones: a stream
+    /// takes two seconds, and one of eight ends each quarter of a second.
+    duration slot_wait = 250ms;
     /// Added for each request in flight at an engine: each running request lengthens the steps of all.
     duration running_cost = 1ms;
     /// Added when the memory of an engine cannot take the request before others end.
@@ -74,6 +77,9 @@
     std::uint64_t backlog_tokens = 0;
     std::uint32_t running = 0;
     std::uint64_t kv_reserved = 0;
+    /// Adapter slots that a load could take now, and adapters that wait for one.
+    std::uint32_t free_slots = 0;
+    std::uint32_t wanted_adapters = 0;
     /// Names as "adapter@version".
     std::vector<std::string> resident;
 };
--- a/src/agent/slot_table.cpp
+++ b/src/agent/slot_table.cpp
@@ -478,6 +478,18 @@
         std::ranges::count_if(slots_, [](const slot& of) { return of.pins > 0; }));
 }
 
+std::size_t slot_table::free_slots() const {
+    return static_cast<std::size_t>(std::ranges::count_if(slots_, [](const slot& of) {
+        return of.state == slot_state::empty ||
+               (of.state == slot_state::resident && of.pins == 0 && !of.promised);
+    }));
+}
+
+std::size_t slot_table::wanted() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        demands_, [this](const auto& each) { return each.second.waiting > 0 && !assigned(each.first); }));
+}
+
 /// Without new loads the estimate returns to the configured time, so that refusals because of a past queue
 /// for the store end by themselves.
 duration slot_table::load_delay(time_point now) const {
--- a/src/gateway/agent_protocol.cpp
+++ b/src/gateway/agent_protocol.cpp
@@ -15,8 +15,9 @@
 constexpr std::string_view load_header = "samphiretray-engine-load";
 constexpr std::string_view refusal_header = "samphiretray-refusal";
 constexpr std::array all_headers{max_wait_header, load_header, refusal_header};
-/// Backlog, running requests and reserved memory come before the names of adapters.
-constexpr std::size_t load_numbers = 3;
+/// Backlog, running requests, reserved memory, free slots and wanted adapters come before the names of
+/// adapters.
+constexpr std::size_t load_numbers = 5;
 
 } // namespace
 
@@ -31,7 +32,8 @@
 
 void add_engine_load(net::http_headers& headers, const routing::engine_load& load) {
     std::string text = std::to_string(load.backlog_tokens) + "," + std::to_string(load.running) + "," +
-                       std::to_string(load.kv_reserved);
+                       std::to_string(load.kv_reserved) + "," + std::to_string(load.free_slots) + "," +
+                       std::to_string(load.wanted_adapters);
     for (const std::string& name : load.resident) {
         text += "," + name;
     }
@@ -46,10 +48,12 @@
     const auto backlog = parse_number<std::uint64_t>(parts[0]);
     const auto running = parse_number<std::uint32_t>(parts[1]);
     const auto reserved = parse_number<std::uint64_t>(parts[2]);
-    if (!backlog || !running || !reserved) {
+    const auto free_slots = parse_number<std::uint32_t>(parts[3]);
+    const auto wanted = parse_number<std::uint32_t>(parts[4]);
+    if (!backlog || !running || !reserved || !free_slots || !wanted) {
         return std::nullopt;
     }
-    routing::engine_load load{*backlog, *running, *reserved, {}};
+    routing::engine_load load{*backlog, *running, *reserved, *free_slots, *wanted, {}};
     for (const std::string_view name : parts | std::views::drop(load_numbers)) {
         load.resident.emplace_back(name);
     }
--- a/src/routing/endpoint_choice.cpp
+++ b/src/routing/endpoint_choice.cpp
@@ -86,6 +86,9 @@
     if (!chosen.resident) {
         chosen.estimate += settings_.load_time;
         chosen.estimate += home == 0 ? 0ms : settings_.second_home + settings_.home_step * home;
+        const std::uint32_t wanted = of.load.wanted_adapters + 1;
+        const bool lacks_slots = is_recent && wanted > of.load.free_slots;
+        chosen.estimate += lacks_slots ? settings_.slot_wait * (wanted - of.load.free_slots) : 0ms;
     }
     chosen.kept_tokens =
         chosen.resident ? std::min(of.prefixes.kept(request.adapter, request.prompt), request.prompt_tokens)
@@ -132,6 +135,7 @@
     if (!request.adapter.empty() && !holds(to, request)) {
         // The request itself has the adapter loaded.
         to.load.resident.push_back(full_name(request));
+        ++to.load.wanted_adapters;
     }
 }
 
--- a/tests/gateway/records_test.cpp
+++ b/tests/gateway/records_test.cpp
@@ -9,7 +9,7 @@
 
 TEST_CASE("an agent's load survives the way to the entry, and never reaches a caller") {
     net::http_headers headers{{"content-type", "text/plain"}};
-    add_engine_load(headers, {1200, 3, 40'000, {"m/a1@1", "m/a7@2"}});
+    add_engine_load(headers, {1200, 3, 40'000, 2, 1, {"m/a1@1", "m/a7@2"}});
     add_refusal(headers, agent_refusal::engine_down);
     add_max_wait(headers, 350ms);
     const auto load = read_engine_load(headers);
@@ -17,6 +17,8 @@
     CHECK(load->backlog_tokens == 1200);
     CHECK(load->running == 3);
     CHECK(load->kv_reserved == 40'000);
+    CHECK(load->free_slots == 2);
+    CHECK(load->wanted_adapters == 1);
     CHECK(load->resident == std::vector<std::string>{"m/a1@1", "m/a7@2"});
     CHECK(read_refusal(headers) == agent_refusal::engine_down);
     CHECK(read_max_wait(headers) == 350ms);
@@ -25,7 +27,7 @@
 }
 
 TEST_CASE("a load header that cannot be read counts as none instead of as an idle engine") {
-    CHECK_FALSE(read_engine_load({{"samphiretray-engine-load", "12,x,3"}}));
+    CHECK_FALSE(read_engine_load({{"samphiretray-engine-load", "12,x,3,0,0"}}));
     CHECK_FALSE(read_engine_load({{"samphiretray-engine-load", "12"}}));
     CHECK_FALSE(read_engine_load({}));
     CHECK_FALSE(read_refusal({{"samphiretray-refusal", "other"}}));
