--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -188,8 +188,8 @@
 }
 
 template <request_binding Binding, ordered_engine Engine>
-void engine_agent<Binding, Engine>::on_request(net::http_request http,
-                                               std::shared_ptr<net::http_response> response) {
+void engine_agent<Binding, Engine>::on_request(net::http_request&& http,
+                                               std::shared_ptr<net::http_response>&& response) {
     auto asked = std::make_shared<work>();
     asked->id = next_id_++;
     asked->http = std::move(http);
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -41,6 +41,7 @@
     engine_agent(net::loop& events, engine_agent_settings settings, Engine& engine);
     engine_agent(const engine_agent&) = delete;
     engine_agent& operator=(const engine_agent&) = delete;
+    ~engine_agent() = default;
 
     /// Fails with `connection_failed` if an address is in use.
     [[nodiscard]] status start();
@@ -75,7 +76,7 @@
     };
     using work_pointer = std::shared_ptr<work>;
 
-    void on_request(net::http_request http, std::shared_ptr<net::http_response> response);
+    void on_request(net::http_request&& http, std::shared_ptr<net::http_response>&& response);
     [[nodiscard]] std::optional<agent_refusal> reason_to_refuse(const work& asked) const;
     [[nodiscard]] agent::admission_request admission_of(const work& asked) const;
     [[nodiscard]] ports::adapter_version adapter_of(const forwarded_request& request) const;
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -148,7 +148,7 @@
 }
 
 template <request_binding Binding, typename Store>
-void entry_gateway<Binding, Store>::reload(gateway_settings settings) {
+void entry_gateway<Binding, Store>::reload(const gateway_settings& settings) {
     settings_.retry_ratio = settings.retry_ratio;
     settings_.retry_floor = settings.retry_floor;
     settings_.drain_notice = settings.drain_notice;
@@ -278,8 +278,8 @@
 }
 
 template <request_binding Binding, typename Store>
-void entry_gateway<Binding, Store>::on_request(net::http_request http,
-                                               std::shared_ptr<net::http_response> response) {
+void entry_gateway<Binding, Store>::on_request(net::http_request&& http,
+                                               std::shared_ptr<net::http_response>&& response) {
     auto request = std::make_shared<active_request>();
     request->id = next_id_++;
     request->http = std::move(http);
@@ -572,7 +572,8 @@
 
 template <request_binding Binding, typename Store>
 bool entry_gateway<Binding, Store>::is_repeatable(const active_request& request) const {
-    return request.on->kind == call_kind::safe;
+    const bool is_resumable = request.on->kind == call_kind::streaming && request.on->resumable;
+    return (request.on->kind == call_kind::safe || is_resumable) && !request.response->is_started();
 }
 
 template <request_binding Binding, typename Store>
@@ -648,7 +649,11 @@
     }
     ++request->sends;
     request->may_have_run = true;
-    try_again(request, true, failure ? to_string(*failure) : "not an answer to the request");
+    const bool lost_at_agent = request->state == answer_state::agent_refused;
+    try_again(request, true,
+              failure         ? to_string(*failure)
+              : lost_at_agent ? "the engine's answer to its agent was lost"
+                              : "not an answer to the request");
 }
 
 template <request_binding Binding, typename Store>
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -46,13 +46,14 @@
     entry_gateway(net::loop& events, gateway_settings settings, Store& store);
     entry_gateway(const entry_gateway&) = delete;
     entry_gateway& operator=(const entry_gateway&) = delete;
+    ~entry_gateway() = default;
 
     /// Fails with `connection_failed` if an address is in use.
     [[nodiscard]] status start();
     /// Begins a planned stop; the loop is stopped at its end.
     void drain();
     /// New settings of the kind that can change while the process runs.
-    void reload(gateway_settings settings);
+    void reload(const gateway_settings& settings);
 
     /// A whole configuration. One with a version below the one in force is ignored.
     void apply(routing_state state);
@@ -114,7 +115,7 @@
     using request_pointer = std::shared_ptr<active_request>;
 
     [[nodiscard]] status start_servers();
-    void on_request(net::http_request http, std::shared_ptr<net::http_response> response);
+    void on_request(net::http_request&& http, std::shared_ptr<net::http_response>&& response);
     [[nodiscard]] bool accept(const request_pointer& request);
     [[nodiscard]] bool authenticate(active_request& request);
     [[nodiscard]] bool admit(active_request& request);
--- a/include/samphiretray/gateway/usage_exchange-inl.h
+++ b/include/samphiretray/gateway/usage_exchange-inl.h
@@ -14,7 +14,7 @@
     : loop_(events), http_(http), settings_(std::move(settings)), usage_(usage),
       registration_(events, store,
                     {.key = std::string{prefix} + settings_.vm, .value = net::to_string(settings_.listen)}),
-      follower_(events, store, {.prefix = std::string{prefix}, .pace = 1s},
+      follower_(events, store, {.prefix = std::string{prefix}, .pace = 1s, .wait = peers_wait},
                 {.on_change = [this](const ports::store_change& change, bool) { on_change(change); },
                  .on_synchronized = [] {}}) {}
 
--- a/include/samphiretray/gateway/usage_exchange.h
+++ b/include/samphiretray/gateway/usage_exchange.h
@@ -35,6 +35,7 @@
                    rate::fleet_usage& usage);
     usage_exchange(const usage_exchange&) = delete;
     usage_exchange& operator=(const usage_exchange&) = delete;
+    ~usage_exchange() = default;
 
     void start();
     /// Entries that are known, with this one.
@@ -42,6 +43,8 @@
 
 private:
     static constexpr std::string_view prefix = "entries/";
+    /// Entries come and go rarely, and until one is known its requests count when its report is first pulled.
+    static constexpr duration peers_wait = 10s;
 
     struct peer {
         net::address at;
--- a/include/samphiretray/node/prefix_follower.h
+++ b/include/samphiretray/node/prefix_follower.h
@@ -41,6 +41,7 @@
     prefix_follower(net::loop& events, Store& store, follower_settings settings, follower_events handlers);
     prefix_follower(const prefix_follower&) = delete;
     prefix_follower& operator=(const prefix_follower&) = delete;
+    ~prefix_follower() = default;
 
     void start() { list(); }
     [[nodiscard]] bool is_synchronized() const noexcept { return synchronized_; }
--- a/include/samphiretray/node/registration.h
+++ b/include/samphiretray/node/registration.h
@@ -29,6 +29,7 @@
         : loop_(events), store_(store), settings_(std::move(settings)) {}
     registration(const registration&) = delete;
     registration& operator=(const registration&) = delete;
+    ~registration() = default;
 
     void start() { grant(); }
 
--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -95,13 +95,19 @@
         return made;
     }
 
+    static gateway::route make_resumable() {
+        gateway::route made = make_route("/r/", gateway::call_kind::streaming);
+        made.resumable = true;
+        return made;
+    }
+
     static gateway::routing_state make_state(std::uint64_t version, const std::string& key = "key") {
         gateway::routing_state state;
         state.version = version;
         state.routes = {make_route("/s/", gateway::call_kind::safe),
                         make_route("/u/", gateway::call_kind::at_most_once),
                         make_route("/e/", gateway::call_kind::streaming),
-                        make_route("/p/", gateway::call_kind::safe, true)};
+                        make_route("/p/", gateway::call_kind::safe, true), make_resumable()};
         state.services = {{"orders", std::nullopt}};
         state.organisations = {{"coop", {sha256_hex(key)}, std::nullopt, 0, 0, 1}};
         return state;
@@ -284,6 +290,17 @@
     CHECK(all.arrivals() == 1);
 }
 
+TEST_CASE(
+    "a resumable stream starts anew elsewhere while nothing of it has reached the caller, another does not") {
+    entry_with_servers all;
+    all.know_all();
+    all.responders[0] = [](const auto&, const auto& response) { response->abort(); };
+    CHECK(status_of(all.ask("/r/1")) == 200);
+    CHECK(all.arrivals() == 2);
+    CHECK(status_of(all.ask("/e/1")) == 502);
+    CHECK(all.arrivals() == 3);
+}
+
 TEST_CASE("a server that is leaving gets no new requests") {
     entry_with_servers all;
     all.know_all();
