--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -15,7 +15,7 @@
 // a request that would cross the peer's close.
 constexpr double announced_part = 0.5;
 // For each peer; bounds the descriptors that a burst leaves behind.
-constexpr std::size_t max_idle = 256;
+constexpr std::size_t max_idle_connections = 256;
 
 } // namespace
 
@@ -46,7 +46,7 @@
 
 void connection_pool::put(const address& peer, h2o_socket_t* socket, std::optional<duration> peer_limit) {
     auto& connections = idle_[peer];
-    if (connections.size() >= max_idle) {
+    if (connections.size() >= max_idle_connections) {
         h2o_socket_close(socket);
         return;
     }
--- a/src/rate/fleet_usage.cpp
+++ b/src/rate/fleet_usage.cpp
@@ -140,6 +140,7 @@
 
 std::vector<spent_tokens> fleet_usage::spent() const {
     std::vector<spent_tokens> all;
+    all.reserve(accounts_.size());
     for (const auto& [organisation, each] : accounts_) {
         all.push_back({organisation, each.spent});
     }
