--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -20,8 +20,8 @@
     words.push_back(nullptr);
     posix_spawn_file_actions_t actions{};
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, 1, "/dev/null", O_WRONLY, 0);
     posix_spawn_file_actions_addopen(&actions, 2, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, 2, 1);
     posix_spawn_file_actions_addchdir_np(&actions, folder.c_str());
     const int failed = posix_spawn(&pid_, words[0], &actions, nullptr, words.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -13,7 +13,7 @@
 class child_process {
 public:
     child_process() = default;
-    /// Starts `arguments[0]` in `folder`; its standard error goes to `log`, its output is dropped.
+    /// Starts `arguments[0]` in `folder`; its output and its standard error go to `log`.
     child_process(const std::vector<std::string>& arguments, const std::filesystem::path& folder,
                   const std::filesystem::path& log);
     ~child_process();
