--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -323,7 +323,7 @@
                     {"x-samphiretray-attempt-id", attempt},
                     {"x-samphiretray-deadline-ms", "1800"},
                     {"x-samphiretray-credential", key},
-                    {"x-samphiretray-token-count", "500,20"}};
+                    {"x-samphiretray-token-count", organisation == "small" ? "5000,20" : "500,20"}};
     if (kind == request_kind::stream) {
         const std::size_t adapter = std::min(pick(8), pick(8));
         call.headers.push_back({"x-samphiretray-model", "m0/a" + std::to_string(adapter)});
@@ -450,7 +450,7 @@
     const net::timer_handle servers = loop_.every(100ms, [this] { register_servers(); });
     const net::timer_handle watched = loop_.every(50ms, [this] { watch_processes(); });
     const net::timer_handle large = loop_.every(9ms, [this] { send_request(key_, "large"); });
-    // Three times what the organisation may spend.
+    // Many times what the organisation may spend, so that its refusals are what keeps the rate.
     const net::timer_handle small = loop_.every(55ms, [this] { send_request("key-small", "small"); });
     loop_.run_until([] { return false; }, 2s);
     inject_fault();
--- a/soak/platform_server.cpp
+++ b/soak/platform_server.cpp
@@ -178,14 +178,18 @@
     const bool lose = losing_;
     const std::string id = id_;
     later(work_time, [this, response, attempt, lose, id] {
-        if (lose || id != id_ || !response->is_open()) {
+        // Of the lost answers, every second one breaks off in the middle.
+        const bool is_cut = lose && ++lost_ % 2 == 0;
+        if (id != id_ || !response->is_open() || (lose && !is_cut)) {
             response->abort();
             return;
         }
         response->start(200,
                         {{"x-samphiretray-attempt-id", attempt}, {"x-samphiretray-server-seal", "seal"}});
-        response->write(whole_answer(attempt));
-        response->finish();
+        const std::string whole = whole_answer(attempt);
+        response->write(is_cut ? std::string_view{whole}.substr(0, whole.size() / 2)
+                               : std::string_view{whole});
+        is_cut ? response->abort() : response->finish();
     });
 }
 
--- a/soak/platform_server.h
+++ b/soak/platform_server.h
@@ -61,6 +61,7 @@
     std::vector<std::string> models_{"m0"};
     std::map<std::string, std::uint64_t> adapters_;
     bool losing_ = false;
+    int lost_ = 0;
     bool late_orders_ = false;
     std::map<std::uint64_t, net::timer_handle> timers_;
     std::uint64_t next_timer_ = 0;
