Share the parsing of settings objects, and drop code without callers

parse_settings stood in config and gateway; it is now parse_object beside json_fields. Removed: engine_admission:: running, endpoint_directory::mark_draining, the refusal other_incarnation and a flag, none of which had a caller. Two comments on limits of the agent said other than their values. Behaviour is unchanged.

--- a/include/samphiretray/agent/engine_admission.h
+++ b/include/samphiretray/agent/engine_admission.h
@@ -62,8 +62,6 @@
     void read(std::uint64_t id);
     /// The request has left, waiting or running.
     void remove(std::uint64_t id);
-    /// Forgets all running requests, after a restart of the engine.
-    [[nodiscard]] std::vector<std::uint64_t> running() const;
 
     [[nodiscard]] std::uint64_t backlog_tokens() const noexcept { return waiting_tokens_ + unread_tokens_; }
     [[nodiscard]] std::uint64_t reserved_memory() const noexcept { return reserved_; }
--- a/include/samphiretray/base/json_fields.h
+++ b/include/samphiretray/base/json_fields.h
@@ -84,4 +84,21 @@
     std::shared_ptr<implementation> implementation_;
 };
 
+/// Parses one JSON object with `read`, which asks for the fields of `Target`. Fails like
+/// `json_fields::finish`.
+template <typename Target>
+[[nodiscard]] result<Target> parse_object(std::string_view text, std::string_view file, step at,
+                                          void (*read)(json_fields&, Target&)) {
+    auto fields = json_fields::parse(text, file, at);
+    if (!fields) {
+        return fields.error();
+    }
+    Target target;
+    read(*fields, target);
+    if (const auto done = fields->finish(); !done) {
+        return done.error();
+    }
+    return target;
+}
+
 } // namespace samphiretray
--- a/include/samphiretray/gateway/agent_protocol.h
+++ b/include/samphiretray/gateway/agent_protocol.h
@@ -18,8 +18,6 @@
     busy,
     deadline,
     load_failed,
-    /// Another incarnation of the engine was meant.
-    other_incarnation,
     /// The request was passed on and no whole answer came.
     outcome_unknown,
 };
@@ -49,7 +47,6 @@
         {gateway::agent_refusal::busy, "busy"},
         {gateway::agent_refusal::deadline, "deadline"},
         {gateway::agent_refusal::load_failed, "load_failed"},
-        {gateway::agent_refusal::other_incarnation, "other_incarnation"},
         {gateway::agent_refusal::outcome_unknown, "outcome_unknown"},
     });
 
--- a/include/samphiretray/gateway/endpoint_directory.h
+++ b/include/samphiretray/gateway/endpoint_directory.h
@@ -19,8 +19,6 @@
     bool update(endpoint value);
     /// `after_outage`: discovery came back less than `return_grace` ago, so the entry may return.
     void remove(const std::string& id, bool after_outage, time_point now);
-    /// Marks an endpoint as leaving on other evidence than discovery's.
-    void mark_draining(const std::string& id);
     /// Removes the endpoints whose grace has passed.
     void expire(time_point now);
 
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -21,7 +21,7 @@
 /// Failed loads in a row after which the requests that wait for the adapter are refused.
 inline constexpr std::uint32_t failed_loads = 3;
 /// A request whose adapter is not there after this long goes back to its entry, which tries another engine:
-/// four times a load from the store.
+/// ten times a load from the store, since moving on earlier has the same adapter loaded twice.
 inline constexpr duration longest_load_wait = 2500ms;
 inline constexpr duration agent_tick = 20ms;
 /// Fencing numbers of one agent: one for each restart of its engine that it may see.
@@ -35,8 +35,8 @@
 
 } // namespace limits
 
-/// Requests wait for one adapter each, and all wait within a second, so that popularity decides evictions and
-/// no residence time holds a load up.
+/// Popularity decides evictions, and no residence time holds a load up: callers wait for a second or two at
+/// most.
 [[nodiscard]] inline agent::slot_settings slot_settings_of(std::size_t slots) {
     agent::slot_settings values;
     values.slots = slots;
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -96,7 +96,6 @@
         std::uint32_t sends = 0;
         bool may_have_run = false;
         bool ended = false;
-        bool caller_left = false;
         std::optional<agent_refusal> last_refusal;
 
         std::uint64_t attempt = 0;
--- a/src/agent/engine_admission.cpp
+++ b/src/agent/engine_admission.cpp
@@ -1,8 +1,6 @@
 #include "samphiretray/agent/engine_admission.h"
 
 #include <algorithm>
-#include <iterator>
-#include <ranges>
 
 namespace samphiretray::agent {
 
@@ -98,10 +96,4 @@
     }
 }
 
-std::vector<std::uint64_t> engine_admission::running() const {
-    std::vector<std::uint64_t> ids;
-    std::ranges::copy(running_ | std::views::keys, std::back_inserter(ids));
-    return ids;
-}
-
 } // namespace samphiretray::agent
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -134,29 +134,14 @@
     read_drain(fields, target.drain_notice, target.drain_limit);
 }
 
-template <typename Settings>
-result<Settings> parse_settings(std::string_view text, std::string_view file,
-                                void (*read)(json_fields&, Settings&)) {
-    auto fields = json_fields::parse(text, file, step::settings);
-    if (!fields) {
-        return fields.error();
-    }
-    Settings settings;
-    read(*fields, settings);
-    if (const auto done = fields->finish(); !done) {
-        return done.error();
-    }
-    return settings;
-}
-
 } // namespace
 
 result<entry_settings> parse_entry_settings(std::string_view text, std::string_view file) {
-    return parse_settings<entry_settings>(text, file, read_entry);
+    return parse_object<entry_settings>(text, file, step::settings, read_entry);
 }
 
 result<agent_settings> parse_agent_settings(std::string_view text, std::string_view file) {
-    return parse_settings<agent_settings>(text, file, read_agent);
+    return parse_object<agent_settings>(text, file, step::settings, read_agent);
 }
 
 } // namespace samphiretray::config
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -26,12 +26,6 @@
     endpoints_.erase(id);
 }
 
-void endpoint_directory::mark_draining(const std::string& id) {
-    if (const auto found = endpoints_.find(id); found != endpoints_.end()) {
-        found->second.draining = true;
-    }
-}
-
 void endpoint_directory::expire(time_point now) {
     std::erase_if(removed_at_, [this, now](const auto& removed) {
         const bool due = now - removed.second >= return_grace;
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -78,29 +78,14 @@
     fields.read("poll_interval", target.poll_interval, 10ms, 60s);
 }
 
-template <typename Settings>
-result<Settings> parse_settings(std::string_view text, std::string_view file,
-                                void (*read)(json_fields&, Settings&)) {
-    auto fields = json_fields::parse(text, file, step::settings);
-    if (!fields) {
-        return fields.error();
-    }
-    Settings settings;
-    read(*fields, settings);
-    if (const auto done = fields->finish(); !done) {
-        return done.error();
-    }
-    return settings;
-}
-
 } // namespace
 
 result<gateway_settings> parse_gateway_settings(std::string_view text, std::string_view file) {
-    return parse_settings<gateway_settings>(text, file, read_gateway);
+    return parse_object<gateway_settings>(text, file, step::settings, read_gateway);
 }
 
 result<engine_agent_settings> parse_engine_agent_settings(std::string_view text, std::string_view file) {
-    return parse_settings<engine_agent_settings>(text, file, read_engine_agent);
+    return parse_object<engine_agent_settings>(text, file, step::settings, read_engine_agent);
 }
 
 } // namespace samphiretray::gateway
