Serve requests that can still be in time first, and refuse late ones that will not be begun

The agent now hears how long a request may wait (accepted, until late, until the caller leaves) and serves by rank: in time before late, then urgency, then due time; loads follow the same order. Late requests that the engine, by its starts of late ones in the last 2 s, will not begin before their callers leave are refused at once. The reading speed of the engine is measured; an engine below half of the usual one counts as slow for the choice.

--- a/include/samphiretray/gateway/agent_protocol.h
+++ b/include/samphiretray/gateway/agent_protocol.h
@@ -22,9 +22,18 @@
     outcome_unknown,
 };
 
-/// What an entry tells the agent.
-void add_max_wait(net::http_headers& headers, duration wait);
-[[nodiscard]] std::optional<duration> read_max_wait(const net::http_headers& headers);
+/// How long a request may wait, as the entry tells the agent. Milliseconds on the way; none is negative.
+struct waiting_budget {
+    /// Longest wait for the engine before the entry would rather try another one.
+    duration accepted{0};
+    /// Time until the answer is late.
+    duration until_late{0};
+    /// Time until the caller leaves if the answer has not begun.
+    duration until_abandoned{0};
+};
+
+void add_waiting_budget(net::http_headers& headers, const waiting_budget& budget);
+[[nodiscard]] std::optional<waiting_budget> read_waiting_budget(const net::http_headers& headers);
 
 /// What an agent tells the entry.
 void add_engine_load(net::http_headers& headers, const routing::engine_load& load);
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -23,6 +23,8 @@
 /// A request whose adapter is not there after this long goes back to its entry, which tries another engine:
 /// ten times a load from the store, since moving on earlier has the same adapter loaded twice.
 inline constexpr duration longest_load_wait = 2500ms;
+/// Load of an adapter from the weight store; the figure on the deployments' data sheets.
+inline constexpr duration usual_load_time = 250ms;
 inline constexpr duration agent_tick = 20ms;
 /// Fencing numbers of one agent: one for each restart of its engine that it may see.
 inline constexpr std::uint64_t fencing_numbers = 1U << 16U;
@@ -163,7 +165,9 @@
             caller.prompt_tokens - kept,
             std::uint64_t{caller.prompt_tokens} + caller.max_output_tokens,
             asked.arrived,
-            asked.deadline};
+            asked.arrived + asked.budget.until_abandoned,
+            asked.arrived + asked.budget.until_late,
+            !asked.adapter.adapter.empty() && !(slots_ && slots_->resident(asked.adapter))};
 }
 
 template <request_binding Binding, ordered_engine Engine>
@@ -180,11 +184,10 @@
     }
     const duration load_wait = is_resident ? 0ms : slots_->load_delay(loop_.now());
     const agent::admission_request wanted = admission_of(asked);
-    const duration wait = admission_.expected_wait(wanted);
-    const duration time_left = asked.request.fields.time_left;
-    const bool too_late = wait + load_wait + admission_.reading_time(wanted.unread_tokens) > time_left;
-    const duration accepted = read_max_wait(asked.http.headers).value_or(time_left);
-    return too_late || wait > accepted ? std::optional{agent_refusal::busy} : std::nullopt;
+    const duration wait = admission_.expected_wait(wanted, loop_.now());
+    const duration reading = admission_.speed().time_to_first_byte(wanted.unread_tokens);
+    const bool too_late = wait + load_wait + reading > asked.budget.until_abandoned;
+    return too_late || wait > asked.budget.accepted ? std::optional{agent_refusal::busy} : std::nullopt;
 }
 
 template <request_binding Binding, ordered_engine Engine>
@@ -205,6 +208,9 @@
     asked->request = std::move(*decoded);
     asked->adapter = adapter_of(asked->request);
     asked->deadline = asked->arrived + asked->request.fields.time_left;
+    const duration time_left = asked->request.fields.time_left;
+    asked->budget =
+        read_waiting_budget(asked->http.headers).value_or(waiting_budget{time_left, time_left, time_left});
     for (const prompt_part& part : asked->request.caller.prefix) {
         asked->prompt.push_back({part.id, part.tokens});
     }
@@ -257,6 +263,12 @@
             refuse(late, agent_refusal::deadline, "the deadline passed in the queue");
         }
     }
+    for (const std::uint64_t id : admission_.hopeless(loop_.now())) {
+        if (const auto found = works_.find(id); found != works_.end()) {
+            const work_pointer hopeless = found->second;
+            refuse(hopeless, agent_refusal::busy, "late, and too many others are");
+        }
+    }
 }
 
 template <request_binding Binding, ordered_engine Engine>
@@ -265,7 +277,7 @@
         const ports::adapter_version& adapter = works_.at(id)->adapter;
         return adapter.adapter.empty() || slots_->can_run(adapter, false);
     };
-    while (const auto id = admission_.next(runnable)) {
+    while (const auto id = admission_.next(runnable, loop_.now())) {
         const work_pointer admitted = works_.at(*id);
         if (!admitted->adapter.adapter.empty()) {
             admitted->pin = slots_->pin(admitted->adapter, false, loop_.now());
@@ -341,7 +353,7 @@
         return;
     }
     if (!std::exchange(running->seen_body, true)) {
-        admission_.read(running->id);
+        admission_.read(running->id, loop_.now());
         running->first_byte_at = loop_.now();
     }
     running->response->write(bytes);
@@ -419,7 +431,10 @@
     if (fencing_number_ == 0 || !is_engine_up() || !holds_model()) {
         return;
     }
-    for (const ports::adapter_version& adapter : slots_->loads_wanted(loop_.now())) {
+    const auto weight = [order = order_of_loads()](const ports::adapter_version& adapter) {
+        return order.weight(adapter);
+    };
+    for (const ports::adapter_version& adapter : slots_->loads_wanted(loop_.now(), weight)) {
         if (loads_in_progress_ >= limits::agent_loads) {
             return;
         }
@@ -428,6 +443,18 @@
     refuse_failed_loads();
 }
 
+template <request_binding Binding, ordered_engine Engine>
+agent::load_order engine_agent<Binding, Engine>::order_of_loads() const {
+    agent::load_order order;
+    for (const work_pointer& each : works_ | std::views::values) {
+        const agent::admission_request* waiting = each->waits ? admission_.waiting(each->id) : nullptr;
+        if (waiting != nullptr && !slots_->resident(each->adapter)) {
+            order.add(each->adapter, admission_.rank(*waiting, limits::usual_load_time, loop_.now()));
+        }
+    }
+    return order;
+}
+
 template <request_binding Binding, ordered_engine Engine>
 void engine_agent<Binding, Engine>::refuse_failed_loads() {
     std::vector<work_pointer> hopeless;
@@ -453,6 +480,12 @@
         switch (command.kind) {
         case agent::slot_command_kind::load:
             ++loads_in_progress_;
+            log_event(log_level::info, "load_started",
+                      {{"adapter", command.order.target.adapter},
+                       {"version", command.order.target.version},
+                       {"fencing_number", command.order.fencing_number},
+                       {"pinned_slots", slots_->pinned()},
+                       {"wanted_adapters", slots_->wanted()}});
             engine_.load(command.order, [this, command](const result<std::string>& outcome) {
                 --loads_in_progress_;
                 load_ended(command, outcome);
@@ -542,6 +575,7 @@
     }
     if (first || restarted) {
         prefixes_.clear();
+        admission_.restarted();
         slots_->adopt(report->loaded, now);
     }
     if (!report->models.empty()) {
@@ -608,6 +642,7 @@
     load.backlog_tokens = admission_.backlog_tokens();
     load.running = static_cast<std::uint32_t>(admission_.running_count());
     load.kv_reserved = admission_.reserved_memory();
+    load.reading_rate = static_cast<std::uint32_t>(admission_.speed().tokens_per_ms() * 1000.0);
     if (slots_) {
         load.free_slots = static_cast<std::uint32_t>(slots_->free_slots());
         load.wanted_adapters = static_cast<std::uint32_t>(slots_->wanted());
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "samphiretray/agent/engine_admission.h"
+#include "samphiretray/agent/load_order.h"
 #include "samphiretray/agent/slot_table.h"
 #include "samphiretray/gateway/agent_protocol.h"
 #include "samphiretray/gateway/binding.h"
@@ -64,6 +65,7 @@
         std::vector<routing::shared_part> prompt;
         time_point arrived;
         time_point deadline;
+        waiting_budget budget;
         bool waits = false;
         bool ended = false;
         bool seen_body = false;
@@ -86,6 +88,7 @@
     void run_admitted();
     void run(const work_pointer& admitted);
     void want_loads();
+    [[nodiscard]] agent::load_order order_of_loads() const;
     void perform(std::vector<agent::slot_command> commands);
     void load_ended(const agent::slot_command& command, const result<std::string>& outcome);
     void unload_ended(const agent::slot_command& command, const result<std::string>& outcome);
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -429,6 +429,22 @@
     send(request, candidates.front(), candidates.size() > 1);
 }
 
+template <request_binding Binding, typename Store>
+waiting_budget entry_gateway<Binding, Store>::budget_of(const active_request& request,
+                                                        bool has_others) const {
+    const time_point now = loop_.now();
+    const time_point abandoned_at = std::min(request.deadline, request.arrived + request.on->longest_silence);
+    waiting_budget budget;
+    budget.until_abandoned = abandoned_at - now;
+    budget.until_late =
+        request.arrived + request.on->target_latency - now - choice_.round_trip(request.endpoint);
+    const duration patience{static_cast<duration::rep>(
+        static_cast<double>(request.on->target_latency.count()) * limits::first_choice_wait)};
+    const bool may_move_on = has_others && request.tried.empty();
+    budget.accepted = may_move_on ? std::min(patience, budget.until_abandoned) : budget.until_abandoned;
+    return budget;
+}
+
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::send(const request_pointer& request,
                                          const routing::choice_candidate& chosen, bool has_others) {
@@ -459,10 +475,7 @@
     call.target = request->http.target;
     call.headers = Binding::forward_headers(request->http.headers, fields);
     if (via_agent) {
-        const duration patience{static_cast<duration::rep>(
-            static_cast<double>(request->on->target_latency.count()) * limits::first_choice_wait)};
-        const bool may_move_on = has_others && request->tried.empty();
-        add_max_wait(call.headers, may_move_on ? std::min(patience, fields.time_left) : fields.time_left);
+        add_waiting_budget(call.headers, budget_of(*request, has_others));
     }
     call.body = request->http.body;
     call.timeout = fields.time_left + 1s;
@@ -787,6 +800,7 @@
                {"organisation", request.owner == nullptr ? std::string{} : request.owner->name},
                {"endpoint", request.endpoint},
                {"adapter", request.caller.adapter},
+               {"tokens", request.cost},
                {"status", code},
                {"outcome", name_of(outcome)},
                {"cause", cause},
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -122,6 +122,7 @@
     [[nodiscard]] std::vector<std::string> usable_endpoints(const active_request& request);
     [[nodiscard]] routing::choice_request choice_of(const active_request& request) const;
     [[nodiscard]] bool is_agent_down(const std::string& host) const;
+    [[nodiscard]] waiting_budget budget_of(const active_request& request, bool has_others) const;
     void send(const request_pointer& request, const routing::choice_candidate& chosen, bool has_others);
     void on_head(const request_pointer& request, int status, const net::http_headers& headers);
     [[nodiscard]] answer_state classify(const active_request& request, const answer_summary& head,
--- a/include/samphiretray/routing/endpoint_choice.h
+++ b/include/samphiretray/routing/endpoint_choice.h
@@ -14,8 +14,13 @@
 namespace samphiretray::routing {
 
 struct choice_settings {
-    /// Prompt tokens that an engine reads in a millisecond; the figure on the deployments' data sheets.
-    double prefill_tokens_per_ms = 38.0;
+    /// Prompt tokens that an engine reads in a second; the figure on the deployments' data sheets.
+    double reading_rate = 38'000;
+    /// What agents measure under load: running requests and attention take a third.
+    double usual_measured_rate = 25'000;
+    /// An engine that is measured below this part of the usual rate counts as slow. Smaller differences are
+    /// those between the prompts that happen to come, and following them has adapters loaded again elsewhere.
+    double slow_part = 0.5;
     /// Load of an adapter that the engine does not hold: between a load from its memory (25 ms) and one from
     /// the store (250 ms).
     duration load_time = 100ms;
@@ -80,6 +85,8 @@
     /// Adapter slots that a load could take now, and adapters that wait for one.
     std::uint32_t free_slots = 0;
     std::uint32_t wanted_adapters = 0;
+    /// Prompt tokens that the engine has lately read in a second; 0 if that is not known.
+    std::uint32_t reading_rate = 0;
     /// Names as "adapter@version".
     std::vector<std::string> resident;
 };
@@ -94,6 +101,9 @@
     void add(const choice_endpoint& value);
     void remove(const std::string& id);
 
+    /// Zero if the endpoint is not known.
+    [[nodiscard]] duration round_trip(const std::string& id) const;
+
     /// The given endpoints in the order of preference; unknown ones are left out.
     [[nodiscard]] std::vector<choice_candidate> order(const choice_request& request,
                                                       std::span<const std::string> ids, time_point now) const;
@@ -125,7 +135,8 @@
         duration plain_time{0};
     };
 
-    [[nodiscard]] duration prefill_time(std::uint64_t tokens) const;
+    [[nodiscard]] double reading_rate(const state& of) const;
+    [[nodiscard]] duration reading_time(const state& of, std::uint64_t tokens) const;
     [[nodiscard]] std::uint64_t backlog(const state& of, time_point now) const;
     [[nodiscard]] choice_candidate estimate(const state& of, const choice_request& request, std::size_t home,
                                             time_point now) const;
--- a/src/agent/engine_admission.cpp
+++ b/src/agent/engine_admission.cpp
@@ -19,49 +19,98 @@
     return is_readable && running_.size() < batch_ && reserved_ + request.memory_tokens <= usable;
 }
 
-duration engine_admission::reading_time(std::uint64_t tokens) const {
-    const double milliseconds = static_cast<double>(tokens) / settings_.prefill_tokens_per_ms;
-    return duration{static_cast<duration::rep>(milliseconds * 1000.0)};
+service_rank engine_admission::rank(const admission_request& request, duration preparation,
+                                    time_point now) const {
+    const time_point begins = now + preparation + speed_.time_to_first_byte(request.unread_tokens);
+    const bool late = begins > request.due;
+    return {late, request.urgency, late ? request.deadline : request.due};
 }
 
-duration engine_admission::expected_wait(const admission_request& request) const {
+duration engine_admission::expected_wait(const admission_request& request, time_point now) const {
+    const service_rank own = rank(request, 0ms, now);
     std::uint64_t ahead = unread_tokens_;
     for (const admission_request& each : waiting_) {
-        ahead += each.urgency <= request.urgency ? each.unread_tokens : 0;
+        ahead += rank(each, 0ms, now) <= own ? each.unread_tokens : 0;
+    }
+    if (own.late) {
+        const auto earlier = std::ranges::count_if(waiting_, [&](const admission_request& each) {
+            return each.needs_load == request.needs_load && rank(each, 0ms, now) <= own &&
+                   rank(each, 0ms, now).late;
+        });
+        const std::chrono::duration<double> turns{static_cast<double>(earlier) /
+                                                  late_rate(request.needs_load, now)};
+        return std::max(speed_.time_for(ahead), std::chrono::duration_cast<duration>(turns));
     }
     const bool lacks_memory = !running_.empty() && memory_ > 0 && reserved_ + request.memory_tokens > memory_;
-    return reading_time(ahead) + (lacks_memory ? settings_.memory_wait : 0ms);
+    return speed_.time_for(ahead) + (lacks_memory ? settings_.memory_wait : 0ms);
 }
 
 bool engine_admission::enqueue(const admission_request& request) {
     if (waiting_.size() >= settings_.max_waiting) {
         return false;
     }
-    const auto later = std::ranges::find_if(
-        waiting_, [&request](const admission_request& each) { return each.urgency > request.urgency; });
-    waiting_.insert(later, request);
+    waiting_.push_back(request);
     waiting_tokens_ += request.unread_tokens;
     return true;
 }
 
-std::optional<std::uint64_t> engine_admission::next(const predicate& runnable) {
+std::optional<std::uint64_t> engine_admission::next(const predicate& runnable, time_point now) {
+    auto best = waiting_.end();
+    service_rank best_rank;
     for (auto each = waiting_.begin(); each != waiting_.end(); ++each) {
-        if (!runnable(each->id)) {
-            continue;
+        const service_rank rank = this->rank(*each, 0ms, now);
+        if ((best == waiting_.end() || rank < best_rank) && runnable(each->id)) {
+            best = each;
+            best_rank = rank;
         }
-        if (!fits(*each)) {
-            // Smaller requests behind it must not keep it from ever running.
-            return std::nullopt;
+    }
+    // Smaller requests behind it must not keep it from ever running.
+    if (best == waiting_.end() || !fits(*best)) {
+        return std::nullopt;
+    }
+    const admission_request chosen = *best;
+    if (best_rank.late) {
+        auto& starts = late_starts_.at(chosen.needs_load ? 1 : 0);
+        std::erase_if(starts, [&](time_point each) { return now - each >= settings_.late_window; });
+        starts.push_back(now);
+    }
+    waiting_.erase(best);
+    waiting_tokens_ -= chosen.unread_tokens;
+    unread_tokens_ += chosen.unread_tokens;
+    reserved_ += chosen.memory_tokens;
+    running_.emplace(chosen.id, running_request{chosen, now});
+    return chosen.id;
+}
+
+double engine_admission::late_rate(bool needs_load, time_point now) const {
+    const auto& starts = late_starts_.at(needs_load ? 1 : 0);
+    const auto recent =
+        std::ranges::count_if(starts, [&](time_point each) { return now - each < settings_.late_window; });
+    const std::chrono::duration<double> window = settings_.late_window;
+    return std::max(static_cast<double>(recent) / window.count(), settings_.least_late_rate);
+}
+
+std::vector<std::uint64_t> engine_admission::hopeless(time_point now) const {
+    std::vector<const admission_request*> late;
+    for (const admission_request& each : waiting_) {
+        if (rank(each, 0ms, now).late) {
+            late.push_back(&each);
         }
-        const admission_request chosen = *each;
-        waiting_.erase(each);
-        waiting_tokens_ -= chosen.unread_tokens;
-        unread_tokens_ += chosen.unread_tokens;
-        reserved_ += chosen.memory_tokens;
-        running_.emplace(chosen.id, chosen);
-        return chosen.id;
     }
-    return std::nullopt;
+    std::ranges::stable_sort(late, {}, &admission_request::deadline);
+    std::array<double, 2> ahead{};
+    std::vector<std::uint64_t> ids;
+    for (const admission_request* each : late) {
+        double& count = ahead.at(each->needs_load ? 1 : 0);
+        const std::chrono::duration<double> turns{count / late_rate(each->needs_load, now)};
+        const duration wait = std::chrono::duration_cast<duration>(turns);
+        if (now + wait + speed_.time_to_first_byte(each->unread_tokens) > each->deadline) {
+            ids.push_back(each->id);
+        } else {
+            ++count;
+        }
+    }
+    return ids;
 }
 
 std::vector<std::uint64_t> engine_admission::expire(time_point now) {
@@ -75,17 +124,31 @@
     return late;
 }
 
-void engine_admission::read(std::uint64_t id) {
-    if (const auto found = running_.find(id); found != running_.end()) {
-        unread_tokens_ -= found->second.unread_tokens;
-        found->second.unread_tokens = 0;
+const admission_request* engine_admission::waiting(std::uint64_t id) const {
+    const auto found = std::ranges::find(waiting_, id, &admission_request::id);
+    return found == waiting_.end() ? nullptr : &*found;
+}
+
+void engine_admission::forget_unread(admission_request& request) {
+    unread_tokens_ -= request.unread_tokens;
+    request.unread_tokens = 0;
+}
+
+void engine_admission::read(std::uint64_t id, time_point now) {
+    const auto found = running_.find(id);
+    if (found == running_.end()) {
+        return;
     }
+    running_request& of = found->second;
+    speed_.observe(of.request.unread_tokens, now - std::max(of.started, last_read_));
+    last_read_ = now;
+    forget_unread(of.request);
 }
 
 void engine_admission::remove(std::uint64_t id) {
-    read(id);
     if (const auto found = running_.find(id); found != running_.end()) {
-        reserved_ -= found->second.memory_tokens;
+        forget_unread(found->second.request);
+        reserved_ -= found->second.request.memory_tokens;
         running_.erase(found);
         return;
     }
--- a/src/gateway/agent_protocol.cpp
+++ b/src/gateway/agent_protocol.cpp
@@ -11,29 +11,47 @@
 
 namespace {
 
-constexpr std::string_view max_wait_header = "samphiretray-max-wait-ms";
+constexpr std::string_view budget_header = "samphiretray-waiting-budget-ms";
 constexpr std::string_view load_header = "samphiretray-engine-load";
 constexpr std::string_view refusal_header = "samphiretray-refusal";
-constexpr std::array all_headers{max_wait_header, load_header, refusal_header};
-/// Backlog, running requests, reserved memory, free slots and wanted adapters come before the names of
-/// adapters.
-constexpr std::size_t load_numbers = 5;
+constexpr std::array all_headers{budget_header, load_header, refusal_header};
+/// Backlog, running requests, reserved memory, free slots, wanted adapters and reading rate come before
+/// the names of adapters.
+constexpr std::size_t load_numbers = 6;
+constexpr std::size_t budget_numbers = 3;
+
+std::string milliseconds_text(duration value) {
+    return std::to_string(std::max<std::int64_t>(milliseconds_in(value), 0));
+}
 
 } // namespace
 
-void add_max_wait(net::http_headers& headers, duration wait) {
-    headers.push_back({std::string{max_wait_header}, std::to_string(milliseconds_in(wait))});
+void add_waiting_budget(net::http_headers& headers, const waiting_budget& budget) {
+    headers.push_back({std::string{budget_header}, milliseconds_text(budget.accepted) + "," +
+                                                       milliseconds_text(budget.until_late) + "," +
+                                                       milliseconds_text(budget.until_abandoned)});
 }
 
-std::optional<duration> read_max_wait(const net::http_headers& headers) {
-    const auto value = parse_number<std::uint32_t>(net::find_header(headers, max_wait_header));
-    return value ? std::optional<duration>{std::chrono::milliseconds{*value}} : std::nullopt;
+std::optional<waiting_budget> read_waiting_budget(const net::http_headers& headers) {
+    const auto parts = split(net::find_header(headers, budget_header), ',');
+    if (parts.size() != budget_numbers) {
+        return std::nullopt;
+    }
+    std::array<duration, budget_numbers> values{};
+    for (std::size_t index = 0; index < budget_numbers; ++index) {
+        const auto value = parse_number<std::uint32_t>(parts[index]);
+        if (!value) {
+            return std::nullopt;
+        }
+        values.at(index) = std::chrono::milliseconds{*value};
+    }
+    return waiting_budget{values[0], values[1], values[2]};
 }
 
 void add_engine_load(net::http_headers& headers, const routing::engine_load& load) {
     std::string text = std::to_string(load.backlog_tokens) + "," + std::to_string(load.running) + "," +
                        std::to_string(load.kv_reserved) + "," + std::to_string(load.free_slots) + "," +
-                       std::to_string(load.wanted_adapters);
+                       std::to_string(load.wanted_adapters) + "," + std::to_string(load.reading_rate);
     for (const std::string& name : load.resident) {
         text += "," + name;
     }
@@ -50,10 +68,11 @@
     const auto reserved = parse_number<std::uint64_t>(parts[2]);
     const auto free_slots = parse_number<std::uint32_t>(parts[3]);
     const auto wanted = parse_number<std::uint32_t>(parts[4]);
-    if (!backlog || !running || !reserved || !free_slots || !wanted) {
+    const auto rate = parse_number<std::uint32_t>(parts[5]);
+    if (!backlog || !running || !reserved || !free_slots || !wanted || !rate) {
         return std::nullopt;
     }
-    routing::engine_load load{*backlog, *running, *reserved, *free_slots, *wanted, {}};
+    routing::engine_load load{*backlog, *running, *reserved, *free_slots, *wanted, *rate, {}};
     for (const std::string_view name : parts | std::views::drop(load_numbers)) {
         load.resident.emplace_back(name);
     }
--- a/src/routing/endpoint_choice.cpp
+++ b/src/routing/endpoint_choice.cpp
@@ -36,9 +36,20 @@
     states_.erase(id);
 }
 
-duration endpoint_choice::prefill_time(std::uint64_t tokens) const {
-    const double microseconds = static_cast<double>(tokens) / settings_.prefill_tokens_per_ms * 1000.0;
-    return duration{static_cast<duration::rep>(microseconds)};
+duration endpoint_choice::round_trip(const std::string& id) const {
+    const auto found = states_.find(id);
+    return found == states_.end() ? duration::zero() : found->second.endpoint.round_trip;
+}
+
+double endpoint_choice::reading_rate(const state& of) const {
+    const double part = of.load.reading_rate / settings_.usual_measured_rate;
+    const bool is_slow = of.load.reading_rate > 0 && part < settings_.slow_part;
+    return is_slow ? settings_.reading_rate * part : settings_.reading_rate;
+}
+
+duration endpoint_choice::reading_time(const state& of, std::uint64_t tokens) const {
+    const std::chrono::duration<double> time{static_cast<double>(tokens) / reading_rate(of)};
+    return std::chrono::duration_cast<duration>(time);
 }
 
 std::uint64_t endpoint_choice::backlog(const state& of, time_point now) const {
@@ -47,8 +58,8 @@
     if (!of.reported_at) {
         return own;
     }
-    const auto read = static_cast<std::uint64_t>(static_cast<double>((now - *of.reported_at).count()) /
-                                                 1000.0 * settings_.prefill_tokens_per_ms);
+    const std::chrono::duration<double> age = now - *of.reported_at;
+    const auto read = static_cast<std::uint64_t>(age.count() * reading_rate(of));
     const std::uint64_t left = of.load.backlog_tokens > read ? of.load.backlog_tokens - read : 0;
     return std::max(own, left);
 }
@@ -93,7 +104,8 @@
     chosen.kept_tokens =
         chosen.resident ? std::min(of.prefixes.kept(request.adapter, request.prompt), request.prompt_tokens)
                         : 0;
-    chosen.estimate += prefill_time(backlog(of, now) + request.prompt_tokens - chosen.kept_tokens);
+    const std::uint64_t unread = backlog(of, now) + request.prompt_tokens - chosen.kept_tokens;
+    chosen.estimate += reading_time(of, unread);
     const std::uint32_t running = std::max(of.in_flight, is_recent ? of.load.running : 0);
     chosen.estimate += settings_.running_cost * running;
     const std::uint64_t reserved = is_recent ? of.load.kv_reserved : 0;
--- a/tests/gateway/records_test.cpp
+++ b/tests/gateway/records_test.cpp
@@ -9,9 +9,9 @@
 
 TEST_CASE("an agent's load survives the way to the entry, and never reaches a caller") {
     net::http_headers headers{{"content-type", "text/plain"}};
-    add_engine_load(headers, {1200, 3, 40'000, 2, 1, {"m/a1@1", "m/a7@2"}});
+    add_engine_load(headers, {1200, 3, 40'000, 2, 1, 24'000, {"m/a1@1", "m/a7@2"}});
     add_refusal(headers, agent_refusal::engine_down);
-    add_max_wait(headers, 350ms);
+    add_waiting_budget(headers, {350ms, 800ms, 3200ms});
     const auto load = read_engine_load(headers);
     REQUIRE(load);
     CHECK(load->backlog_tokens == 1200);
@@ -21,13 +21,30 @@
     CHECK(load->wanted_adapters == 1);
     CHECK(load->resident == std::vector<std::string>{"m/a1@1", "m/a7@2"});
     CHECK(read_refusal(headers) == agent_refusal::engine_down);
-    CHECK(read_max_wait(headers) == 350ms);
+    CHECK(load->reading_rate == 24'000);
+    const auto budget = read_waiting_budget(headers);
+    REQUIRE(budget);
+    CHECK(budget->accepted == 350ms);
+    CHECK(budget->until_late == 800ms);
+    CHECK(budget->until_abandoned == 3200ms);
     remove_agent_headers(headers);
     CHECK(headers.size() == 1);
 }
 
+TEST_CASE("a budget that has run out is told as zero, not as a huge number") {
+    net::http_headers headers;
+    add_waiting_budget(headers, {-5ms, -1s, 10ms});
+    const auto budget = read_waiting_budget(headers);
+    REQUIRE(budget);
+    CHECK(budget->accepted == 0ms);
+    CHECK(budget->until_late == 0ms);
+    CHECK(budget->until_abandoned == 10ms);
+}
+
 TEST_CASE("a load header that cannot be read counts as none instead of as an idle engine") {
-    CHECK_FALSE(read_engine_load({{"samphiretray-engine-load", "12,x,3,0,0"}}));
+    CHECK_FALSE(read_engine_load({{"samphiretray-engine-load", "12,x,3,0,0,9"}}));
+    CHECK_FALSE(read_waiting_budget({{"samphiretray-waiting-budget-ms", "12,x,3"}}));
+    CHECK_FALSE(read_waiting_budget({{"samphiretray-waiting-budget-ms", "12,3"}}));
     CHECK_FALSE(read_engine_load({{"samphiretray-engine-load", "12"}}));
     CHECK_FALSE(read_engine_load({}));
     CHECK_FALSE(read_refusal({{"samphiretray-refusal", "other"}}));
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -39,6 +39,8 @@
     CHECK(state->routes[0].timeout == 8s);
     CHECK(state->routes[0].max_attempts == 2);
     CHECK(state->routes[0].resumable);
+    // Callers of a stream leave after the longest of 2 s, four target latencies and eight pauses.
+    CHECK(state->routes[0].longest_silence == 4s);
     CHECK(state->routes[1].kind == gateway::call_kind::at_most_once);
     CHECK(state->routes[1].services[1].service == "new");
     CHECK(state->routes[1].services[1].weight == 10);
--- a/tests/routing/endpoint_choice_test.cpp
+++ b/tests/routing/endpoint_choice_test.cpp
@@ -56,7 +56,7 @@
     engines all{9};
     const choice_request draft = request_for("m/a1", 9000);
     const std::string home = all.first(draft);
-    all.choice.observe_engine(home, {5000, 2, 20'000, 8, 0, {}}, start);
+    all.choice.observe_engine(home, {5000, 2, 20'000, 8, 0, 0, {}}, start);
     CHECK(all.first(draft) == home);
 }
 
@@ -65,10 +65,10 @@
     engines all{9};
     const choice_request draft = request_for("m/a1", 9000);
     const std::string home = all.first(draft);
-    all.choice.observe_engine(home, {90'000, 8, 80'000, 8, 0, {"m/a1@1"}}, start);
+    all.choice.observe_engine(home, {90'000, 8, 80'000, 8, 0, 0, {"m/a1@1"}}, start);
     const std::string second = all.first(draft);
     REQUIRE(second != home);
-    all.choice.observe_engine(second, {0, 0, 0, 8, 0, {"m/a1@1"}}, start);
+    all.choice.observe_engine(second, {0, 0, 0, 8, 0, 0, {"m/a1@1"}}, start);
     CHECK(all.first(draft) == second);
     const auto order = all.choice.order(draft, all.ids, start);
     CHECK(order.front().resident);
@@ -99,9 +99,9 @@
     all.choice.sent(keeper, 1, request);
     all.choice.answered(keeper, 1, request);
     all.choice.ended(keeper, 1, 800ms);
-    all.choice.observe_engine(keeper, {5000, 0, 0, 8, 0, {}}, start);
+    all.choice.observe_engine(keeper, {5000, 0, 0, 8, 0, 0, {}}, start);
     CHECK(all.first(request) == keeper);
-    all.choice.observe_engine(keeper, {12'000, 0, 0, 8, 0, {}}, start);
+    all.choice.observe_engine(keeper, {12'000, 0, 0, 8, 0, 0, {}}, start);
     CHECK(all.first(request) != keeper);
 }
 
@@ -110,17 +110,17 @@
     engines all{9};
     const choice_request question = request_for("m/a1", 800);
     const std::string home = all.first(question);
-    all.choice.observe_engine(home, {0, 8, 9000, 0, 0, {}}, start);
+    all.choice.observe_engine(home, {0, 8, 9000, 0, 0, 0, {}}, start);
     CHECK(all.first(question) == home);
-    all.choice.observe_engine(home, {0, 8, 9000, 0, 5, {}}, start);
+    all.choice.observe_engine(home, {0, 8, 9000, 0, 5, 0, {}}, start);
     CHECK(all.first(question) != home);
 }
 
 TEST_CASE("an old report of a long queue does not keep requests away for ever") {
     engines all{2};
     const choice_request request = request_for("", 800);
-    all.choice.observe_engine("e0", {20'000, 5, 50'000, 8, 0, {}}, start);
-    all.choice.observe_engine("e1", {2000, 1, 1000, 8, 0, {}}, start);
+    all.choice.observe_engine("e0", {20'000, 5, 50'000, 8, 0, 0, {}}, start);
+    all.choice.observe_engine("e1", {2000, 1, 1000, 8, 0, 0, {}}, start);
     CHECK(all.first(request) == "e1");
     // 20,000 tokens are read within 0.6 s.
     const auto later = all.choice.order(request, all.ids, start + 5s);
@@ -131,16 +131,16 @@
 TEST_CASE("an engine without memory for the request comes after one with a moderate queue") {
     engines all{2};
     const choice_request draft = request_for("", 9000);
-    all.choice.observe_engine("e0", {0, 20, 188'000, 8, 0, {}}, start);
-    all.choice.observe_engine("e1", {8000, 2, 20'000, 8, 0, {}}, start);
+    all.choice.observe_engine("e0", {0, 20, 188'000, 8, 0, 0, {}}, start);
+    all.choice.observe_engine("e1", {8000, 2, 20'000, 8, 0, 0, {}}, start);
     CHECK(all.first(draft) == "e1");
 }
 
 TEST_CASE("a restarted engine is taken to hold nothing") {
     engines all{2};
     const choice_request request = request_for("m/a1", 800);
-    all.choice.observe_engine("e0", {0, 0, 0, 8, 0, {"m/a1@1"}}, start);
-    all.choice.observe_engine("e1", {0, 0, 0, 8, 0, {}}, start);
+    all.choice.observe_engine("e0", {0, 0, 0, 8, 0, 0, {"m/a1@1"}}, start);
+    all.choice.observe_engine("e1", {0, 0, 0, 8, 0, 0, {}}, start);
     CHECK(all.first(request) == "e0");
     all.choice.add(make_engine("e0"));
     CHECK_FALSE(all.choice.order(request, all.ids, start).front().resident);
@@ -158,3 +158,15 @@
     }
     CHECK(choice.order(order, ids, start).front().id == "far");
 }
+
+TEST_CASE("an engine that reads prompts many times slower than usual is left to those who have no other") {
+    // Pattern: servers turn slow while their health checks are good.
+    engines all{2};
+    const choice_request draft = request_for("", 9000);
+    all.choice.observe_engine("e0", {0, 0, 0, 8, 0, 5'000, {}}, start);
+    all.choice.observe_engine("e1", {10'000, 4, 40'000, 8, 0, 25'000, {}}, start);
+    CHECK(all.first(draft) == "e1");
+    // A somewhat slower engine keeps its adapters: moving them costs a load each.
+    all.choice.observe_engine("e0", {0, 0, 0, 8, 0, 18'000, {}}, start);
+    CHECK(all.first(draft) == "e0");
+}
