Share the retry floor by the number of entries, apply the operator's caller limits, and let callers of an entry without a configuration come back after a second

Cause: the floor of the retry budget was divided by five entries whatever their number, so that 24 entries could together repeat 211 requests in 10 s where 148 are allowed for a service of 60 requests a second; a reload changed the figures in the settings but not in the running policy. The configured idle time and body limit were decoded and not used: an operator who raises the idle time would have had connections closed that callers may still use.

Each has a test that failed before.

--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -28,9 +28,11 @@
 inline constexpr double first_choice_wait = 1.5;
 /// Told to refused callers: long enough for one request of the usual length to end.
 inline constexpr duration retry_after = 400ms;
-/// Told to callers while this process has no configuration or is stopping; another entry may be ready at
-/// once.
+/// Told to callers while this process is stopping or full; another entry may be ready at once.
 inline constexpr duration retry_elsewhere = 50ms;
+/// Told to callers while this process has no configuration: callers come back once, and after a loss of power
+/// everywhere the store takes about a second to return.
+inline constexpr duration retry_without_configuration = 1s;
 inline constexpr duration tick = 100ms;
 /// Attempts for one request whatever the route allows, counting those that agents refused.
 inline constexpr std::size_t most_places = 5;
@@ -58,13 +60,15 @@
 /// Half of the fleet's budget is left unused: entries do not know each other's repeats.
 inline constexpr double used_retry_part = 0.5;
 
-/// Entries that share the retry floor before the others are known.
-inline constexpr double assumed_entries = 5;
+/// Entries that share the retry floor, at least; a new entry does not know the others yet.
+inline constexpr std::size_t assumed_entries = 5;
 
-[[nodiscard]] inline routing::retry_settings retry_settings_of(const gateway_settings& settings) {
+[[nodiscard]] inline routing::retry_settings retry_settings_of(const gateway_settings& settings,
+                                                               std::size_t entries) {
     routing::retry_settings values;
     values.ratio = settings.retry_ratio * used_retry_part;
-    values.floor = settings.retry_floor * used_retry_part / assumed_entries;
+    values.floor =
+        settings.retry_floor * used_retry_part / static_cast<double>(std::max(entries, assumed_entries));
     values.floor_period = settings.retry_period;
     values.max_saved = values.floor;
     values.max_attempts = limits::most_places;
@@ -83,7 +87,7 @@
 entry_gateway<Binding, Store>::entry_gateway(net::loop& events, gateway_settings settings, Store& store)
     : loop_(events), settings_(std::move(settings)), incarnation_(random_hex(8)),
       http_(net::http_client::create(events)), choice_({}), ejection_(gateway_ejection),
-      retries_(retry_settings_of(settings_)), usage_({}),
+      retries_(retry_settings_of(settings_, 0)), usage_({}),
       exchange_(events, *http_, store, {.vm = settings_.node.vm, .listen = settings_.control_listen}, usage_),
       ended_requests_(metrics_.counter(
           {"samphiretray_requests_total", "Requests by kind and outcome", {"kind", "outcome"}})),
@@ -151,6 +155,7 @@
 void entry_gateway<Binding, Store>::reload(const gateway_settings& settings) {
     settings_.retry_ratio = settings.retry_ratio;
     settings_.retry_floor = settings.retry_floor;
+    retries_.set_settings(retry_settings_of(settings_, entries_));
     settings_.drain_notice = settings.drain_notice;
     settings_.node.drain_limit = settings.node.drain_limit;
     log_event(log_level::info, "settings_reloaded", {{"vm", settings_.node.vm}});
@@ -174,6 +179,10 @@
         usage_.set_limits(each.name, bucket_of(each, settings_), now);
     }
     usage_.retain(names);
+    if (front_) {
+        const caller_limits& callers = table_->state().limits;
+        front_->set_limits(callers.max_body_bytes, callers.idle_timeout + limits::idle_margin);
+    }
     log_event(log_level::info, "configuration_applied",
               {{"version", table_->version()},
                {"routes", table_->state().routes.size()},
@@ -314,7 +323,8 @@
         return false;
     }
     if (!table_ || active_.size() > settings_.max_requests) {
-        refuse(*request, 503, limits::retry_elsewhere, table_ ? "too_many_requests" : "no_configuration");
+        refuse(*request, 503, table_ ? limits::retry_elsewhere : limits::retry_without_configuration,
+               table_ ? "too_many_requests" : "no_configuration");
         return false;
     }
     const bool past_notice = drain_started_ && request->arrived - *drain_started_ > settings_.drain_notice;
@@ -821,6 +831,9 @@
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::on_tick() {
     directory_.expire(loop_.now());
+    if (std::exchange(entries_, exchange_.entries()) != exchange_.entries()) {
+        retries_.set_settings(retry_settings_of(settings_, entries_));
+    }
     if (drain_started_) {
         check_drained();
     }
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -160,6 +160,8 @@
     routing::endpoint_choice choice_;
     routing::outlier_ejection ejection_;
     routing::retry_policy retries_;
+    /// Entries that were known at the last tick, with this one.
+    std::size_t entries_ = 0;
     rate::fleet_usage usage_;
     usage_exchange<Store> exchange_;
     std::map<std::string, time_point> agents_down_until_;
--- a/include/samphiretray/net/http_server.h
+++ b/include/samphiretray/net/http_server.h
@@ -69,6 +69,8 @@
     virtual void begin_graceful_shutdown() = 0;
     /// Reads the certificate files again for new connections. On an error the old certificate stays.
     [[nodiscard]] virtual status reload_certificates() = 0;
+    /// Replaces the limits of `http_server_options`, for open connections too.
+    virtual void set_limits(std::size_t max_body_bytes, duration idle_timeout) = 0;
     [[nodiscard]] virtual std::size_t open_connections() const noexcept = 0;
     /// Malformed and oversized requests that the server has refused before the handler.
     [[nodiscard]] virtual std::uint64_t refused_requests() const noexcept = 0;
--- a/include/samphiretray/routing/retry_policy.h
+++ b/include/samphiretray/routing/retry_policy.h
@@ -47,6 +47,9 @@
 public:
     explicit retry_policy(retry_settings settings);
 
+    /// Replaces the settings; budgets are cut to the new floor and keep what else they have.
+    void set_settings(retry_settings settings);
+
     /// Adds to the budgets. Called for the first attempt of every request.
     void request_started(std::string_view organisation, std::string_view endpoint, time_point now);
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -25,6 +25,9 @@
     void stop_accepting() override { listener_->stop(); }
     void begin_graceful_shutdown() override { core_->begin_graceful_shutdown(); }
     status reload_certificates() override { return core_->load_certificates(); }
+    void set_limits(std::size_t max_body_bytes, duration idle_timeout) override {
+        core_->set_limits(max_body_bytes, idle_timeout);
+    }
     [[nodiscard]] std::size_t open_connections() const noexcept override { return core_->open_connections(); }
 
     [[nodiscard]] std::uint64_t refused_requests() const noexcept override {
--- a/src/net/http_server_core.cpp
+++ b/src/net/http_server_core.cpp
@@ -113,6 +113,16 @@
     h2o_config_dispose(&config_);
 }
 
+void http_server_core::set_limits(std::size_t max_body_bytes, duration idle_timeout) {
+    const auto idle = static_cast<std::uint64_t>(std::max<std::int64_t>(1, milliseconds_in(idle_timeout)));
+    config_.max_request_entity_size = max_body_bytes;
+    config_.http1.req_timeout = idle;
+    config_.http2.idle_timeout = idle;
+    // h2o copies the times into its context; connections that wait already are counted with the new ones.
+    context_.http1.req_timeout.timeout = idle;
+    context_.http2.idle_timeout.timeout = idle;
+}
+
 void http_server_core::configure() {
     h2o_config_init(&config_);
     config_.server_name = h2o_iovec_init(H2O_STRLIT("samphiretray"));
--- a/src/net/http_server_core.h
+++ b/src/net/http_server_core.h
@@ -38,6 +38,7 @@
 
     void add_connection(h2o_socket_t* socket);
     void begin_graceful_shutdown();
+    void set_limits(std::size_t max_body_bytes, duration idle_timeout);
     /// Drops the handler and breaks all connections.
     void close();
     /// Runs `h2o_response::flush` at the end of this turn, so that writes of one turn are sent together.
--- a/src/routing/retry_policy.cpp
+++ b/src/routing/retry_policy.cpp
@@ -1,11 +1,22 @@
 #include "samphiretray/routing/retry_policy.h"
 
 #include <algorithm>
+#include <ranges>
 
 namespace samphiretray::routing {
 
 retry_policy::retry_policy(retry_settings settings) : settings_(settings) {}
 
+void retry_policy::set_settings(retry_settings settings) {
+    settings_ = settings;
+    for (auto* budgets : {&organisations_, &endpoints_}) {
+        for (budget& each : *budgets | std::views::values) {
+            each.floor = std::min(each.floor, settings_.floor);
+            each.saved = std::min(each.saved, settings_.max_saved);
+        }
+    }
+}
+
 retry_policy::budget& retry_policy::budget_of(std::unordered_map<std::string, budget>& budgets,
                                               std::string_view name, time_point now) {
     const auto [found, added] = budgets.try_emplace(std::string{name});
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -239,6 +239,29 @@
     CHECK(fixture.wait([&] { return fixture.server->open_connections() == 0; }));
 }
 
+TEST_CASE("a longer idle timeout holds for connections that are open already") {
+    // Guards against closing connections that callers were told they may use again.
+    server_fixture fixture;
+    fixture.server = fixture.make({{"127.0.0.1", 0}, 1000, 50ms, "", ""});
+    auto caller = fixture.connect();
+    REQUIRE(fixture.wait([&] { return fixture.server->open_connections() == 1; }));
+    fixture.server->set_limits(1000, 60s);
+    (void)fixture.events.run_until([] { return false; }, 200ms);
+    CHECK(fixture.server->open_connections() == 1);
+    fixture.server->set_limits(1000, 20ms);
+    CHECK(fixture.wait([&] { return fixture.server->open_connections() == 0; }));
+}
+
+TEST_CASE("a smaller limit for bodies holds from the next request on") {
+    server_fixture fixture;
+    fixture.server->set_limits(4, 60s);
+    auto caller = fixture.connect();
+    caller.send(fixture.events, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nabcde");
+    caller.receive_all(fixture.events);
+    CHECK(caller.received.starts_with("HTTP/1.1 413"));
+    CHECK(fixture.requests.empty());
+}
+
 TEST_CASE("a server destroyed with open connections and a running request closes them") {
     server_fixture fixture;
     bool closed = false;
--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -182,7 +182,18 @@
 TEST_CASE("an entry without a configuration refuses as not run and is not ready") {
     entry_with_servers all;
     CHECK(status_of(all.ask("/u/1")) == 503);
-    CHECK_FALSE(net::find_header(all.outcome->value().headers, "retry-after").empty());
+    // Callers come back once; at once they would meet the same outage.
+    CHECK(net::find_header(all.outcome->value().headers, "retry-after") == "1.000");
+}
+
+TEST_CASE("the configured limit for bodies is in force with its configuration") {
+    entry_with_servers all;
+    all.know_all();
+    CHECK(status_of(all.ask("/u/1")) == 200);
+    gateway::routing_state state = entry_with_servers::make_state(4);
+    state.limits.max_body_bytes = 2;
+    all.entry->apply(state);
+    CHECK(status_of(all.ask("/u/1")) == 413);
 }
 
 TEST_CASE("unknown routes and keys are refused, and a removed key stops with its configuration") {
--- a/tests/routing/failure_test.cpp
+++ b/tests/routing/failure_test.cpp
@@ -54,6 +54,15 @@
     CHECK(policy.decide(failed, start) == retry_verdict::retry);
 }
 
+TEST_CASE("when more entries share the budget, what was saved under the larger share is given up") {
+    // Guards against twenty entries that each keep the floor of one of five.
+    retry_policy policy{{.ratio = 0.0, .floor = 5.0}};
+    policy.request_started("org", "e0", start);
+    policy.set_settings({.ratio = 0.0, .floor = 1.0});
+    CHECK(policy.decide(failure_at(start), start) == retry_verdict::retry);
+    CHECK(policy.decide(failure_at(start), start) == retry_verdict::no_budget);
+}
+
 TEST_CASE("no retry without time left or after the last attempt") {
     retry_policy policy{{}};
     CHECK(policy.decide(failure_at(start), start + 10s) == retry_verdict::deadline);
