Do not say that a call has not run when its first attempt may have, and no server is left to repeat it

Cause: the refusal for want of candidates did not look at what earlier attempts had done. The unit test failed before (503 for 502).

--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -430,10 +430,14 @@
         return !each.resident && is_agent_down(directory_.find(each.id)->at.host);
     });
     if (candidates.empty() || request->tried.size() >= limits::most_places) {
-        refuse(*request, 503, limits::retry_after,
-               request->tried.empty()  ? "no_endpoint"
-               : request->last_refusal ? name_of(*request->last_refusal)
-                                       : "all_refused");
+        const std::string_view cause = request->tried.empty()  ? "no_endpoint"
+                                       : request->last_refusal ? name_of(*request->last_refusal)
+                                                               : "all_refused";
+        if (request->may_have_run) {
+            refuse(*request, 502, std::nullopt, cause);
+        } else {
+            refuse(*request, 503, limits::retry_after, cause);
+        }
         return;
     }
     send(request, candidates.front(), candidates.size() > 1);
--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -240,6 +240,15 @@
     CHECK(status_of(all.ask("/u/1")) == 502);
 }
 
+TEST_CASE("a call that may have run is not refused as not run when no other server is left") {
+    // Found by the soak, seed 201.
+    entry_with_servers all;
+    all.entry->apply(entry_with_servers::make_state(3));
+    all.know_server(0);
+    all.responders[0] = [](const auto&, const auto& response) { response->abort(); };
+    CHECK(status_of(all.ask("/s/1")) == 502);
+}
+
 TEST_CASE("a safe call is repeated after a cut answer, which never reaches the caller") {
     entry_with_servers all;
     all.know_all();
