Keep one copy of base64, trim, file reading and record parsing, and name an admitted request once

An agent keeps the request that it admitted instead of searching the queue for it (256 waiting: linear for each, each 20 ms).

--- a/include/samphiretray/agent/engine_admission.h
+++ b/include/samphiretray/agent/engine_admission.h
@@ -83,8 +83,6 @@
     /// Waiting requests that are late and, as fast as the engine gets to late ones, would not be begun before
     /// their deadline. They stay until they are removed.
     [[nodiscard]] std::vector<std::uint64_t> hopeless(time_point now) const;
-    /// A waiting request; null if it does not wait.
-    [[nodiscard]] const admission_request* waiting(std::uint64_t id) const;
 
     /// The engine has read the prompt.
     void read(std::uint64_t id, time_point now);
--- a/standins/file_text.h
+++ b/include/samphiretray/base/file_text.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-namespace samphiretray::standins {
+namespace samphiretray {
 
 /// The whole file, or nothing if it cannot be read.
 [[nodiscard]] inline std::optional<std::string> read_text_file(const std::string& name) {
@@ -16,4 +16,4 @@
     return std::string{std::istreambuf_iterator<char>{stream}, {}};
 }
 
-} // namespace samphiretray::standins
+} // namespace samphiretray
--- a/include/samphiretray/base/json_fields.h
+++ b/include/samphiretray/base/json_fields.h
@@ -3,6 +3,7 @@
 #include "samphiretray/base/error.h"
 #include "samphiretray/base/time.h"
 
+#include <concepts>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -34,6 +35,14 @@
               presence needed = presence::optional);
     void read(std::string_view name, std::uint64_t& target, std::uint64_t minimum, std::uint64_t maximum,
               presence needed = presence::optional);
+    /// Reads a smaller unsigned integer. `maximum` must fit it.
+    template <std::unsigned_integral Number>
+    void read(std::string_view name, Number& target, std::uint64_t minimum, std::uint64_t maximum,
+              presence needed = presence::optional) {
+        std::uint64_t value = target;
+        read(name, value, minimum, maximum, needed);
+        target = static_cast<Number>(value);
+    }
     /// Reads `<name>_ms`, an integer in milliseconds.
     void read(std::string_view name, duration& target, duration minimum, duration maximum,
               presence needed = presence::optional);
--- a/include/samphiretray/base/split.h
+++ b/include/samphiretray/base/split.h
@@ -19,6 +19,13 @@
     return parts;
 }
 
+/// `text` without spaces and tabs at its ends.
+[[nodiscard]] inline std::string_view trim(std::string_view text) {
+    const auto first = text.find_first_not_of(" \t");
+    return first == std::string_view::npos ? std::string_view{}
+                                           : text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
 /// The decimal number that `text` consists of, or nothing if it is anything else or out of range.
 template <std::integral Number>
 [[nodiscard]] std::optional<Number> parse_number(std::string_view text) {
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -94,7 +94,7 @@
     });
     log_event(log_level::info, "agent_started",
               {{"vm", settings_.node.vm},
-               {"listen", net::to_string(settings_.listen)},
+               {"listen", net::to_string(listen_address())},
                {"engine", net::to_string(settings_.engine)}});
     return success();
 }
@@ -171,19 +171,19 @@
 }
 
 template <request_binding Binding, ordered_engine Engine>
-std::optional<agent_refusal> engine_agent<Binding, Engine>::reason_to_refuse(const work& asked) const {
+std::optional<agent_refusal>
+engine_agent<Binding, Engine>::reason_to_refuse(const work& asked,
+                                                const agent::admission_request& wanted) const {
     if (drain_started_) {
         return agent_refusal::draining;
     }
     if (!is_engine_up() || !slots_ || !holds_model()) {
         return agent_refusal::engine_down;
     }
-    const bool is_resident = asked.adapter.adapter.empty() || slots_->resident(asked.adapter);
-    if (!is_resident && fencing_number_ == 0) {
+    if (wanted.needs_load && fencing_number_ == 0) {
         return agent_refusal::load_failed;
     }
-    const duration load_wait = is_resident ? 0ms : slots_->load_delay(loop_.now());
-    const agent::admission_request wanted = admission_of(asked);
+    const duration load_wait = wanted.needs_load ? slots_->load_delay(loop_.now()) : 0ms;
     const duration wait = admission_.expected_wait(wanted, loop_.now());
     const duration reading = admission_.speed().time_to_first_byte(wanted.unread_tokens);
     const bool too_late = wait + load_wait + reading > asked.budget.until_abandoned;
@@ -214,19 +214,19 @@
     for (const prompt_part& part : asked->request.caller.prefix) {
         asked->prompt.push_back({part.id, part.tokens});
     }
-    if (const auto reason = reason_to_refuse(*asked)) {
+    const agent::admission_request wanted = admission_of(*asked);
+    if (const auto reason = reason_to_refuse(*asked, wanted)) {
         refuse(asked, *reason, "");
         return;
     }
-    enqueue(asked);
+    enqueue(asked, wanted);
     pump();
 }
 
 template <request_binding Binding, ordered_engine Engine>
-void engine_agent<Binding, Engine>::enqueue(const work_pointer& asked) {
-    const agent::admission_request wanted = admission_of(*asked);
-    asked->unread_tokens = wanted.unread_tokens;
-    asked->cold = !asked->adapter.adapter.empty() && !slots_->resident(asked->adapter);
+void engine_agent<Binding, Engine>::enqueue(const work_pointer& asked,
+                                            const agent::admission_request& wanted) {
+    asked->wanted = wanted;
     if (!admission_.enqueue(wanted)) {
         refuse(asked, agent_refusal::busy, "too many requests wait");
         return;
@@ -410,8 +410,8 @@
                {"adapter", finished->adapter.adapter},
                {"version", finished->adapter.version},
                {"outcome", outcome},
-               {"cold", finished->cold ? "true" : "false"},
-               {"unread_tokens", finished->unread_tokens},
+               {"cold", finished->wanted.needs_load ? "true" : "false"},
+               {"unread_tokens", finished->wanted.unread_tokens},
                {"wait_ms", finished->run_at ? milliseconds_in(*finished->run_at - finished->arrived) : -1},
                {"first_ms",
                 finished->first_byte_at ? milliseconds_in(*finished->first_byte_at - *finished->run_at) : -1},
@@ -447,9 +447,8 @@
 agent::load_order engine_agent<Binding, Engine>::order_of_loads() const {
     agent::load_order order;
     for (const work_pointer& each : works_ | std::views::values) {
-        const agent::admission_request* waiting = each->waits ? admission_.waiting(each->id) : nullptr;
-        if (waiting != nullptr && !slots_->resident(each->adapter)) {
-            order.add(each->adapter, admission_.rank(*waiting, limits::usual_load_time, loop_.now()));
+        if (each->waits && !slots_->resident(each->adapter)) {
+            order.add(each->adapter, admission_.rank(each->wanted, limits::usual_load_time, loop_.now()));
         }
     }
     return order;
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -55,6 +55,10 @@
     /// it.
     void set_fencing_number(std::uint64_t number);
 
+    /// Where entries connect, with the port that the system chose for port 0. Only after a successful
+    /// `start`.
+    [[nodiscard]] net::address listen_address() const { return server_->local_address(); }
+
 private:
     struct work {
         std::uint64_t id = 0;
@@ -69,8 +73,8 @@
         bool waits = false;
         bool ended = false;
         bool seen_body = false;
-        bool cold = false;
-        std::uint32_t unread_tokens = 0;
+        /// As it was admitted to the queue; empty before.
+        agent::admission_request wanted;
         std::optional<time_point> run_at;
         std::optional<time_point> first_byte_at;
         std::optional<agent::slot_pin> pin;
@@ -79,10 +83,11 @@
     using work_pointer = std::shared_ptr<work>;
 
     void on_request(net::http_request&& http, std::shared_ptr<net::http_response>&& response);
-    [[nodiscard]] std::optional<agent_refusal> reason_to_refuse(const work& asked) const;
+    [[nodiscard]] std::optional<agent_refusal> reason_to_refuse(const work& asked,
+                                                                const agent::admission_request& wanted) const;
     [[nodiscard]] agent::admission_request admission_of(const work& asked) const;
     [[nodiscard]] ports::adapter_version adapter_of(const forwarded_request& request) const;
-    void enqueue(const work_pointer& asked);
+    void enqueue(const work_pointer& asked, const agent::admission_request& wanted);
     void pump();
     void expire();
     void run_admitted();
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -109,7 +109,7 @@
     tick_ = loop_.every(limits::tick, [this] { on_tick(); });
     log_event(log_level::info, "entry_started",
               {{"vm", settings_.node.vm},
-               {"listen", net::to_string(settings_.listen)},
+               {"listen", net::to_string(listen_address())},
                {"incarnation", incarnation_}});
     return success();
 }
@@ -587,7 +587,7 @@
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::on_data(const request_pointer& request, std::string_view bytes) {
     if (!std::exchange(request->seen_body, true)) {
-        choice_.answered(request->endpoint, request->id, choice_of(*request));
+        choice_.answered(request->endpoint, request->id);
         request->first_byte_at = loop_.now();
     }
     if (request->state == answer_state::relayed) {
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -63,6 +63,11 @@
     /// All endpoints have been reported once.
     void endpoints_complete();
 
+    /// Where callers connect and where the balancer asks, with the ports that the system chose for port 0.
+    /// Only after a successful `start`.
+    [[nodiscard]] net::address listen_address() const { return front_->local_address(); }
+    [[nodiscard]] net::address ready_address() const { return ready_->local_address(); }
+
 private:
     enum class answer_state {
         none,
--- a/include/samphiretray/net/http.h
+++ b/include/samphiretray/net/http.h
@@ -14,6 +14,8 @@
 
 using http_headers = std::vector<http_header>;
 
+/// The lower-case letter for an upper-case ASCII letter; any other character as it is.
+[[nodiscard]] char to_lower(char c) noexcept;
 /// Compares header names without case.
 [[nodiscard]] bool is_same_header(std::string_view left, std::string_view right) noexcept;
 
--- a/include/samphiretray/routing/endpoint_choice.h
+++ b/include/samphiretray/routing/endpoint_choice.h
@@ -111,7 +111,7 @@
     /// A request was sent; `token` names it in the calls below.
     void sent(const std::string& id, std::uint64_t token, const choice_request& request);
     /// The first byte of the answer has come.
-    void answered(const std::string& id, std::uint64_t token, const choice_request& request);
+    void answered(const std::string& id, std::uint64_t token);
     /// The request has ended, in whatever way; `took` after a whole answer.
     void ended(const std::string& id, std::uint64_t token, std::optional<duration> took);
 
--- a/soak/platform_store.cpp
+++ b/soak/platform_store.cpp
@@ -1,9 +1,9 @@
 #include "soak/platform_store.h"
 
+#include "samphiretray/base/base64.h"
 #include "samphiretray/base/split.h"
 
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
 #include <algorithm>
 #include <stdexcept>
@@ -16,15 +16,6 @@
 
 constexpr duration tick_interval = 10ms;
 
-std::string to_base64(const std::string& bytes) {
-    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-    const int size =
-        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                        reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(size));
-    return text;
-}
-
 std::uint64_t number_in(const std::string& query, const char* name) {
     return parse_number<std::uint64_t>(net::find_query(query, name)).value_or(0);
 }
--- a/src/agent/engine_admission.cpp
+++ b/src/agent/engine_admission.cpp
@@ -124,11 +124,6 @@
     return late;
 }
 
-const admission_request* engine_admission::waiting(std::uint64_t id) const {
-    const auto found = std::ranges::find(waiting_, id, &admission_request::id);
-    return found == waiting_.end() ? nullptr : &*found;
-}
-
 void engine_admission::forget_unread(admission_request& request) {
     unread_tokens_ -= request.unread_tokens;
     request.unread_tokens = 0;
--- a/src/cli/daemon.cpp
+++ b/src/cli/daemon.cpp
@@ -1,6 +1,7 @@
 #include "samphiretray/cli/daemon.h"
 
 #include "samphiretray/agent/agent_process.h"
+#include "samphiretray/base/file_text.h"
 #include "samphiretray/base/log.h"
 #include "samphiretray/cli/popt_context.h"
 #include "samphiretray/config/settings.h"
@@ -11,10 +12,8 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <fstream>
 #include <memory>
 #include <optional>
-#include <sstream>
 #include <string>
 #include <utility>
 
@@ -43,16 +42,6 @@
     return std::string{file};
 }
 
-std::optional<std::string> read_file(const std::string& name) {
-    std::ifstream file{name};
-    if (!file) {
-        return std::nullopt;
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 int report(const error& failure) {
     std::fprintf(stderr, "samphiretray: %s\n", to_string(failure).c_str());
     return exit_failure;
@@ -70,7 +59,7 @@
     if (!file) {
         return exit_usage;
     }
-    const auto text = read_file(*file);
+    const auto text = read_text_file(*file);
     if (!text) {
         return report(make_error(errc::not_found, step::settings, "", "cannot read " + *file));
     }
--- a/src/cli/operator_commands.cpp
+++ b/src/cli/operator_commands.cpp
@@ -1,3 +1,4 @@
+#include "samphiretray/base/file_text.h"
 #include "samphiretray/base/hash.h"
 #include "samphiretray/base/json_fields.h"
 #include "samphiretray/cli/cli.h"
@@ -10,8 +11,6 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <fstream>
-#include <iterator>
 #include <optional>
 #include <string>
 #include <utility>
@@ -39,11 +38,11 @@
 }
 
 result<std::string> read_file(const std::string& name) {
-    std::ifstream file{name, std::ios::binary};
-    if (!file) {
+    auto text = read_text_file(name);
+    if (!text) {
         return make_error(errc::not_found, step::configure, {}, "cannot read file \"" + name + "\"");
     }
-    return std::string{std::istreambuf_iterator<char>{file}, {}};
+    return *std::move(text);
 }
 
 /// What files of rules and of inventory hold.
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "samphiretray/base/json_fields.h"
 #include "samphiretray/config/names.h"
+#include "samphiretray/net/address_field.h"
 
 #include <fstream>
 #include <iterator>
@@ -12,27 +13,11 @@
 
 using presence = json_fields::presence;
 
-enum class port_rule { any, not_zero };
-
 constexpr std::size_t shortest_secret = 16;
 constexpr std::size_t longest_secret = 4096;
 // A pull may be lost and the evidence passes several hops, so the bound must cover a few rounds.
 constexpr int rounds_in_freshness_bound = 3;
 
-void read_address(json_fields& fields, std::string_view name, net::address& target, port_rule rule) {
-    std::string text;
-    fields.read(name, text, presence::required);
-    if (fields.has_failed()) {
-        return;
-    }
-    auto parsed = net::parse_address(text);
-    if (!parsed || (rule == port_rule::not_zero && parsed->port == 0)) {
-        fields.refuse(name, "an IP address and a port, such as \"10.0.0.1:80\"");
-        return;
-    }
-    target = *std::move(parsed);
-}
-
 void read_name(json_fields& fields, std::string_view name, std::string& target, presence needed) {
     fields.read(name, target, needed);
     if (!fields.has_failed() && fields.has(name) && !is_name(target)) {
@@ -40,13 +25,6 @@
     }
 }
 
-void read_count(json_fields& fields, std::string_view name, std::uint32_t& target, std::uint32_t minimum,
-                std::uint32_t maximum) {
-    std::uint64_t value = target;
-    fields.read(name, value, minimum, maximum);
-    target = static_cast<std::uint32_t>(value);
-}
-
 std::string trim_line_ends(std::string text) {
     while (!text.empty() && (text.back() == '\n' || text.back() == '\r')) {
         text.pop_back();
@@ -76,10 +54,10 @@
     read_name(fields, "vm", target.vm, presence::required);
     read_name(fields, "region", target.region, presence::required);
     read_name(fields, "data_centre", target.data_centre, presence::required);
-    read_address(fields, "peer_listen", target.peer_listen, port_rule::any);
-    read_address(fields, "admin_listen", target.admin_listen, port_rule::any);
-    read_address(fields, "key_value_service", target.key_value_service, port_rule::not_zero);
-    read_address(fields, "vm_list", target.vm_list, port_rule::not_zero);
+    net::read_address(fields, "peer_listen", target.peer_listen);
+    net::read_address(fields, "admin_listen", target.admin_listen);
+    net::read_address(fields, "key_value_service", target.key_value_service, net::port_rule::not_zero);
+    net::read_address(fields, "vm_list", target.vm_list, net::port_rule::not_zero);
     read_secret(fields, target.cluster_secret);
     fields.read_enum("log", target.log);
     fields.read("vm_list_interval", target.vm_list_interval, 50ms, 60s);
@@ -107,16 +85,16 @@
 
 void read_entry(json_fields& fields, entry_settings& target) {
     read_common(fields, target.common);
-    read_address(fields, "listen", target.listen, port_rule::any);
+    net::read_address(fields, "listen", target.listen);
     fields.read("max_body_bytes", target.max_body_bytes, 1024, 1U << 30U);
     read_certificates(fields, target);
     fields.read("request_timeout", target.request_timeout, 1ms, 3600s);
     read_drain(fields, target.drain_notice, target.drain_limit);
     fields.read("max_requests", target.max_requests, 1, 1'000'000);
-    read_count(fields, "rate_shards", target.rate_shards, 1, 1024);
-    read_count(fields, "claim_shards", target.claim_shards, 1, 4096);
+    fields.read("rate_shards", target.rate_shards, 1, 1024);
+    fields.read("claim_shards", target.claim_shards, 1, 4096);
     fields.read("loads_per_second", target.loads_per_second, 0.01, 1e6);
-    read_count(fields, "loads_in_flight", target.loads_in_flight, 1, 100'000);
+    fields.read("loads_in_flight", target.loads_in_flight, 1, 100'000);
 }
 
 void read_agent(json_fields& fields, agent_settings& target) {
@@ -127,8 +105,8 @@
     if (!target.base_model.empty() && !is_model_name(target.base_model)) {
         fields.refuse("base_model", model_name_rule);
     }
-    read_address(fields, "endpoint_address", target.endpoint_address, port_rule::not_zero);
-    read_count(fields, "concurrency", target.concurrency, 0, 100'000);
+    net::read_address(fields, "endpoint_address", target.endpoint_address, net::port_rule::not_zero);
+    fields.read("concurrency", target.concurrency, 0, 100'000);
     fields.read("max_queue", target.max_queue, 1, 1'000'000);
     fields.read("engine_poll_interval", target.engine_poll_interval, 10ms, 60s);
     read_drain(fields, target.drain_notice, target.drain_limit);
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -1,6 +1,7 @@
 #include "samphiretray/gateway/settings.h"
 
 #include "samphiretray/base/json_fields.h"
+#include "samphiretray/net/address_field.h"
 
 #include <limits>
 
@@ -10,35 +11,13 @@
 
 using presence = json_fields::presence;
 
-void read_address(json_fields& fields, std::string_view name, net::address& target) {
-    std::string text;
-    fields.read(name, text, presence::required);
-    if (fields.has_failed()) {
-        return;
-    }
-    auto parsed = net::parse_address(text);
-    if (!parsed) {
-        fields.refuse(name, "an IP address and a port, such as \"10.0.0.1:80\"");
-        return;
-    }
-    target = *std::move(parsed);
-}
-
-template <typename Number>
-void read_number(json_fields& fields, std::string_view name, Number& target, std::uint64_t minimum,
-                 std::uint64_t maximum, presence needed = presence::optional) {
-    std::uint64_t value = target;
-    fields.read(name, value, minimum, maximum, needed);
-    target = static_cast<Number>(value);
-}
-
 void read_node(json_fields& fields, node_settings& target) {
     fields.read("vm", target.vm, presence::required);
     fields.read("region", target.region, presence::required);
     fields.read("data_centre", target.data_centre, presence::required);
-    read_address(fields, "store", target.store);
+    net::read_address(fields, "store", target.store);
     fields.read_enum("log", target.log);
-    read_number(fields, "log_lines_per_s", target.log_lines_per_s, 1, 1'000'000);
+    fields.read("log_lines_per_s", target.log_lines_per_s, 1, 1'000'000);
     fields.read("drain_limit", target.drain_limit, 0ms, 3600s);
 }
 
@@ -54,10 +33,10 @@
 
 void read_gateway(json_fields& fields, gateway_settings& target) {
     read_node(fields, target.node);
-    read_address(fields, "listen", target.listen);
-    read_address(fields, "ready_listen", target.ready_listen);
-    read_address(fields, "control_listen", target.control_listen);
-    read_number(fields, "agent_port", target.agent_port, 1, std::numeric_limits<std::uint16_t>::max(),
+    net::read_address(fields, "listen", target.listen);
+    net::read_address(fields, "ready_listen", target.ready_listen);
+    net::read_address(fields, "control_listen", target.control_listen);
+    fields.read("agent_port", target.agent_port, 1, std::numeric_limits<std::uint16_t>::max(),
                 presence::required);
     read_regions(fields, target);
     fields.read("retry_ratio", target.retry_ratio, 0.0, 10.0);
@@ -65,15 +44,15 @@
     fields.read("retry_period", target.retry_period, 100ms, 600s);
     fields.read("rate_tolerance", target.rate_tolerance, 0.0, 10.0);
     fields.read("burst_tolerance", target.burst_tolerance, 0.0, 1e12);
-    read_number(fields, "max_requests", target.max_requests, 1, 1'000'000);
+    fields.read("max_requests", target.max_requests, 1, 1'000'000);
     fields.read("drain_notice", target.drain_notice, 0ms, 600s);
 }
 
 void read_engine_agent(json_fields& fields, engine_agent_settings& target) {
     read_node(fields, target.node);
-    read_address(fields, "listen", target.listen);
-    read_address(fields, "control_listen", target.control_listen);
-    read_address(fields, "engine", target.engine);
+    net::read_address(fields, "listen", target.listen);
+    net::read_address(fields, "control_listen", target.control_listen);
+    net::read_address(fields, "engine", target.engine);
     fields.read("service", target.service, presence::required);
     fields.read("poll_interval", target.poll_interval, 10ms, 60s);
 }
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -5,12 +5,12 @@
 
 namespace samphiretray::net {
 
-namespace {
-
 char to_lower(char c) noexcept {
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
+namespace {
+
 bool equal_without_case(std::string_view left, std::string_view right) noexcept {
     return std::ranges::equal(left, right, {}, to_lower, to_lower);
 }
--- a/src/net/http_server_core.cpp
+++ b/src/net/http_server_core.cpp
@@ -1,5 +1,7 @@
 #include "http_server_core.h"
 
+#include "samphiretray/base/split.h"
+
 #include "h2o_response.h"
 #include "lingering_close.h"
 #include "socket_address.h"
@@ -60,12 +62,6 @@
     return read;
 }
 
-std::string_view trim(std::string_view text) {
-    const auto first = text.find_first_not_of(" \t");
-    return first == std::string_view::npos ? std::string_view{}
-                                           : text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 /// Whether the head states the length of the body in more than one way. RFC 9112 section 6.3 treats such a
 /// request as an attempt at smuggling; h2o takes the last statement.
 bool has_ambiguous_length(std::string_view head) {
--- a/src/net/response_parser.cpp
+++ b/src/net/response_parser.cpp
@@ -12,18 +12,10 @@
 
 constexpr std::size_t max_headers = 100;
 
-char lower(char c) noexcept {
-    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-}
-
-bool equals(std::string_view left, std::string_view right) noexcept {
-    return std::ranges::equal(left, right, {}, lower, lower);
-}
-
 /// The length that all Content-Length headers agree on; false if they do not or if one is not a number.
 bool read_length(const http_headers& headers, std::optional<std::uint64_t>& length) {
     for (const http_header& header : headers) {
-        if (!equals(header.name, "content-length")) {
+        if (!is_same_header(header.name, "content-length")) {
             continue;
         }
         std::uint64_t value = 0;
@@ -43,7 +35,7 @@
         return false;
     }
     const std::string_view coding = find_header(head.headers, "transfer-encoding");
-    if (!coding.empty() && !equals(coding, "chunked")) {
+    if (!coding.empty() && !is_same_header(coding, "chunked")) {
         return false;
     }
     if (answers_head || head.status < 200 || head.status == 204 || head.status == 304) {
@@ -61,7 +53,8 @@
 
 bool find_keep_alive(const response_head& head, int minor_version) {
     const std::string_view connection = find_header(head.headers, "connection");
-    const bool wanted = minor_version >= 1 ? !equals(connection, "close") : equals(connection, "keep-alive");
+    const bool wanted =
+        minor_version >= 1 ? !is_same_header(connection, "close") : is_same_header(connection, "keep-alive");
     return wanted && head.framing != body_framing::until_close;
 }
 
--- a/src/routing/endpoint_choice.cpp
+++ b/src/routing/endpoint_choice.cpp
@@ -151,7 +151,7 @@
     }
 }
 
-void endpoint_choice::answered(const std::string& id, std::uint64_t token, const choice_request&) {
+void endpoint_choice::answered(const std::string& id, std::uint64_t token) {
     if (const auto found = states_.find(id); found != states_.end()) {
         found->second.unread.erase(token);
     }
--- a/standins/commands.cpp
+++ b/standins/commands.cpp
@@ -1,10 +1,10 @@
 #include "standins/commands.h"
 
+#include "samphiretray/base/file_text.h"
 #include "samphiretray/base/hash.h"
 #include "samphiretray/base/log.h"
 
 #include "standins/engine_server.h"
-#include "standins/file_text.h"
 #include "standins/kv_server.h"
 #include "standins/load_preload.h"
 #include "standins/load_runner.h"
--- a/standins/vm_list_server.cpp
+++ b/standins/vm_list_server.cpp
@@ -1,9 +1,8 @@
 #include "standins/vm_list_server.h"
 
+#include "samphiretray/base/file_text.h"
 #include "samphiretray/base/log.h"
 
-#include "standins/file_text.h"
-
 #include <utility>
 
 namespace samphiretray::standins {
--- a/tests/routing/endpoint_choice_test.cpp
+++ b/tests/routing/endpoint_choice_test.cpp
@@ -97,7 +97,7 @@
     const choice_request request{"", "", prompt, 9000, 100};
     const std::string keeper = all.first(request);
     all.choice.sent(keeper, 1, request);
-    all.choice.answered(keeper, 1, request);
+    all.choice.answered(keeper, 1);
     all.choice.ended(keeper, 1, 800ms);
     all.choice.observe_engine(keeper, {5000, 0, 0, 8, 0, 0, {}}, start);
     CHECK(all.first(request) == keeper);
