Let the system choose the ports of the platform tests when they are bound

Traced: the tests looked up a free port, closed it and bound it again; meanwhile another process (or an outgoing connection) could take it, and 'REQUIRE(entry->start())' failed. Played again with six sanitized test_platform at once: 4 of 42 runs failed there, all at that line. Ruled out: a fault of the processes, no other check failed. With port 0 bound at once and the address read back: 0 of 60 failed under the same load.

--- a/tests/platform/engine_agent_test.cpp
+++ b/tests/platform/engine_agent_test.cpp
@@ -8,6 +8,7 @@
 
 using namespace samphiretray;
 using namespace samphiretray::platform;
+using platform::testing::any_port;
 using platform::testing::fake_engine;
 using platform::testing::hang_limit;
 using platform::testing::order_fate;
@@ -31,23 +32,17 @@
     gateway::engine_agent_settings settings() {
         gateway::engine_agent_settings values;
         values.node.vm = "side-1";
-        values.listen = free_address();
-        values.control_listen = free_address();
+        values.listen = any_port;
+        values.control_listen = any_port;
         values.engine = engine.address();
         values.service = "engines";
         values.poll_interval = 10ms;
-        listen = values.listen;
         return values;
     }
 
-    net::address free_address() {
-        auto probe = net::http_server::create(events, {{"127.0.0.1", 0}}, nullptr);
-        REQUIRE(probe);
-        return (*probe)->local_address();
-    }
-
     void start() {
         REQUIRE(agent.start());
+        listen = agent.listen_address();
         gateway::routing_state state;
         state.version = 1;
         state.services = {{"engines", gateway::engine_capacity{8, 100'000, 2, {"m0"}}}};
--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -6,6 +6,7 @@
 
 using namespace samphiretray;
 using namespace samphiretray::platform;
+using platform::testing::any_port;
 using platform::testing::fake_engine;
 using platform::testing::hang_limit;
 
@@ -67,19 +68,15 @@
         gateway::gateway_settings settings;
         settings.node.vm = "entry-1";
         settings.node.data_centre = "north-a";
-        settings.listen = listen = free_address();
-        settings.ready_listen = ready = free_address();
-        settings.control_listen = free_address();
+        settings.listen = any_port;
+        settings.ready_listen = any_port;
+        settings.control_listen = any_port;
         settings.agent_port = 1;
         entry =
             std::make_unique<gateway::entry_gateway<request_binding, silent_store>>(events, settings, store);
         REQUIRE(entry->start());
-    }
-
-    net::address free_address() {
-        auto probe = net::http_server::create(events, {{"127.0.0.1", 0}}, nullptr);
-        REQUIRE(probe);
-        return (*probe)->local_address();
+        listen = entry->listen_address();
+        ready = entry->ready_address();
     }
 
     static gateway::route make_route(std::string prefix, gateway::call_kind kind, bool is_public = false) {
--- a/tests/platform/fake_engine.h
+++ b/tests/platform/fake_engine.h
@@ -16,6 +16,10 @@
 /// Bounds a hanging test; no verdict depends on it otherwise.
 inline constexpr duration hang_limit = 20s;
 
+/// The system chooses the port when the server binds it: a port that was looked up before can be taken by
+/// another process in between.
+inline const net::address any_port{"127.0.0.1", 0};
+
 enum class order_fate {
     carried_out,
     /// Carried out without an answer.
