Load one adapter at a time from the weight store for each engine, and those in its memory beside it

Loads from the engine's own memory (25 ms) queued behind them. Ruled out: late requests that hop between agents (looked at first, docs/decisions), a lack of batch places.

--- a/include/samphiretray/agent/slot_table.h
+++ b/include/samphiretray/agent/slot_table.h
@@ -150,6 +150,8 @@
     [[nodiscard]] std::size_t pinned() const;
     /// Slots that a load could take now.
     [[nodiscard]] std::size_t free_slots() const;
+    /// Adapters whose loads have begun, those among them whose slot is still being emptied.
+    [[nodiscard]] std::vector<adapter_version> loads_under_way() const;
     /// Adapters that requests wait for and that no slot has.
     [[nodiscard]] std::size_t wanted() const;
     /// Estimated time from the first wait for an adapter to the end of its load, from the loads of late.
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -13,9 +13,6 @@
 
 namespace limits {
 
-/// Loads of this agent in progress at once. The engine takes four, but the store slows down beyond eight
-/// loads of the whole fleet.
-inline constexpr std::uint32_t agent_loads = 2;
 /// Failed reports in a row after which the engine counts as down: with the poll interval, half a second.
 inline constexpr std::uint32_t engine_down_polls = 3;
 /// Failed loads in a row after which the requests that wait for the adapter are refused.
@@ -51,8 +48,9 @@
 template <request_binding Binding, ordered_engine Engine>
 engine_agent<Binding, Engine>::engine_agent(net::loop& events, engine_agent_settings settings, Engine& engine)
     : loop_(events), settings_(std::move(settings)), engine_(engine), http_(net::http_client::create(events)),
-      admission_({}), ended_works_(metrics_.counter(
-                          {"samphiretray_agent_requests_total", "Requests by outcome", {"outcome"}})),
+      admission_({}), pacing_({}),
+      ended_works_(
+          metrics_.counter({"samphiretray_agent_requests_total", "Requests by outcome", {"outcome"}})),
       orders_(metrics_.counter(
           {"samphiretray_agent_orders_total", "Orders by kind and outcome", {"kind", "outcome"}})),
       wait_seconds_(metrics_.histogram(
@@ -435,10 +433,9 @@
         return order.weight(adapter);
     };
     for (const ports::adapter_version& adapter : slots_->loads_wanted(loop_.now(), weight)) {
-        if (loads_in_progress_ >= limits::agent_loads) {
-            return;
+        if (pacing_.may_begin(adapter, slots_->loads_under_way(), loop_.now())) {
+            perform(slots_->begin_load(adapter, fencing_number_, loop_.now()));
         }
-        perform(slots_->begin_load(adapter, fencing_number_, loop_.now()));
     }
     refuse_failed_loads();
 }
@@ -478,17 +475,16 @@
         command.order.adapter_slots = slots_->size();
         switch (command.kind) {
         case agent::slot_command_kind::load:
-            ++loads_in_progress_;
             log_event(log_level::info, "load_started",
                       {{"adapter", command.order.target.adapter},
                        {"version", command.order.target.version},
                        {"fencing_number", command.order.fencing_number},
                        {"pinned_slots", slots_->pinned()},
                        {"wanted_adapters", slots_->wanted()}});
-            engine_.load(command.order, [this, command](const result<std::string>& outcome) {
-                --loads_in_progress_;
-                load_ended(command, outcome);
-            });
+            engine_.load(command.order,
+                         [this, command, began = loop_.now()](const result<std::string>& outcome) {
+                             load_ended(command, loop_.now() - began, outcome);
+                         });
             break;
         case agent::slot_command_kind::unload:
             engine_.unload(command.order, [this, command](const result<std::string>& outcome) {
@@ -503,7 +499,7 @@
 }
 
 template <request_binding Binding, ordered_engine Engine>
-void engine_agent<Binding, Engine>::load_ended(const agent::slot_command& command,
+void engine_agent<Binding, Engine>::load_ended(const agent::slot_command& command, duration took,
                                                const result<std::string>& outcome) {
     using enum agent::load_outcome;
     orders_.add({"load", outcome ? "done" : "failed"});
@@ -514,7 +510,11 @@
               {{"adapter", command.order.target.adapter},
                {"version", command.order.target.version},
                {"fencing_number", command.order.fencing_number},
+               {"took_ms", milliseconds_in(took)},
                {"failure", outcome ? "" : to_string(outcome.error())}});
+    if (outcome) {
+        pacing_.loaded(command.order.target, took, loop_.now());
+    }
     perform(slots_->load_finished(command.id, outcome ? loaded : certain ? failed : unknown, loop_.now()));
     pump();
 }
@@ -575,6 +575,7 @@
     if (first || restarted) {
         prefixes_.clear();
         admission_.restarted();
+        pacing_.restarted();
         slots_->adopt(report->loaded, now);
     }
     if (!report->models.empty()) {
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -2,6 +2,7 @@
 
 #include "samphiretray/agent/engine_admission.h"
 #include "samphiretray/agent/load_order.h"
+#include "samphiretray/agent/load_pacing.h"
 #include "samphiretray/agent/slot_table.h"
 #include "samphiretray/gateway/agent_protocol.h"
 #include "samphiretray/gateway/binding.h"
@@ -95,7 +96,7 @@
     void want_loads();
     [[nodiscard]] agent::load_order order_of_loads() const;
     void perform(std::vector<agent::slot_command> commands);
-    void load_ended(const agent::slot_command& command, const result<std::string>& outcome);
+    void load_ended(const agent::slot_command& command, duration took, const result<std::string>& outcome);
     void unload_ended(const agent::slot_command& command, const result<std::string>& outcome);
     void on_head(const work_pointer& running, int code, const net::http_headers& headers);
     void on_data(const work_pointer& running, std::string_view bytes);
@@ -121,6 +122,7 @@
     std::unique_ptr<net::http_server> control_;
     std::optional<agent::slot_table> slots_;
     agent::engine_admission admission_;
+    agent::load_pacing pacing_;
     routing::prefix_memory prefixes_{0};
     std::map<std::string, std::uint64_t> versions_;
     std::unordered_map<std::uint64_t, work_pointer> works_;
@@ -129,7 +131,6 @@
     std::uint32_t engine_restarts_ = 0;
     std::optional<engine_report> report_;
     std::uint32_t failed_polls_ = 0;
-    std::uint32_t loads_in_progress_ = 0;
     /// The base model that the engine is to hold.
     std::string model_;
     std::vector<std::string> possible_models_;
--- a/src/agent/slot_table.cpp
+++ b/src/agent/slot_table.cpp
@@ -485,6 +485,18 @@
     }));
 }
 
+std::vector<adapter_version> slot_table::loads_under_way() const {
+    std::vector<adapter_version> adapters;
+    for (const slot& of : slots_) {
+        if (of.state == slot_state::loading) {
+            adapters.push_back(of.holds);
+        } else if (of.next) {
+            adapters.push_back(*of.next);
+        }
+    }
+    return adapters;
+}
+
 std::size_t slot_table::wanted() const {
     return static_cast<std::size_t>(std::ranges::count_if(
         demands_, [this](const auto& each) { return each.second.waiting > 0 && !assigned(each.first); }));
--- a/tests/agent/slot_table_test.cpp
+++ b/tests/agent/slot_table_test.cpp
@@ -255,3 +255,17 @@
     table.forget(lost);
     CHECK_FALSE(table.resident(lost));
 }
+
+TEST_CASE("a load counts as under way from the unload that makes room for it") {
+    // Counted from its own order only, each waiting adapter began an unload at once and all loads followed.
+    slot_table table{small(1)};
+    table.unpin(load_and_pin(table, name(0), start), start);
+    CHECK(table.loads_under_way().empty());
+    table.wait_started(name(1), false, start + 10s);
+    const auto unload = table.begin_load(name(1), 1, start + 10s);
+    REQUIRE(unload.size() == 1);
+    CHECK(unload[0].kind == slot_command_kind::unload);
+    CHECK(table.loads_under_way() == std::vector{name(1)});
+    (void)table.unload_finished(unload[0].id, true, start + 10s);
+    CHECK(table.loads_under_way() == std::vector{name(1)});
+}
