--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -104,6 +104,7 @@
         return;
     }
     possible_models_ = found->engine->models;
+    model_load_time_ = found->engine->model_load_time;
     admission_.set_capacity(found->engine->batch, found->engine->kv_tokens);
     prefixes_.set_capacity(found->engine->kv_tokens);
     if (!slots_) {
@@ -175,19 +176,31 @@
     if (drain_started_) {
         return agent_refusal::draining;
     }
-    if (!is_engine_up() || !slots_ || !holds_model()) {
+    if (!is_engine_up() || !slots_ || !(holds_model() || may_wait_for_model(asked))) {
         return agent_refusal::engine_down;
     }
     if (wanted.needs_load && fencing_number_ == 0) {
         return agent_refusal::load_failed;
     }
     const duration load_wait = wanted.needs_load ? slots_->load_delay(loop_.now()) : 0ms;
-    const duration wait = admission_.expected_wait(wanted, loop_.now());
+    const duration wait = model_delay() + admission_.expected_wait(wanted, loop_.now());
     const duration reading = admission_.speed().time_to_first_byte(wanted.unread_tokens);
     const bool too_late = wait + load_wait + reading > asked.budget.until_abandoned;
     return too_late || wait > asked.budget.accepted ? std::optional{agent_refusal::busy} : std::nullopt;
 }
 
+template <request_binding Binding, ordered_engine Engine>
+bool engine_agent<Binding, Engine>::may_wait_for_model(const work& asked) const {
+    const bool is_last_resort = asked.budget.accepted >= asked.budget.until_abandoned;
+    return restoring_since_ && is_last_resort && model_delay() < asked.budget.until_abandoned;
+}
+
+template <request_binding Binding, ordered_engine Engine>
+duration engine_agent<Binding, Engine>::model_delay() const {
+    return restoring_since_ ? std::max<duration>(*restoring_since_ + model_load_time_ - loop_.now(), 0ms)
+                            : duration::zero();
+}
+
 template <request_binding Binding, ordered_engine Engine>
 void engine_agent<Binding, Engine>::on_request(net::http_request&& http,
                                                std::shared_ptr<net::http_response>&& response) {
@@ -271,6 +284,9 @@
 
 template <request_binding Binding, ordered_engine Engine>
 void engine_agent<Binding, Engine>::run_admitted() {
+    if (!holds_model()) {
+        return;
+    }
     const auto runnable = [this](std::uint64_t id) {
         const ports::adapter_version& adapter = works_.at(id)->adapter;
         return adapter.adapter.empty() || slots_->can_run(adapter, false);
@@ -581,8 +597,11 @@
     if (!report->models.empty()) {
         model_ = report->models.front();
     }
+    if (restarted) {
+        refuse_waiting(agent_refusal::engine_down);
+    }
     restore_model();
-    if (!holds_model()) {
+    if (!holds_model() && !restoring_since_) {
         refuse_waiting(agent_refusal::engine_down);
     }
     for (const ports::adapter_version& unexpected : slots_->reconcile(report->loaded, now)) {
@@ -616,7 +635,7 @@
 /// Engines restart empty. One that held a model gets it back; a new one gets one of its service's.
 template <request_binding Binding, ordered_engine Engine>
 void engine_agent<Binding, Engine>::restore_model() {
-    if (holds_model() || restoring_ || fencing_number_ == 0) {
+    if (holds_model() || restoring_since_ || fencing_number_ == 0) {
         return;
     }
     if (model_.empty() && !possible_models_.empty()) {
@@ -625,14 +644,21 @@
     if (model_.empty()) {
         return;
     }
-    restoring_ = true;
+    restoring_since_ = loop_.now();
     log_event(log_level::info, "model_load_started",
               {{"model", model_}, {"fencing_number", fencing_number_}, {"started_at", report_->started_at}});
     engine_.load({{model_, ""}, fencing_number_}, [this](const result<std::string>& outcome) {
-        restoring_ = false;
+        restoring_since_.reset();
         orders_.add({"model", outcome ? "done" : "failed"});
         log_event(log_level::info, "model_load_ended",
                   {{"model", model_}, {"failure", outcome ? "" : to_string(outcome.error())}});
+        if (!outcome) {
+            refuse_waiting(agent_refusal::engine_down);
+        } else if (report_) {
+            // The next report would tell it a poll interval later.
+            report_->models = {model_};
+            pump();
+        }
     });
 }
 
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -86,6 +86,10 @@
     void on_request(net::http_request&& http, std::shared_ptr<net::http_response>&& response);
     [[nodiscard]] std::optional<agent_refusal> reason_to_refuse(const work& asked,
                                                                 const agent::admission_request& wanted) const;
+    /// True if the request has nowhere else to go and the base model will be there in time.
+    [[nodiscard]] bool may_wait_for_model(const work& asked) const;
+    /// Expected time until the engine holds a base model; zero if it does.
+    [[nodiscard]] duration model_delay() const;
     [[nodiscard]] agent::admission_request admission_of(const work& asked) const;
     [[nodiscard]] ports::adapter_version adapter_of(const forwarded_request& request) const;
     void enqueue(const work_pointer& asked, const agent::admission_request& wanted);
@@ -134,7 +138,9 @@
     /// The base model that the engine is to hold.
     std::string model_;
     std::vector<std::string> possible_models_;
-    bool restoring_ = false;
+    /// Set while the base model is being loaded.
+    std::optional<time_point> restoring_since_;
+    duration model_load_time_{0};
     std::optional<time_point> drain_started_;
     net::timer_handle poll_timer_;
     net::timer_handle tick_timer_;
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -26,8 +26,11 @@
 inline constexpr duration default_time = 60s;
 /// Part of the target latency that the first choice may let a request wait while others could take it.
 inline constexpr double first_choice_wait = 1.5;
-/// Told to refused callers: long enough for one request of the usual length to end.
+/// Told to callers over their organisation's rate, at least.
 inline constexpr duration retry_after = 400ms;
+/// Told to callers whom no endpoint takes: callers come back once, and a queue at all engines, or the load of
+/// a base model after a restart, lasts for one to three seconds.
+inline constexpr duration retry_when_full = 1500ms;
 /// Told to callers while this process is stopping or full; another entry may be ready at once.
 inline constexpr duration retry_elsewhere = 50ms;
 /// Told to callers while this process has no configuration: callers come back once, and after a loss of power
@@ -436,7 +439,7 @@
         if (request->may_have_run) {
             refuse(*request, 502, std::nullopt, cause);
         } else {
-            refuse(*request, 503, limits::retry_after, cause);
+            refuse(*request, 503, request->is_engine ? limits::retry_when_full : limits::retry_after, cause);
         }
         return;
     }
@@ -736,7 +739,7 @@
     if (request->may_have_run) {
         refuse(*request, 502, std::nullopt, cause);
     } else {
-        refuse(*request, 503, limits::retry_after, cause);
+        refuse(*request, 503, request->is_engine ? limits::retry_when_full : limits::retry_after, cause);
     }
 }
 
--- a/include/samphiretray/gateway/model.h
+++ b/include/samphiretray/gateway/model.h
@@ -60,6 +60,8 @@
     std::uint32_t adapter_slots = 0;
     /// Base models that the engines of the service may hold.
     std::vector<std::string> models;
+    /// Load of the slowest of them from the weight store; zero if it is not stated.
+    duration model_load_time{0};
 };
 
 struct service {
--- a/tests/platform/engine_agent_test.cpp
+++ b/tests/platform/engine_agent_test.cpp
@@ -53,7 +53,7 @@
     }
 
     void ask(const std::string& attempt, const std::string& adapter, const std::string& version = "",
-             duration time = 5s) {
+             duration time = 5s, std::optional<gateway::waiting_budget> budget = std::nullopt) {
         net::http_call call;
         call.peer = listen;
         call.method = "POST";
@@ -63,6 +63,9 @@
              {"x-samphiretray-model", adapter.empty() ? "m0" : "m0/" + adapter},
              {"x-samphiretray-token-count", "1000,50"}},
             {.time_left = time, .endpoint = "i-1", .organisation = "coop", .version = version});
+        if (budget) {
+            gateway::add_waiting_budget(call.headers, *budget);
+        }
         calls.push_back(client->fetch(std::move(call), [this](result<net::http_answer> answer) {
             answers.push_back(std::move(answer));
         }));
@@ -153,6 +156,42 @@
     CHECK(all.engine.requests.empty());
 }
 
+TEST_CASE("a request with nowhere else to go waits for the base model, another one is sent on at once") {
+    // Pattern: power lost everywhere. For a second all engines load their base model, and all that came was
+    // refused, came back 400 ms later and was refused again.
+    agent_beside_engine all;
+    all.start();
+    for (int i = 0; i < 8; ++i) {
+        all.engine.fates.push_back(order_fate::late);
+    }
+    all.engine.restart();
+    REQUIRE(all.events.run_until([&] { return !all.engine.late_orders.empty(); }, hang_limit));
+    all.ask("1", "a1", "", 5s, gateway::waiting_budget{500ms, 1s, 4s});
+    all.wait_for(1);
+    CHECK(gateway::read_refusal(all.answers[0]->headers) == gateway::agent_refusal::engine_down);
+    REQUIRE(all.engine.models.empty());
+    all.ask("2", "a1", "", 5s, gateway::waiting_budget{4s, 1s, 4s});
+    all.wait_for(2);
+    CHECK(all.answers[1]->status == 200);
+    CHECK(all.engine.requests.size() == 1);
+}
+
+TEST_CASE("a request that needs no adapter waits for the base model too") {
+    agent_beside_engine all;
+    all.start();
+    for (int i = 0; i < 4; ++i) {
+        all.engine.fates.push_back(order_fate::late);
+    }
+    all.engine.restart();
+    REQUIRE(all.events.run_until([&] { return !all.engine.late_orders.empty(); }, hang_limit));
+    all.ask("1", "");
+    all.run_for(10ms);
+    CHECK(all.engine.requests.empty());
+    all.wait_for(1);
+    CHECK(all.answers[0]->status == 200);
+    CHECK(all.engine.models == std::vector<std::string>{"m0"});
+}
+
 TEST_CASE("an announced version replaces the one that is loaded before the next request") {
     agent_beside_engine all;
     all.start();
