Send on what waits beside an engine that leaves, and forget endpoints whose grace has ended

Cause 1, read in the code: an agent did not know that its engine leaves, so a request that waited for its adapter could reach the engine up to four seconds after the notice (DRAIN possible; bounds 3 s and 4 s). New requests are sent on at once, waiting ones after a second. The test failed before: the request stayed for 2.5 s.

--- a/include/samphiretray/gateway/endpoint_directory.h
+++ b/include/samphiretray/gateway/endpoint_directory.h
@@ -19,8 +19,8 @@
     bool update(endpoint value);
     /// `after_outage`: discovery came back less than `return_grace` ago, so the entry may return.
     void remove(const std::string& id, bool after_outage, time_point now);
-    /// Removes the endpoints whose grace has passed.
-    void expire(time_point now);
+    /// Removes the endpoints whose grace has passed, and returns their ids.
+    std::vector<std::string> expire(time_point now);
 
     [[nodiscard]] const endpoint* find(const std::string& id) const;
     /// Endpoints of a service that take new requests.
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -23,6 +23,9 @@
 /// Load of an adapter from the weight store; the figure on the deployments' data sheets.
 inline constexpr duration usual_load_time = 250ms;
 inline constexpr duration agent_tick = 20ms;
+/// Requests that wait beside a leaving engine may begin for this long: a third of the shortest time in which
+/// operators want a leaving engine to get no new work.
+inline constexpr duration leaving_grace = 1s;
 /// Fencing numbers of one agent: one for each restart of its engine that it may see.
 inline constexpr std::uint64_t fencing_numbers = 1U << 16U;
 /// A planned stop ends this long before the process would be killed.
@@ -173,7 +176,7 @@
 std::optional<agent_refusal>
 engine_agent<Binding, Engine>::reason_to_refuse(const work& asked,
                                                 const agent::admission_request& wanted) const {
-    if (drain_started_) {
+    if (drain_started_ || leaving_since_) {
         return agent_refusal::draining;
     }
     if (!is_engine_up() || !slots_ || !(holds_model() || may_wait_for_model(asked))) {
@@ -600,6 +603,7 @@
     if (restarted) {
         refuse_waiting(agent_refusal::engine_down);
     }
+    check_engine_leaving();
     restore_model();
     if (!holds_model() && !restoring_since_) {
         refuse_waiting(agent_refusal::engine_down);
@@ -616,6 +620,20 @@
     pump();
 }
 
+/// A leaving engine takes new work for a few seconds only. What waits may still begin in the first of these;
+/// then it goes back to the entries.
+template <request_binding Binding, ordered_engine Engine>
+void engine_agent<Binding, Engine>::check_engine_leaving() {
+    if (report_->draining != leaving_since_.has_value()) {
+        log_event(log_level::info, report_->draining ? "engine_leaving" : "engine_staying",
+                  {{"started_at", report_->started_at}, {"waiting", admission_.waiting_count()}});
+        leaving_since_ = report_->draining ? std::optional{loop_.now()} : std::nullopt;
+    }
+    if (leaving_since_ && loop_.now() - *leaving_since_ >= limits::leaving_grace) {
+        refuse_waiting(agent_refusal::draining);
+    }
+}
+
 /// Requests that have not been passed on are better off at another engine.
 template <request_binding Binding, ordered_engine Engine>
 void engine_agent<Binding, Engine>::refuse_waiting(agent_refusal reason) {
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -116,6 +116,7 @@
     void check_drained();
     [[nodiscard]] routing::engine_load load() const;
     [[nodiscard]] bool is_engine_up() const;
+    void check_engine_leaving();
     void on_control(const net::http_request& request, net::http_response& response);
 
     net::loop& loop_;
@@ -138,6 +139,8 @@
     /// The base model that the engine is to hold.
     std::string model_;
     std::vector<std::string> possible_models_;
+    /// Set once the engine has said that it will leave.
+    std::optional<time_point> leaving_since_;
     /// Set while the base model is being loaded.
     std::optional<time_point> restoring_since_;
     duration model_load_time_{0};
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -278,12 +278,17 @@
     log_event(log_level::info, "endpoint_removed",
               {{"endpoint", id}, {"after_outage", after_outage ? "true" : "false"}});
     if (directory_.find(id) == nullptr) {
-        choice_.remove(id);
-        paused_until_.erase(id);
+        forget_endpoint(id);
         refresh_pools();
     }
 }
 
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::forget_endpoint(const std::string& id) {
+    choice_.remove(id);
+    paused_until_.erase(id);
+}
+
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::endpoints_complete() {
     endpoints_complete_ = true;
@@ -837,7 +842,14 @@
 
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::on_tick() {
-    directory_.expire(loop_.now());
+    const auto expired = directory_.expire(loop_.now());
+    for (const std::string& id : expired) {
+        log_event(log_level::info, "endpoint_expired", {{"endpoint", id}});
+        forget_endpoint(id);
+    }
+    if (!expired.empty()) {
+        refresh_pools();
+    }
     if (std::exchange(entries_, exchange_.entries()) != exchange_.entries()) {
         retries_.set_settings(retry_settings_of(settings_, entries_));
     }
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -150,6 +150,7 @@
     [[nodiscard]] std::string status_text() const;
     void refresh_endpoint(const endpoint& value);
     void refresh_pools();
+    void forget_endpoint(const std::string& id);
 
     net::loop& loop_;
     gateway_settings settings_;
--- a/include/samphiretray/gateway/model.h
+++ b/include/samphiretray/gateway/model.h
@@ -182,6 +182,8 @@
     std::vector<std::string> models;
     /// True while an order for a base model is carried out.
     bool busy = false;
+    /// The engine is about to leave.
+    bool draining = false;
     /// Count of accepted orders.
     std::uint64_t order_sequence = 0;
     /// Names as "model/adapter".
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -26,14 +26,17 @@
     endpoints_.erase(id);
 }
 
-void endpoint_directory::expire(time_point now) {
-    std::erase_if(removed_at_, [this, now](const auto& removed) {
-        const bool due = now - removed.second >= return_grace;
-        if (due) {
-            endpoints_.erase(removed.first);
+std::vector<std::string> endpoint_directory::expire(time_point now) {
+    std::vector<std::string> expired;
+    for (const auto& [id, removed_at] : removed_at_) {
+        if (now - removed_at >= return_grace) {
+            expired.push_back(id);
         }
-        return due;
-    });
+    }
+    for (const std::string& id : expired) {
+        remove(id, false, now);
+    }
+    return expired;
 }
 
 const endpoint* endpoint_directory::find(const std::string& id) const {
--- a/tests/gateway/endpoint_directory_test.cpp
+++ b/tests/gateway/endpoint_directory_test.cpp
@@ -42,15 +42,15 @@
     endpoint_directory directory;
     directory.update(make_endpoint("e1"));
     directory.remove("e1", true, start);
-    directory.expire(start + 1900ms);
+    CHECK(directory.expire(start + 1900ms).empty());
     CHECK(directory.live("engines").size() == 1);
     SECTION("it returns") {
         directory.update(make_endpoint("e1"));
-        directory.expire(start + 10s);
+        CHECK(directory.expire(start + 10s).empty());
         CHECK(directory.live("engines").size() == 1);
     }
     SECTION("it does not return") {
-        directory.expire(start + 2s);
+        CHECK(directory.expire(start + 2s) == std::vector<std::string>{"e1"});
         CHECK(directory.live("engines").empty());
     }
 }
--- a/tests/platform/engine_agent_test.cpp
+++ b/tests/platform/engine_agent_test.cpp
@@ -192,6 +192,29 @@
     CHECK(all.engine.models == std::vector<std::string>{"m0"});
 }
 
+TEST_CASE("what waits beside a leaving engine is sent on before the engine may get no new work") {
+    // A request that waited for its adapter would have reached the engine up to four seconds after its
+    // notice.
+    agent_beside_engine all;
+    all.start();
+    for (int i = 0; i < 400; ++i) {
+        all.engine.fates.push_back(order_fate::late);
+    }
+    all.ask("1", "a1");
+    all.run_for(50ms);
+    all.engine.state = "draining";
+    const time_point told = all.events.now();
+    all.run_for(50ms);
+    all.ask("2", "a1");
+    all.wait_for(1);
+    CHECK(gateway::read_refusal(all.answers[0]->headers) == gateway::agent_refusal::draining);
+    CHECK(all.events.now() - told < 1s);
+    all.wait_for(2);
+    CHECK(gateway::read_refusal(all.answers[1]->headers) == gateway::agent_refusal::draining);
+    CHECK(all.events.now() - told < 2s);
+    CHECK(all.engine.requests.empty());
+}
+
 TEST_CASE("an announced version replaces the one that is loaded before the next request") {
     agent_beside_engine all;
     all.start();
--- a/tests/platform/fake_engine.h
+++ b/tests/platform/fake_engine.h
@@ -93,7 +93,8 @@
             for (const std::string& model : models) {
                 list.push_back({{"name", model}, {"version", 1}, {"adapters", adapters}});
             }
-            const nlohmann::json report{{"models", list}, {"busy", false}, {"seq", seq}, {"born", born}};
+            const nlohmann::json report{
+                {"models", list}, {"busy", false}, {"seq", seq}, {"born", born}, {"state", state}};
             response->send(200, {}, report.dump());
             return;
         }
@@ -136,6 +137,7 @@
     std::uint64_t born = 1;
     std::uint64_t seq = 0;
     std::uint64_t fence = 0;
+    std::string state = "ready";
     std::size_t places = 8;
     /// Set when the engine was made to hold more adapters than it has places; a real one crashes.
     bool overloaded = false;
