Turn requests for an engine's earlier incarnation away at its agent

The entry now names the start of the engine that it knows, and the agent compares it with its engine's own.

The test failed before: the request reached the engine.

--- a/include/samphiretray/gateway/agent_protocol.h
+++ b/include/samphiretray/gateway/agent_protocol.h
@@ -4,6 +4,7 @@
 #include "samphiretray/net/http.h"
 #include "samphiretray/routing/endpoint_choice.h"
 
+#include <cstdint>
 #include <optional>
 
 /// Headers that entries and agents add for each other; they never reach callers or endpoints.
@@ -14,6 +15,8 @@
     draining,
     /// The engine does not answer.
     engine_down,
+    /// The engine is not the one that the entry knows of: it has started again since.
+    engine_restarted,
     /// The expected wait is longer than the entry accepts.
     busy,
     deadline,
@@ -35,6 +38,10 @@
 void add_waiting_budget(net::http_headers& headers, const waiting_budget& budget);
 [[nodiscard]] std::optional<waiting_budget> read_waiting_budget(const net::http_headers& headers);
 
+/// The start of the engine that the entry knows of, as the engine states it.
+void add_engine_start(net::http_headers& headers, std::uint64_t started_at);
+[[nodiscard]] std::optional<std::uint64_t> read_engine_start(const net::http_headers& headers);
+
 /// What an agent tells the entry.
 void add_engine_load(net::http_headers& headers, const routing::engine_load& load);
 [[nodiscard]] std::optional<routing::engine_load> read_engine_load(const net::http_headers& headers);
@@ -53,6 +60,7 @@
     std::to_array<std::pair<gateway::agent_refusal, std::string_view>>({
         {gateway::agent_refusal::draining, "draining"},
         {gateway::agent_refusal::engine_down, "engine_down"},
+        {gateway::agent_refusal::engine_restarted, "engine_restarted"},
         {gateway::agent_refusal::busy, "busy"},
         {gateway::agent_refusal::deadline, "deadline"},
         {gateway::agent_refusal::load_failed, "load_failed"},
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -182,6 +182,10 @@
     if (!is_engine_up() || !slots_ || !(holds_model() || may_wait_for_model(asked))) {
         return agent_refusal::engine_down;
     }
+    // The engine would turn it away, and its arrival there would count as one of the few repeats.
+    if (const auto known = read_engine_start(asked.http.headers); known && *known != report_->started_at) {
+        return agent_refusal::engine_restarted;
+    }
     if (wanted.needs_load && fencing_number_ == 0) {
         return agent_refusal::load_failed;
     }
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -498,6 +498,7 @@
     call.headers = Binding::forward_headers(request->http.headers, fields);
     if (via_agent) {
         add_waiting_budget(call.headers, budget_of(*request, has_others));
+        add_engine_start(call.headers, to->started_at);
     }
     call.body = request->http.body;
     call.timeout = fields.time_left + 1s;
--- a/src/gateway/agent_protocol.cpp
+++ b/src/gateway/agent_protocol.cpp
@@ -14,7 +14,8 @@
 constexpr std::string_view budget_header = "samphiretray-waiting-budget-ms";
 constexpr std::string_view load_header = "samphiretray-engine-load";
 constexpr std::string_view refusal_header = "samphiretray-refusal";
-constexpr std::array all_headers{budget_header, load_header, refusal_header};
+constexpr std::string_view start_header = "samphiretray-engine-start";
+constexpr std::array all_headers{budget_header, load_header, refusal_header, start_header};
 /// Backlog, running requests, reserved memory, free slots, wanted adapters and reading rate come before
 /// the names of adapters.
 constexpr std::size_t load_numbers = 6;
@@ -48,6 +49,14 @@
     return waiting_budget{values[0], values[1], values[2]};
 }
 
+void add_engine_start(net::http_headers& headers, std::uint64_t started_at) {
+    headers.push_back({std::string{start_header}, std::to_string(started_at)});
+}
+
+std::optional<std::uint64_t> read_engine_start(const net::http_headers& headers) {
+    return parse_number<std::uint64_t>(net::find_header(headers, start_header));
+}
+
 void add_engine_load(net::http_headers& headers, const routing::engine_load& load) {
     std::string text = std::to_string(load.backlog_tokens) + "," + std::to_string(load.running) + "," +
                        std::to_string(load.kv_reserved) + "," + std::to_string(load.free_slots) + "," +
--- a/tests/platform/engine_agent_test.cpp
+++ b/tests/platform/engine_agent_test.cpp
@@ -5,6 +5,7 @@
 #include "tests/platform/fake_engine.h"
 
 #include <algorithm>
+#include <functional>
 
 using namespace samphiretray;
 using namespace samphiretray::platform;
@@ -53,7 +54,7 @@
     }
 
     void ask(const std::string& attempt, const std::string& adapter, const std::string& version = "",
-             duration time = 5s, std::optional<gateway::waiting_budget> budget = std::nullopt) {
+             duration time = 5s, const std::function<void(net::http_headers&)>& add_headers = {}) {
         net::http_call call;
         call.peer = listen;
         call.method = "POST";
@@ -63,8 +64,8 @@
              {"x-samphiretray-model", adapter.empty() ? "m0" : "m0/" + adapter},
              {"x-samphiretray-token-count", "1000,50"}},
             {.time_left = time, .endpoint = "i-1", .organisation = "coop", .version = version});
-        if (budget) {
-            gateway::add_waiting_budget(call.headers, *budget);
+        if (add_headers) {
+            add_headers(call.headers);
         }
         calls.push_back(client->fetch(std::move(call), [this](result<net::http_answer> answer) {
             answers.push_back(std::move(answer));
@@ -166,11 +167,15 @@
     }
     all.engine.restart();
     REQUIRE(all.events.run_until([&] { return !all.engine.late_orders.empty(); }, hang_limit));
-    all.ask("1", "a1", "", 5s, gateway::waiting_budget{500ms, 1s, 4s});
+    all.ask("1", "a1", "", 5s, [](net::http_headers& headers) {
+        gateway::add_waiting_budget(headers, {500ms, 1s, 4s});
+    });
     all.wait_for(1);
     CHECK(gateway::read_refusal(all.answers[0]->headers) == gateway::agent_refusal::engine_down);
     REQUIRE(all.engine.models.empty());
-    all.ask("2", "a1", "", 5s, gateway::waiting_budget{4s, 1s, 4s});
+    all.ask("2", "a1", "", 5s, [](net::http_headers& headers) {
+        gateway::add_waiting_budget(headers, {4s, 1s, 4s});
+    });
     all.wait_for(2);
     CHECK(all.answers[1]->status == 200);
     CHECK(all.engine.requests.size() == 1);
@@ -215,6 +220,24 @@
     CHECK(all.engine.requests.empty());
 }
 
+TEST_CASE("a request for the engine's earlier incarnation does not reach the engine") {
+    // Pattern: power lost everywhere. Entries know the engines of before for another second; the engines
+    // turned their requests away, the budget for repeats was used up by it, and 93 requests were refused.
+    agent_beside_engine all;
+    all.start();
+    const auto start_of = [](std::uint64_t started_at) {
+        return [started_at](net::http_headers& headers) { gateway::add_engine_start(headers, started_at); };
+    };
+    all.ask("1", "a1", "", 5s, start_of(all.engine.born - 1));
+    all.wait_for(1);
+    CHECK(gateway::read_refusal(all.answers[0]->headers) == gateway::agent_refusal::engine_restarted);
+    CHECK(all.engine.requests.empty());
+    all.ask("2", "a1", "", 5s, start_of(all.engine.born));
+    all.wait_for(2);
+    CHECK(all.answers[1]->status == 200);
+    CHECK(net::find_header(all.engine.requests[0].headers, "samphiretray-engine-start").empty());
+}
+
 TEST_CASE("an announced version replaces the one that is loaded before the next request") {
     agent_beside_engine all;
     all.start();
