Drop records of engines that have started again, so that they do not use up the attempts of a request

Discovery lists each engine twice for a second after power was lost everywhere, the records of before claim adapters and are chosen first, and a request is sent to five places at most. An entry that hears from the agent that a record is older than its engine removes it at once; a record that is still written comes back with its next change. The attempt does not count. Ruled out: agents that are behind their engine; only an older start is turned away now.

--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -183,7 +183,7 @@
         return agent_refusal::engine_down;
     }
     // The engine would turn it away, and its arrival there would count as one of the few repeats.
-    if (const auto known = read_engine_start(asked.http.headers); known && *known != report_->started_at) {
+    if (const auto known = read_engine_start(asked.http.headers); known && *known < report_->started_at) {
         return agent_refusal::engine_restarted;
     }
     if (wanted.needs_load && fencing_number_ == 0) {
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -622,6 +622,12 @@
                          request->last_refusal != agent_refusal::outcome_unknown;
     if (refused && !failure) {
         ejection_.abandoned(request->endpoint, now);
+        if (request->last_refusal == agent_refusal::engine_restarted) {
+            // Its record is older than its engine. A record that is still written brings it back.
+            remove_endpoint(request->endpoint, false);
+            place(request);
+            return;
+        }
         request->tried.push_back(request->endpoint);
         if (request->last_refusal != agent_refusal::busy &&
             request->last_refusal != agent_refusal::deadline) {
--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -71,7 +71,7 @@
         settings.listen = any_port;
         settings.ready_listen = any_port;
         settings.control_listen = any_port;
-        settings.agent_port = 1;
+        settings.agent_port = agent_port();
         entry =
             std::make_unique<gateway::entry_gateway<request_binding, silent_store>>(events, settings, store);
         REQUIRE(entry->start());
@@ -79,6 +79,9 @@
         ready = entry->ready_address();
     }
 
+    /// The first server also stands in for the agents of engines.
+    [[nodiscard]] std::uint16_t agent_port() const { return servers[0]->local_address().port; }
+
     static gateway::route make_route(std::string prefix, gateway::call_kind kind, bool is_public = false) {
         gateway::route made;
         made.name = prefix;
@@ -318,6 +321,43 @@
     CHECK(all.arrivals() == 3);
 }
 
+TEST_CASE("records of engines from before a loss of power do not use up the attempts of a request") {
+    // Pattern: power lost everywhere. Discovery lists each engine twice for a second, and requests that had
+    // met five records of the past were refused although the engines were back.
+    entry_with_servers all;
+    auto state = entry_with_servers::make_state(3);
+    state.services = {{"orders", gateway::engine_capacity{8, 100'000, 2, {"m0"}}}};
+    all.entry->apply(state);
+    gateway::endpoint engine;
+    engine.service = "orders";
+    engine.at = all.servers[0]->local_address();
+    engine.data_centre = "north-a";
+    engine.slots = 8;
+    for (int i = 0; i < 7; ++i) {
+        engine.id = "i-old-" + std::to_string(i);
+        engine.started_at = 1;
+        all.entry->update_endpoint(engine);
+    }
+    engine.id = "i-new";
+    engine.started_at = 2;
+    engine.data_centre = "south-a";
+    all.entry->update_endpoint(engine);
+    all.responders[0] = [](const net::http_request& request,
+                           const std::shared_ptr<net::http_response>& response) {
+        if (gateway::read_engine_start(request.headers) != 2U) {
+            net::http_headers headers;
+            gateway::add_refusal(headers, gateway::agent_refusal::engine_restarted);
+            response->send(503, headers, "");
+            return;
+        }
+        send_signed(request, response);
+    };
+    CHECK(status_of(all.ask("/e/1")) == 200);
+    CHECK(all.seen[0].size() == 8);
+    CHECK(status_of(all.ask("/e/1")) == 200);
+    CHECK(all.seen[0].size() == 9);
+}
+
 TEST_CASE("a server that is leaving gets no new requests") {
     entry_with_servers all;
     all.know_all();
