Share the scaling of durations and the final refusal, and put a field's comment back where it belongs

Found in a last read of the whole change: - scaling a duration by a factor was written three times; it is in base/time.h now - the choice between 502 and 503 for a request without an endpoint stood twice in the entry - the usual time of a load from the store was a constant of the agent and one of load_pacing - expected_wait ranked each waiting request up to three times; once is enough - the comment of target_latency stood above longest_silence - four tests queued unanswered orders by hand, two with the same restart

No behaviour changes, and tests keep their assertions.

--- a/include/samphiretray/agent/load_pacing.h
+++ b/include/samphiretray/agent/load_pacing.h
@@ -9,14 +9,16 @@
 
 namespace samphiretray::agent {
 
+/// Load of an adapter from the weight store when it is not busy; the figure on the deployments' data sheets.
+inline constexpr duration usual_store_load = 250ms;
+
 struct load_pacing_settings {
     /// Loads of this engine in progress at once; the engine takes four.
     std::size_t most_loads = 3;
     /// Of these, loads from the weight store. All engines share the store, which works on each load more
     /// slowly the more there are, while each of them holds a slot.
     std::size_t store_loads = 1;
-    /// Load from the store when it is not busy; the figure on the deployments' data sheets.
-    duration usual_time = 250ms;
+    duration usual_time = usual_store_load;
     /// Mean pause after a load from the store, as a part of the time that it took beyond the usual one. Each
     /// adapter has a pause of its own up to twice that, or engines that start together would load in step and
     /// leave the store idle between.
--- a/include/samphiretray/base/time.h
+++ b/include/samphiretray/base/time.h
@@ -30,4 +30,9 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
 
+/// `value` times `factor`, rounded towards zero.
+[[nodiscard]] constexpr duration scaled(duration value, double factor) {
+    return duration{static_cast<duration::rep>(static_cast<double>(value.count()) * factor)};
+}
+
 } // namespace samphiretray
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -20,8 +20,6 @@
 /// A request whose adapter is not there after this long goes back to its entry, which tries another engine:
 /// ten times a load from the store, since moving on earlier has the same adapter loaded twice.
 inline constexpr duration longest_load_wait = 2500ms;
-/// Load of an adapter from the weight store; the figure on the deployments' data sheets.
-inline constexpr duration usual_load_time = 250ms;
 inline constexpr duration agent_tick = 20ms;
 /// Requests that wait beside a leaving engine may begin for this long: a third of the shortest time in which
 /// operators want a leaving engine to get no new work.
@@ -468,7 +466,7 @@
     agent::load_order order;
     for (const work_pointer& each : works_ | std::views::values) {
         if (each->waits && !slots_->resident(each->adapter)) {
-            order.add(each->adapter, admission_.rank(each->wanted, limits::usual_load_time, loop_.now()));
+            order.add(each->adapter, admission_.rank(each->wanted, agent::usual_store_load, loop_.now()));
         }
     }
     return order;
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -441,11 +441,7 @@
         const std::string_view cause = request->tried.empty()  ? "no_endpoint"
                                        : request->last_refusal ? name_of(*request->last_refusal)
                                                                : "all_refused";
-        if (request->may_have_run) {
-            refuse(*request, 502, std::nullopt, cause);
-        } else {
-            refuse(*request, 503, request->is_engine ? limits::retry_when_full : limits::retry_after, cause);
-        }
+        give_up(*request, cause);
         return;
     }
     send(request, candidates.front(), candidates.size() > 1);
@@ -460,8 +456,7 @@
     budget.until_abandoned = abandoned_at - now;
     budget.until_late =
         request.arrived + request.on->target_latency - now - choice_.round_trip(request.endpoint);
-    const duration patience{static_cast<duration::rep>(
-        static_cast<double>(request.on->target_latency.count()) * limits::first_choice_wait)};
+    const duration patience = scaled(request.on->target_latency, limits::first_choice_wait);
     const bool may_move_on = has_others && request.tried.empty();
     budget.accepted = may_move_on ? std::min(patience, budget.until_abandoned) : budget.until_abandoned;
     return budget;
@@ -748,10 +743,15 @@
         place(request);
         return;
     }
-    if (request->may_have_run) {
-        refuse(*request, 502, std::nullopt, cause);
+    give_up(*request, cause);
+}
+
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::give_up(active_request& request, std::string_view cause) {
+    if (request.may_have_run) {
+        refuse(request, 502, std::nullopt, cause);
     } else {
-        refuse(*request, 503, request->is_engine ? limits::retry_when_full : limits::retry_after, cause);
+        refuse(request, 503, request.is_engine ? limits::retry_when_full : limits::retry_after, cause);
     }
 }
 
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -140,6 +140,8 @@
     [[nodiscard]] bool is_repeatable(const active_request& request) const;
     void on_deadline(const request_pointer& request);
     void on_caller_left(const request_pointer& request);
+    /// No endpoint is left for the request: says that it has not run only if that is so.
+    void give_up(active_request& request, std::string_view cause);
     void refuse(active_request& request, int code, std::optional<duration> retry_after,
                 std::string_view cause);
     void end(active_request& request, request_outcome outcome, int code, std::string_view cause);
--- a/include/samphiretray/gateway/model.h
+++ b/include/samphiretray/gateway/model.h
@@ -39,9 +39,9 @@
     std::vector<weighted_service> services;
     /// Longest time until the final answer.
     duration timeout = 60s;
-    /// Time to the answer, or to the first event of a stream, that counts as prompt.
     /// Callers leave if the answer has not begun after this.
     duration longest_silence{60s};
+    /// Time to the answer, or to the first event of a stream, that counts as prompt.
     duration target_latency = 1s;
     /// 0 is the most urgent.
     std::uint32_t priority = 0;
--- a/src/agent/engine_admission.cpp
+++ b/src/agent/engine_admission.cpp
@@ -29,15 +29,15 @@
 duration engine_admission::expected_wait(const admission_request& request, time_point now) const {
     const service_rank own = rank(request, 0ms, now);
     std::uint64_t ahead = unread_tokens_;
+    std::size_t turns_ahead = 0;
     for (const admission_request& each : waiting_) {
-        ahead += rank(each, 0ms, now) <= own ? each.unread_tokens : 0;
+        if (const service_rank other = rank(each, 0ms, now); other <= own) {
+            ahead += each.unread_tokens;
+            turns_ahead += other.late && each.needs_load == request.needs_load ? 1 : 0;
+        }
     }
     if (own.late) {
-        const auto earlier = std::ranges::count_if(waiting_, [&](const admission_request& each) {
-            return each.needs_load == request.needs_load && rank(each, 0ms, now) <= own &&
-                   rank(each, 0ms, now).late;
-        });
-        const std::chrono::duration<double> turns{static_cast<double>(earlier) /
+        const std::chrono::duration<double> turns{static_cast<double>(turns_ahead) /
                                                   late_rate(request.needs_load, now)};
         return std::max(speed_.time_for(ahead), std::chrono::duration_cast<duration>(turns));
     }
--- a/src/agent/load_pacing.cpp
+++ b/src/agent/load_pacing.cpp
@@ -41,9 +41,7 @@
         return;
     }
     const duration beyond = std::max<duration>(took - settings_.usual_time, 0ms);
-    const double part = settings_.pause_part * 2.0 * unit_hash(adapter);
-    store_not_before_ =
-        now + duration{static_cast<duration::rep>(static_cast<double>(beyond.count()) * part)};
+    store_not_before_ = now + scaled(beyond, settings_.pause_part * 2.0 * unit_hash(adapter));
     remembered_.push_front(adapter);
     if (remembered_.size() > settings_.remembered) {
         remembered_.pop_back();
--- a/src/routing/endpoint_choice.cpp
+++ b/src/routing/endpoint_choice.cpp
@@ -10,10 +10,6 @@
 
 namespace {
 
-duration scaled(duration value, double factor) {
-    return duration{static_cast<duration::rep>(static_cast<double>(value.count()) * factor)};
-}
-
 std::string full_name(const choice_request& request) {
     return std::string{request.adapter} + "@" + std::string{request.version};
 }
--- a/tests/platform/engine_agent_test.cpp
+++ b/tests/platform/engine_agent_test.cpp
@@ -53,6 +53,13 @@
         REQUIRE(events.run_until([&] { return engine.reports > before + 2; }, hang_limit));
     }
 
+    /// The engine restarts, and `orders` orders for its base model stay unanswered.
+    void restart_with_slow_model(std::size_t orders) {
+        engine.delay_orders(orders);
+        engine.restart();
+        REQUIRE(events.run_until([&] { return !engine.late_orders.empty(); }, hang_limit));
+    }
+
     void ask(const std::string& attempt, const std::string& adapter, const std::string& version = "",
              duration time = 5s, const std::function<void(net::http_headers&)>& add_headers = {}) {
         net::http_call call;
@@ -144,9 +151,7 @@
     // Seen on scale-1: thirteen requests were held for three seconds beside a crashed engine.
     agent_beside_engine all;
     all.start();
-    for (int i = 0; i < 400; ++i) {
-        all.engine.fates.push_back(order_fate::late);
-    }
+    all.engine.delay_orders(400);
     all.ask("1", "a1");
     all.run_for(50ms);
     CHECK(all.answers.empty());
@@ -162,11 +167,7 @@
     // refused, came back 400 ms later and was refused again.
     agent_beside_engine all;
     all.start();
-    for (int i = 0; i < 8; ++i) {
-        all.engine.fates.push_back(order_fate::late);
-    }
-    all.engine.restart();
-    REQUIRE(all.events.run_until([&] { return !all.engine.late_orders.empty(); }, hang_limit));
+    all.restart_with_slow_model(8);
     all.ask("1", "a1", "", 5s, [](net::http_headers& headers) {
         gateway::add_waiting_budget(headers, {500ms, 1s, 4s});
     });
@@ -184,11 +185,7 @@
 TEST_CASE("a request that needs no adapter waits for the base model too") {
     agent_beside_engine all;
     all.start();
-    for (int i = 0; i < 4; ++i) {
-        all.engine.fates.push_back(order_fate::late);
-    }
-    all.engine.restart();
-    REQUIRE(all.events.run_until([&] { return !all.engine.late_orders.empty(); }, hang_limit));
+    all.restart_with_slow_model(4);
     all.ask("1", "");
     all.run_for(10ms);
     CHECK(all.engine.requests.empty());
@@ -202,9 +199,7 @@
     // notice.
     agent_beside_engine all;
     all.start();
-    for (int i = 0; i < 400; ++i) {
-        all.engine.fates.push_back(order_fate::late);
-    }
+    all.engine.delay_orders(400);
     all.ask("1", "a1");
     all.run_for(50ms);
     all.engine.state = "draining";
--- a/tests/platform/fake_engine.h
+++ b/tests/platform/fake_engine.h
@@ -50,6 +50,9 @@
         adapters.clear();
     }
 
+    /// The next `count` orders get no answer and are carried out by `run_late_orders` only.
+    void delay_orders(std::size_t count) { fates.insert(fates.end(), count, order_fate::late); }
+
     void run_late_orders() {
         for (const auto& order : std::exchange(late_orders, {})) {
             carry_out(order);
