Bound what an answer may bring without a body, and let readers slow their source down

Cause: interim heads, chunk extensions and trailers without end were read for ever; a call could not stop reading, so a relay had to buffer what its reader did not take. Ruled out: a bound in each caller of the client (there are eight); it stands in the client's parser once. Also: tests/support holds the raw sockets for several test programs.

--- a/include/samphiretray/net/http_client.h
+++ b/include/samphiretray/net/http_client.h
@@ -41,6 +41,9 @@
     virtual ~http_exchange() = default;
     /// False only while it is certain that no byte of the request has been written to the peer.
     [[nodiscard]] virtual bool may_have_been_sent() const noexcept = 0;
+    /// Suspends or resumes reading the answer. While it is suspended the peer is slowed down by its
+    /// connection, and a close by the peer is not noticed; the timeout of the call runs on.
+    virtual void set_reading(bool wanted) = 0;
 };
 
 struct http_answer {
--- a/include/samphiretray/net/http_server.h
+++ b/include/samphiretray/net/http_server.h
@@ -34,6 +34,8 @@
     [[nodiscard]] virtual std::size_t buffered_bytes() const noexcept = 0;
     /// Calls `action` once if the caller goes before `finish`.
     virtual void on_closed(std::function<void()> action) = 0;
+    /// Calls `action` each time when all that was written has been handed to the operating system.
+    virtual void on_drained(std::function<void()> action) = 0;
 
     /// `start`, `write` and `finish` in one call, with Content-Length.
     void send(int status, const http_headers& headers, std::string_view body);
@@ -50,6 +52,10 @@
     /// PEM files; both empty for plain HTTP.
     std::string certificate_file = {};
     std::string private_key_file = {};
+    /// After a graceful shutdown has begun, connections are closed once they have been idle this long. A
+    /// client that uses its connection within this time learns of the shutdown by "Connection: close" instead
+    /// of losing a request that crosses the close.
+    duration idle_before_close = 1s;
 };
 
 /// An HTTP/1.1 and HTTP/2 server on h2o.
--- a/src/net/h2o_response.cpp
+++ b/src/net/h2o_response.cpp
@@ -120,6 +120,7 @@
 }
 
 void h2o_response::notify_closed() {
+    on_drained_ = nullptr;
     if (const auto action = std::exchange(on_closed_, nullptr)) {
         action();
     }
@@ -218,6 +219,7 @@
 void h2o_response::end(h2o_send_state_t state) {
     ended_ = true;
     on_closed_ = nullptr;
+    on_drained_ = nullptr;
     end_state_ = state;
     flush();
 }
@@ -300,8 +302,12 @@
 }
 
 void h2o_response::on_proceed() {
+    const auto self = shared_from_this();
     in_flight_ = false;
     flush();
+    if (is_open() && buffered_bytes() == 0 && on_drained_) {
+        on_drained_();
+    }
 }
 
 } // namespace samphiretray::net
--- a/src/net/h2o_response.h
+++ b/src/net/h2o_response.h
@@ -35,6 +35,7 @@
     [[nodiscard]] bool is_started() const noexcept override { return started_; }
     [[nodiscard]] std::size_t buffered_bytes() const noexcept override;
     void on_closed(std::function<void()> action) override { on_closed_ = std::move(action); }
+    void on_drained(std::function<void()> action) override { on_drained_ = std::move(action); }
 
 private:
     struct generator {
@@ -62,6 +63,7 @@
     h2o_socket_t* socket_ = nullptr;
     generator generator_{};
     std::function<void()> on_closed_;
+    std::function<void()> on_drained_;
     timer_handle recheck_;
     timer_handle abort_limit_;
     std::string pending_;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -51,6 +51,9 @@
     return head;
 }
 
+/// Interim heads before the final one; servers send one or two.
+constexpr std::uint32_t max_interim_heads = 16;
+
 /// One call: connects or takes a pooled connection, writes the request and reads the response.
 class client_call final : public std::enable_shared_from_this<client_call> {
 public:
@@ -63,6 +66,7 @@
 
     void start();
     void cancel();
+    void set_reading(bool wanted);
     [[nodiscard]] bool may_have_been_sent() const noexcept { return sent_; }
 
 private:
@@ -95,6 +99,8 @@
     response_head head_;
     body_decoder body_;
     std::size_t seen_ = 0;
+    std::uint32_t interim_heads_ = 0;
+    bool reading_ = true;
     bool connected_ = false;
     bool sent_ = false;
     bool writing_ = false;
@@ -167,6 +173,20 @@
     // Makes h2o look at the socket's state again, so that it stops polling for writes. Without this an event
     // after a write of 4 MiB in parts found no write callback, and h2o aborted.
     h2o_socket_read_start(socket, on_read);
+    if (!of(socket).reading_) {
+        h2o_socket_read_stop(socket);
+    }
+}
+
+void client_call::set_reading(bool wanted) {
+    if (std::exchange(reading_, wanted) == wanted || !is_active() || !sent_) {
+        return;
+    }
+    if (wanted) {
+        h2o_socket_read_start(socket_, on_read);
+    } else {
+        h2o_socket_read_stop(socket_);
+    }
 }
 
 void client_call::on_read(h2o_socket_t* socket, const char* failure) {
@@ -205,6 +225,8 @@
             if (handlers_.on_head) {
                 handlers_.on_head(head_.status, head_.headers);
             }
+        } else if (++interim_heads_ > max_interim_heads) {
+            fail(errc::protocol_error, step::receive, "the response has too many interim heads");
         }
     }
 }
@@ -291,6 +313,7 @@
     exchange_handle& operator=(const exchange_handle&) = delete;
 
     [[nodiscard]] bool may_have_been_sent() const noexcept override { return call_->may_have_been_sent(); }
+    void set_reading(bool wanted) override { call_->set_reading(wanted); }
 
 private:
     std::shared_ptr<client_call> call_;
@@ -327,6 +350,11 @@
     [[nodiscard]] bool may_have_been_sent() const noexcept override {
         return inner == nullptr || inner->may_have_been_sent();
     }
+    void set_reading(bool wanted) override {
+        if (inner != nullptr) {
+            inner->set_reading(wanted);
+        }
+    }
 };
 
 } // namespace
--- a/src/net/http_server_core.cpp
+++ b/src/net/http_server_core.cpp
@@ -19,10 +19,6 @@
 
 namespace {
 
-// After a graceful shutdown has begun, idle connections are closed once they have been idle this long. A
-// client that uses its connection within this time learns of the shutdown by "Connection: close" instead of
-// losing a request that crosses the close.
-constexpr duration idle_before_close = 1s;
 constexpr int http_2 = 0x200;
 
 std::string to_text(h2o_iovec_t bytes) {
@@ -204,11 +200,11 @@
 
 void http_server_core::begin_graceful_shutdown() {
     h2o_context_request_shutdown(&context_);
-    idle_check_ = events_.every(idle_before_close / 4, [this] { close_idle_connections(); });
+    idle_check_ = events_.every(options_.idle_before_close / 4, [this] { close_idle_connections(); });
 }
 
 void http_server_core::close_idle_connections() {
-    const time_point limit = events_.now() - idle_before_close;
+    const time_point limit = events_.now() - options_.idle_before_close;
     for (server_connection* connection : connections_) {
         const bool idle = connection->requests == 0 && connection->idle_since <= limit;
         if (idle && !has_unread_input(connection->socket)) {
--- a/src/net/response_parser.cpp
+++ b/src/net/response_parser.cpp
@@ -134,13 +134,18 @@
 body_decoder::step_result body_decoder::decode_chunks(char* input, std::size_t size) {
     std::size_t decoded = size;
     const ssize_t behind = phr_decode_chunked(&chunks_, input, &decoded);
+    const std::size_t consumed = behind > 0 ? size - static_cast<std::size_t>(behind) : size;
     if (behind == -1) {
         return {parse_progress::malformed, {}, 0};
     }
+    overhead_ = (decoded > 0 ? 0 : overhead_) + consumed - decoded;
+    if (overhead_ > max_chunk_overhead + decoded * max_chunk_overhead_ratio) {
+        return {parse_progress::malformed, {}, 0};
+    }
     if (behind == -2) {
         return {parse_progress::incomplete, {input, decoded}, size};
     }
-    return {parse_progress::done, {input, decoded}, size - static_cast<std::size_t>(behind)};
+    return {parse_progress::done, {input, decoded}, consumed};
 }
 
 } // namespace samphiretray::net
--- a/src/net/response_parser.h
+++ b/src/net/response_parser.h
@@ -41,7 +41,12 @@
 /// is ambiguous (unequal lengths, an unknown transfer coding) is malformed.
 [[nodiscard]] head_result parse_response_head(std::string_view input, std::size_t seen, bool answers_head);
 
-/// Finds the end of a response body.
+/// Most bytes of chunk sizes, extensions and trailers without a byte of data, and besides for each byte of
+/// data: a chunk of one byte has five.
+inline constexpr std::size_t max_chunk_overhead = 16U << 10U;
+inline constexpr std::size_t max_chunk_overhead_ratio = 16;
+
+/// Finds the end of a response body. A chunked body with too much overhead is malformed.
 class body_decoder {
 public:
     explicit body_decoder(body_framing framing = body_framing::none, std::uint64_t length = 0) noexcept;
@@ -65,6 +70,8 @@
 
     body_framing framing_;
     std::uint64_t left_;
+    /// Bytes of chunk sizes, extensions and trailers since the last read that had data.
+    std::size_t overhead_ = 0;
     phr_chunked_decoder chunks_{};
 };
 
--- a/tests/entry/recorded_response.h
+++ b/tests/entry/recorded_response.h
@@ -23,6 +23,7 @@
     [[nodiscard]] bool is_started() const noexcept override { return started; }
     [[nodiscard]] std::size_t buffered_bytes() const noexcept override { return 0; }
     void on_closed(std::function<void()> action) override { closed = std::move(action); }
+    void on_drained(std::function<void()> action) override { drained = std::move(action); }
 
     bool started = false;
     bool finished = false;
@@ -31,6 +32,7 @@
     net::http_headers headers;
     std::string body;
     std::function<void()> closed;
+    std::function<void()> drained;
 };
 
 } // namespace samphiretray::tests
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -1,7 +1,7 @@
 #include "samphiretray/net/http_client.h"
 #include "samphiretray/net/http_server.h"
 
-#include "tests/net/raw_socket.h"
+#include "tests/support/raw_socket.h"
 
 #include <catch2/catch.hpp>
 
@@ -159,6 +159,50 @@
     fixture.expect_failure(call, errc::protocol_error);
 }
 
+TEST_CASE("bytes without end that carry no body are refused instead of being read for ever") {
+    // Pattern: a server in trouble sends interim heads, the extension of a chunk or trailers until its caller
+    // closes.
+    const auto [start, more] = GENERATE(table<std::string, std::string>(
+        {{"", "HTTP/1.1 100 Continue\r\n\r\n"},
+         {"", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", std::string(1000, 'x')},
+         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n", "A: b\r\n"}}));
+    INFO(start << more.substr(0, 30));
+    client_fixture fixture;
+    recorded_call call;
+    fixture.start(call, {});
+    auto peer = fixture.listener.accept(fixture.events);
+    REQUIRE(peer.receive_until(fixture.events, "\r\n\r\n"));
+    peer.send(fixture.events, start);
+    std::string bytes;
+    while (bytes.size() < 100'000) {
+        bytes += more;
+    }
+    peer.send(fixture.events, bytes);
+    fixture.expect_failure(call, errc::protocol_error);
+}
+
+TEST_CASE("a call whose reading is suspended takes nothing more from its peer until it is resumed") {
+    client_fixture fixture;
+    recorded_call call;
+    fixture.start(call, {});
+    auto peer = fixture.listener.accept(fixture.events);
+    REQUIRE(peer.receive_until(fixture.events, "\r\n\r\n"));
+    peer.send(fixture.events, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc");
+    REQUIRE(fixture.wait([&] { return call.body == "abc"; }));
+    call.exchange->set_reading(false);
+    peer.send(fixture.events, "def");
+    fixture.events.run_until([&] { return call.ended; }, 20ms);
+    CHECK(call.body == "abc");
+    call.exchange->set_reading(true);
+    fixture.expect_end(call);
+    CHECK(call.body == "abcdef");
+    CHECK_FALSE(call.failure);
+    // A handle outlives its call.
+    call.exchange->set_reading(false);
+    call.exchange->set_reading(true);
+}
+
 TEST_CASE("a refused connection certifies that nothing was sent") {
     client_fixture fixture;
     recorded_call call;
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -1,6 +1,6 @@
 #include "samphiretray/net/http_server.h"
 
-#include "tests/net/raw_socket.h"
+#include "tests/support/raw_socket.h"
 
 #include <catch2/catch.hpp>
 
@@ -179,6 +179,27 @@
     CHECK(caller.received.size() - caller.received.find("\r\n\r\n") - 4 == body.size());
 }
 
+TEST_CASE("an answer tells its writer when a slow caller has taken what was written") {
+    server_fixture fixture;
+    std::size_t drained = 0;
+    fixture.answer = [&](http_response& started) {
+        started.on_drained([&] { ++drained; });
+        started.start(200, {});
+        started.write(std::string(8U << 20U, 'x'));
+    };
+    auto caller = fixture.connect();
+    caller.send(fixture.events, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(fixture.wait_for_request());
+    fixture.events.run_until([] { return false; }, 20ms);
+    CHECK(drained == 0);
+    const auto response = fixture.responses.back();
+    CHECK(response->buffered_bytes() > 0);
+    REQUIRE(caller.receive_until(fixture.events, "x\r\n"));
+    REQUIRE(fixture.wait([&] { return drained == 1; }));
+    CHECK(response->buffered_bytes() == 0);
+    response->finish();
+}
+
 TEST_CASE("malformed requests get 400") {
     server_fixture fixture;
     auto caller = fixture.connect();
--- a/tests/net/peer_link_test.cpp
+++ b/tests/net/peer_link_test.cpp
@@ -1,6 +1,6 @@
 #include "samphiretray/net/peer_link.h"
 
-#include "tests/net/raw_socket.h"
+#include "tests/support/raw_socket.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/net/tls_test.cpp
+++ b/tests/net/tls_test.cpp
@@ -1,7 +1,7 @@
 #include "samphiretray/net/http_server.h"
 
 #include "src/net/socket_address.h"
-#include "tests/net/raw_socket.h"
+#include "tests/support/raw_socket.h"
 
 #include <catch2/catch.hpp>
 #include <fcntl.h>
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -1,4 +1,4 @@
-#include "tests/net/raw_socket.h"
+#include "tests/support/raw_socket.h"
 
 #include "src/net/socket_address.h"
 
