--- a/soak/platform_server.cpp
+++ b/soak/platform_server.cpp
@@ -2,6 +2,7 @@
 
 #include "samphiretray/base/split.h"
 
+#include <array>
 #include <stdexcept>
 
 namespace samphiretray::soak {
@@ -15,6 +16,11 @@
 constexpr duration load_time = 60ms;
 constexpr duration late_order = 1500ms;
 constexpr int answer_parts = 4;
+/// Between the parts of an answer that does not end.
+constexpr duration part_pause = 5ms;
+/// In this order while a server loses answers.
+constexpr std::array answer_fates{answer_fate::lost, answer_fate::cut, answer_fate::copy_of_earlier,
+                                  answer_fate::endless, answer_fate::stalled};
 
 std::string header(const net::http_request& request, std::string_view name) {
     return std::string{net::find_header(request.headers, name)};
@@ -167,7 +173,8 @@
     const bool lacks_adapter = slash != std::string::npos && !adapters_.contains(model.substr(slash + 1));
     if (header(request, "x-samphiretray-expect-instance") != id_ || lacks_adapter ||
         (description_.is_engine && models_.empty())) {
-        response->send(421, {{"x-samphiretray-instance-id", id_}}, "");
+        response->send(421, {{"x-samphiretray-attempt-id", attempt}, {"x-samphiretray-instance-id", id_}},
+                       "");
         return;
     }
     const auto counts = split(net::find_header(request.headers, "x-samphiretray-token-count"), ',');
@@ -175,22 +182,60 @@
     const bool key_seen = !net::find_header(request.headers, "x-samphiretray-credential").empty();
     checks_.attempt_runs_at(id_, attempt, header(request, "x-samphiretray-tenant"), key_seen, tokens,
                             loop_.now());
-    const bool lose = losing_;
+    const auto fate = losing_ ? answer_fates.at(lost_++ % answer_fates.size()) : answer_fate::whole;
     const std::string id = id_;
-    later(work_time, [this, response, attempt, lose, id] {
-        // Of the lost answers, every second one breaks off in the middle.
-        const bool is_cut = lose && ++lost_ % 2 == 0;
-        if (id != id_ || !response->is_open() || (lose && !is_cut)) {
+    later(work_time, [this, response, attempt, fate, id] {
+        if (id != id_ || !response->is_open()) {
             response->abort();
             return;
         }
-        response->start(200,
-                        {{"x-samphiretray-attempt-id", attempt}, {"x-samphiretray-server-seal", "seal"}});
-        const std::string whole = whole_answer(attempt);
-        response->write(is_cut ? std::string_view{whole}.substr(0, whole.size() / 2)
-                               : std::string_view{whole});
-        is_cut ? response->abort() : response->finish();
+        give_answer(response, attempt, fate);
     });
 }
 
+void platform_server::give_answer(const std::shared_ptr<net::http_response>& response,
+                                  const std::string& attempt, answer_fate fate) {
+    if (fate == answer_fate::lost) {
+        response->abort();
+        return;
+    }
+    const bool is_copy = fate == answer_fate::copy_of_earlier && !earlier_attempt_.empty();
+    const std::string& named = is_copy ? earlier_attempt_ : attempt;
+    const std::string whole = whole_answer(named);
+    const std::string_view half = std::string_view{whole}.substr(0, whole.size() / 2);
+    response->start(200, {{"x-samphiretray-attempt-id", named}, {"x-samphiretray-server-seal", "seal"}});
+    switch (fate) {
+    case answer_fate::lost:
+        break;
+    case answer_fate::cut:
+        response->write(half);
+        response->abort();
+        break;
+    case answer_fate::endless:
+        response->write(half);
+        go_on(response, std::string(64U << 10U, 'x'));
+        break;
+    case answer_fate::stalled:
+        response->write(half);
+        go_on(response, ":\n");
+        break;
+    case answer_fate::whole:
+    case answer_fate::copy_of_earlier:
+        response->write(whole);
+        response->finish();
+        break;
+    }
+    earlier_attempt_ = attempt;
+}
+
+void platform_server::go_on(const std::shared_ptr<net::http_response>& response, const std::string& bytes) {
+    if (!response->is_open()) {
+        return;
+    }
+    if (response->buffered_bytes() < (1U << 20U)) {
+        response->write(bytes);
+    }
+    later(part_pause, [this, response, bytes] { go_on(response, bytes); });
+}
+
 } // namespace samphiretray::soak
--- a/soak/platform_server.h
+++ b/soak/platform_server.h
@@ -28,6 +28,19 @@
 /// The body that a server sends for an attempt, so that callers can tell their own whole answer.
 [[nodiscard]] std::string whole_answer(const std::string& attempt);
 
+/// What becomes of an answer.
+enum class answer_fate {
+    whole,
+    lost,
+    cut,
+    /// A second copy of the answer before comes in its place.
+    copy_of_earlier,
+    /// Goes on with bytes that are no events until the caller closes.
+    endless,
+    /// Sends a byte now and then.
+    stalled,
+};
+
 /// A model server or plain service with the platform's rules, which reports to `promises` what it runs.
 class platform_server {
 public:
@@ -46,6 +59,9 @@
     void answer(const net::http_request& request, const std::shared_ptr<net::http_response>& response);
     void run(const net::http_request& request, const std::shared_ptr<net::http_response>& response);
     void order(const net::http_request& request, const std::shared_ptr<net::http_response>& response);
+    void give_answer(const std::shared_ptr<net::http_response>& response, const std::string& attempt,
+                     answer_fate fate);
+    void go_on(const std::shared_ptr<net::http_response>& response, const std::string& bytes);
     [[nodiscard]] int carry_out(const nlohmann::json& wanted);
     [[nodiscard]] std::string report() const;
 
@@ -61,7 +77,8 @@
     std::vector<std::string> models_{"m0"};
     std::map<std::string, std::uint64_t> adapters_;
     bool losing_ = false;
-    int lost_ = 0;
+    std::size_t lost_ = 0;
+    std::string earlier_attempt_;
     bool late_orders_ = false;
     std::map<std::uint64_t, net::timer_handle> timers_;
     std::uint64_t next_timer_ = 0;
