Count a peer as silent by the time that a round of reports takes

Cause: 20 pulls a second over 67 peers are a round of 3.4 s, but a peer that was not heard of for 1.5 s was taken to spend its even part of each rate. Ruled out: more pulls (bytes between regions are the next price), a lower expected_part (it holds a surge).

--- a/include/samphiretray/gateway/usage_exchange-inl.h
+++ b/include/samphiretray/gateway/usage_exchange-inl.h
@@ -89,8 +89,9 @@
     const auto count = static_cast<double>(std::max<std::size_t>(peers_.size(), 1));
     const std::chrono::duration<double> paced{1.0 / settings_.pulls_per_s};
     const std::chrono::duration<double> shortest = settings_.shortest_interval;
-    timer_ = loop_.after(std::chrono::duration_cast<duration>(std::max(paced, shortest / count)),
-                         [this] { pull_next(); });
+    const auto between = std::chrono::duration_cast<duration>(std::max(paced, shortest / count));
+    timer_ = loop_.after(between, [this] { pull_next(); });
+    usage_.set_report_interval(scaled(between, count));
     if (peers_.empty()) {
         return;
     }
--- a/include/samphiretray/rate/fleet_usage.h
+++ b/include/samphiretray/rate/fleet_usage.h
@@ -13,9 +13,11 @@
 namespace samphiretray::rate {
 
 struct usage_settings {
-    /// A peer that was not heard of for this long is taken to spend its even part of each rate; three times
-    /// the usual interval between two reports.
+    /// A peer that was not heard of for this long, or for `missed_reports` intervals between two of its
+    /// reports if that is longer, is taken to spend its even part of each rate. Three times the interval of a
+    /// few peers.
     duration silence = 1500ms;
+    std::uint32_t missed_reports = 2;
     /// Weight of the newest interval in a peer's rate of spending.
     double rate_step = 0.4;
     /// Between two reports, a peer is taken to have spent at least this part of what this process has: demand
@@ -47,6 +49,9 @@
     /// The other entries.
     void set_peers(const std::vector<std::string>& peers, time_point now);
 
+    /// Time between two reports of one peer, which grows with their number.
+    void set_report_interval(duration interval) { report_interval_ = interval; }
+
     /// Takes `tokens`, or gives the time after which they should be there. A request may cost more than the
     /// burst: it needs `full_part` of the burst or its own cost, and leaves a debt that later ones pay.
     [[nodiscard]] std::optional<duration> take(const std::string& organisation, double tokens,
@@ -87,11 +92,13 @@
         double spent = 0;
     };
 
+    [[nodiscard]] bool is_silent(const peer& of, time_point now) const;
     void assume_spending(peer& of, time_point now);
     static void charge(account& of, double tokens);
     static void refill(account& of, time_point now);
 
     usage_settings settings_;
+    duration report_interval_{0};
     std::map<std::string, account> accounts_;
     std::map<std::string, peer> peers_;
 };
--- a/src/rate/fleet_usage.cpp
+++ b/src/rate/fleet_usage.cpp
@@ -53,8 +53,12 @@
     of.refilled_at = std::max(now, of.refilled_at);
 }
 
+bool fleet_usage::is_silent(const peer& of, time_point now) const {
+    return now - of.heard_at > std::max(settings_.silence, report_interval_ * settings_.missed_reports);
+}
+
 void fleet_usage::assume_spending(peer& of, time_point now) {
-    const bool silent = now - of.heard_at > settings_.silence;
+    const bool silent = is_silent(of, now);
     const double elapsed = seconds(now - of.heard_at);
     const auto parts = static_cast<double>(peers_.size() + 1);
     for (auto& [organisation, each] : accounts_) {
@@ -148,9 +152,8 @@
 }
 
 std::size_t fleet_usage::heard_peers(time_point now) const {
-    return static_cast<std::size_t>(std::ranges::count_if(peers_ | std::views::values, [&](const peer& each) {
-        return now - each.heard_at <= settings_.silence;
-    }));
+    return static_cast<std::size_t>(std::ranges::count_if(
+        peers_ | std::views::values, [&](const peer& each) { return !is_silent(each, now); }));
 }
 
 } // namespace samphiretray::rate
--- a/tests/rate/fleet_usage_test.cpp
+++ b/tests/rate/fleet_usage_test.cpp
@@ -67,6 +67,92 @@
 
 } // namespace
 
+namespace {
+
+/// Many entries, each of which asks one peer after the other, twenty a second.
+struct large_fleet {
+    static constexpr std::size_t count = 68;
+    static constexpr duration between_pulls = 50ms;
+    static constexpr bucket_limits wide_limits{400'000, 400'000};
+    std::vector<fleet_usage> entries;
+    std::vector<bool> is_apart;
+    std::size_t next_peer = 1;
+    time_point now = start;
+    std::size_t refused = 0;
+
+    large_fleet() : is_apart(count, false) {
+        for (std::size_t i = 0; i < count; ++i) {
+            entries.emplace_back(usage_settings{});
+            entries.back().set_limits("coop", wide_limits, now);
+            std::vector<std::string> peers;
+            for (std::size_t j = 0; j < count; ++j) {
+                if (j != i) {
+                    peers.push_back(fleet::name(j));
+                }
+            }
+            entries.back().set_peers(peers, now);
+            entries.back().set_report_interval(between_pulls * (count - 1));
+        }
+        run(10s, 0);
+    }
+
+    /// Every entry spends `tokens_per_s`, as far as it is let. Returns the tokens admitted.
+    double run(duration time, double tokens_per_s) {
+        double admitted = 0;
+        double asked_for = 0;
+        constexpr double cost = 1500;
+        for (const time_point end = now + time; now < end; now += between_pulls) {
+            for (std::size_t i = 0; i < count; ++i) {
+                const std::size_t peer = (i + next_peer) % count;
+                if (is_apart[i] == is_apart[peer]) {
+                    entries[i].observe(fleet::name(peer), "first", entries[peer].spent(), now);
+                }
+            }
+            next_peer = next_peer % (count - 1) + 1;
+            for (asked_for += tokens_per_s * 0.05; asked_for >= cost; asked_for -= cost) {
+                for (fleet_usage& entry : entries) {
+                    const bool is_refused = entry.take("coop", cost, now).has_value();
+                    refused += is_refused ? 1 : 0;
+                    admitted += is_refused ? 0 : cost;
+                }
+            }
+        }
+        return admitted;
+    }
+
+    [[nodiscard]] static double most_in(double seconds) {
+        // The operators' tolerance: a tenth and 72,000 tokens.
+        return (wide_limits.rate * seconds + wide_limits.burst) * 1.1 + 72'000;
+    }
+};
+
+} // namespace
+
+TEST_CASE("in a large fleet, peers that answer in their turn are not taken to be silent") {
+    // Pattern: 67 peers asked twenty a second, a round of 3.4 s. After 1.5 s each was taken to spend its even
+    // part of the rate, so that an idle organisation was found in debt, and one well below its rate was
+    // refused.
+    large_fleet all;
+    for (fleet_usage& each : all.entries) {
+        CHECK(each.heard_peers(all.now) == large_fleet::count - 1);
+        CHECK_FALSE(each.take("coop", 1500, all.now));
+        CHECK(each.level("coop") > large_fleet::wide_limits.burst * 0.5);
+    }
+    const double part = GENERATE(0.2, 0.5, 0.7);
+    all.run(20s, large_fleet::wide_limits.rate * part / large_fleet::count);
+    CHECK(all.refused == 0);
+}
+
+TEST_CASE("a large fleet stays within rate and burst in a surge, whole or in two parts") {
+    large_fleet all;
+    const bool is_parted = GENERATE(false, true);
+    all.run(5s, large_fleet::wide_limits.rate * 0.5 / large_fleet::count);
+    for (std::size_t i = 0; i < large_fleet::count / 2; ++i) {
+        all.is_apart[i] = is_parted;
+    }
+    CHECK(all.run(8s, large_fleet::wide_limits.rate * 7.5 / large_fleet::count) <= large_fleet::most_in(8));
+}
+
 TEST_CASE("five entries together stay within rate and burst although they hear of each other late") {
     // Pattern: one organisation sends many times its rate, through all entries at once.
     fleet all{5};
