Share the end of an attempt and both halves of relaying, and drop a cause that cannot occur

Found in a last read of the whole change: - entry and agent each had the code that reads on from a relayed answer; it stands beside relay now, in a header of its own instead of among the headers that entries and agents exchange - an attempt was given up in four places by the same two calls - an answer that is not the request's own no longer reaches on_unanswered, which still had a text for it - the limit of a stalled stream was a nested choice with a value for what is no stream

No behaviour changes, tests are untouched.

--- a/include/samphiretray/gateway/agent_protocol.h
+++ b/include/samphiretray/gateway/agent_protocol.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "samphiretray/base/name_table.h"
-#include "samphiretray/net/http_client.h"
-#include "samphiretray/net/http_server.h"
+#include "samphiretray/net/http.h"
 #include "samphiretray/routing/endpoint_choice.h"
 
 #include <cstdint>
@@ -30,19 +29,6 @@
 /// meet the peer's close, and its outcome would be unknown. A stopping agent keeps its connections longer.
 inline constexpr duration recent_connection = 1500ms;
 
-/// Bytes of an answer that wait for a slow reader before its source is slowed down: one of the larger reads
-/// from a connection.
-inline constexpr std::size_t most_unsent_bytes = 32U << 10U;
-
-/// Passes bytes of an answer on, and stops reading more from their source while the reader is behind. The
-/// source is resumed by `http_response::on_drained`.
-inline void relay(net::http_response& to, net::http_exchange& from, std::string_view bytes) {
-    to.write(bytes);
-    if (to.buffered_bytes() > most_unsent_bytes) {
-        from.set_reading(false);
-    }
-}
-
 /// How long a request may wait, as the entry tells the agent. Milliseconds on the way; none is negative.
 struct waiting_budget {
     /// Longest wait for the engine before the entry would rather try another one.
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -252,11 +252,7 @@
         return;
     }
     const std::weak_ptr<work> weak = asked;
-    asked->response->on_drained([weak] {
-        if (const auto read = weak.lock(); read && read->exchange) {
-            read->exchange->set_reading(true);
-        }
-    });
+    read_on_when_drained(asked);
     asked->response->on_closed([this, weak] {
         if (const auto left = weak.lock()) {
             finish(left, "entry_left");
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -8,6 +8,7 @@
 #include "samphiretray/gateway/answer_judgement.h"
 #include "samphiretray/gateway/binding.h"
 #include "samphiretray/gateway/model.h"
+#include "samphiretray/gateway/relay.h"
 #include "samphiretray/gateway/settings.h"
 #include "samphiretray/net/http_client.h"
 #include "samphiretray/net/http_server.h"
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -319,11 +319,7 @@
         return;
     }
     const std::weak_ptr<active_request> weak = request;
-    request->response->on_drained([weak] {
-        if (const auto read = weak.lock(); read && read->exchange) {
-            read->exchange->set_reading(true);
-        }
-    });
+    read_on_when_drained(request);
     request->deadline_timer = loop_.after(request->deadline - request->arrived, [this, weak] {
         if (const auto late = weak.lock()) {
             on_deadline(late);
@@ -613,8 +609,7 @@
     if (request->state == answer_state::relayed && !request->response->is_started()) {
         request->response->start(code, request->headers);
     } else if (request->state == answer_state::relayed && !has_events(*request)) {
-        request->exchange.reset();
-        choice_.ended(request->endpoint, request->id, std::nullopt);
+        end_exchange(*request);
         on_broken(request, "the run that was to continue the stream failed");
     }
 }
@@ -643,8 +638,7 @@
         relay(*request->response, *request->exchange, events);
     }
     if (request->events.is_overlong()) {
-        request->exchange.reset();
-        choice_.ended(request->endpoint, request->id, std::nullopt);
+        end_exchange(*request);
         on_broken(request, "an event without end");
     }
 }
@@ -673,11 +667,16 @@
 }
 
 template <request_binding Binding, typename Store>
-void entry_gateway<Binding, Store>::on_invalid(const request_pointer& request, std::string_view cause) {
+void entry_gateway<Binding, Store>::end_exchange(active_request& request) {
     // Ends the connection too: whatever it brings next is no answer to a later request.
-    request->exchange.reset();
+    request.exchange.reset();
+    choice_.ended(request.endpoint, request.id, std::nullopt);
+}
+
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::on_invalid(const request_pointer& request, std::string_view cause) {
+    end_exchange(*request);
     drop_collected(*request);
-    choice_.ended(request->endpoint, request->id, std::nullopt);
     ejection_.failed(request->endpoint, loop_.now());
     ++request->sends;
     request->may_have_run = true;
@@ -794,11 +793,7 @@
     }
     ++request->sends;
     request->may_have_run = true;
-    const bool lost_at_agent = request->state == answer_state::agent_refused;
-    try_again(request, true,
-              failure         ? to_string(*failure)
-              : lost_at_agent ? "the engine's answer to its agent was lost"
-                              : "not an answer to the request");
+    try_again(request, true, failure ? to_string(*failure) : "the engine's answer to its agent was lost");
 }
 
 template <request_binding Binding, typename Store>
@@ -985,10 +980,11 @@
     const time_point now = loop_.now();
     for (const request_pointer& each : active_ | std::views::values) {
         const bool is_stream = each->state == answer_state::relayed && each->exchange && has_events(*each);
-        const duration limit = !is_stream            ? duration::max()
-                               : is_resumable(*each) ? scaled(each->on->longest_silence, limits::stalled_part)
-                                                     : each->on->longest_silence;
-        if (is_stream && now - each->events.progress_at() > limit && each->response->buffered_bytes() == 0) {
+        if (!is_stream || each->response->buffered_bytes() > 0) {
+            continue;
+        }
+        const double part = is_resumable(*each) ? limits::stalled_part : 1.0;
+        if (now - each->events.progress_at() > scaled(each->on->longest_silence, part)) {
             stalled.push_back(each);
         }
     }
@@ -1008,8 +1004,7 @@
                {"endpoint", request->endpoint},
                {"silence_ms", milliseconds_in(silence)},
                {"incomplete_bytes", request->events.held().size()}});
-    request->exchange.reset();
-    choice_.ended(request->endpoint, request->id, std::nullopt);
+    end_exchange(*request);
     on_broken(request, "no event for too long");
 }
 
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -5,6 +5,7 @@
 #include "samphiretray/gateway/binding.h"
 #include "samphiretray/gateway/endpoint_directory.h"
 #include "samphiretray/gateway/event_stream.h"
+#include "samphiretray/gateway/relay.h"
 #include "samphiretray/gateway/routing_table.h"
 #include "samphiretray/gateway/settings.h"
 #include "samphiretray/gateway/usage_exchange.h"
@@ -150,6 +151,8 @@
     void on_stream_data(const request_pointer& request, std::string_view bytes);
     void collect(const request_pointer& request, std::string_view bytes);
     void drop_collected(active_request& request);
+    /// Gives an attempt up before its answer has ended.
+    void end_exchange(active_request& request);
     /// Ends the exchange with an endpoint whose bytes are no answer to the request.
     void on_invalid(const request_pointer& request, std::string_view cause);
     void on_end(const request_pointer& request, std::optional<error> failure);
