Log which requests an engine was running when it crashed

The logs named the requests whose answers were cut, but not which of them had begun an answer, nor what their prompts have in common, and did not tell a crash from a cut connection. An agent now keeps the interrupted requests until a status poll shows that the engine is gone, and writes engine_crashed and crash_suspect lines. No decision changes.

--- a/include/samphiretray/base/text.h
+++ b/include/samphiretray/base/text.h
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <concepts>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -19,6 +20,16 @@
     return parts;
 }
 
+/// Concatenates the texts with `separator` between them.
+[[nodiscard]] inline std::string join(const std::vector<std::string>& texts, std::string_view separator) {
+    std::string joined;
+    for (const std::string& each : texts) {
+        joined += joined.empty() ? std::string_view{} : separator;
+        joined += each;
+    }
+    return joined;
+}
+
 /// Removes leading and trailing spaces and tabs.
 [[nodiscard]] inline std::string_view trim(std::string_view text) {
     const auto first = text.find_first_not_of(" \t");
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -56,11 +56,13 @@
 template <request_binding Binding, engine_control Engine>
 engine_agent<Binding, Engine>::engine_agent(net::loop& events, engine_agent_settings settings, Engine& engine)
     : loop_(events), settings_(std::move(settings)), engine_(engine), http_(net::http_client::create(events)),
-      admission_({}), pacing_({}),
+      admission_({}), pacing_({}), crashes_({}),
       requests_total_(
           metrics_.counter({"samphiretray_agent_requests_total", "Requests by outcome", {"outcome"}})),
       orders_total_(metrics_.counter(
           {"samphiretray_agent_orders_total", "Orders by kind and outcome", {"kind", "outcome"}})),
+      crashes_total_(metrics_.counter(
+          {"samphiretray_agent_engine_crashes_total", "Crashes of the engine that cut answers", {}})),
       wait_seconds_(metrics_.histogram(
           {"samphiretray_agent_wait_seconds", "Time from the arrival of a request until it is passed on", {}},
           observe::latency_buckets())) {}
@@ -378,6 +380,7 @@
         on_mismatched_response(request, code, head);
         return;
     }
+    request->answer_began_at = loop_.now();
     if (head.misdirected && request->pin) {
         slots_->unpin(*std::exchange(request->pin, std::nullopt), loop_.now());
         slots_->on_not_loaded(request->adapter);
@@ -426,6 +429,7 @@
         finish(request, "answered");
         return;
     }
+    note_interruption(*request);
     if (request->response->is_started()) {
         request->response->abort();
         finish(request, to_string(*failure));
@@ -436,6 +440,40 @@
            to_string(*failure));
 }
 
+template <request_binding Binding, engine_control Engine>
+void engine_agent<Binding, Engine>::note_interruption(const agent_request& request) {
+    if (!request.exchange->may_have_been_sent()) {
+        return;
+    }
+    agent::interrupted_work work{
+        request.forwarded.caller.attempt_id, {}, request.answer_began_at, loop_.now()};
+    // The last part of a prompt belongs to the request or its session.
+    const auto& prompt = request.forwarded.caller.prefix;
+    std::ranges::transform(prompt | std::views::take(std::max<std::size_t>(prompt.size(), 1) - 1),
+                           std::back_inserter(work.parts), &prompt_part::id);
+    crashes_.on_interrupted(std::move(work));
+}
+
+template <request_binding Binding, engine_control Engine>
+void engine_agent<Binding, Engine>::on_engine_crash() {
+    const auto suspects = crashes_.take_suspects(loop_.now());
+    // A leaving engine ends whatever it still runs.
+    if (suspects.empty() || report_->draining) {
+        return;
+    }
+    crashes_total_.add({});
+    log_event(log_level::warning, "engine_crashed",
+              {{"started_at", report_->started_at}, {"suspects", suspects.size()}});
+    for (const agent::interrupted_work& each : suspects) {
+        const bool has_begun = each.answer_began_at.has_value();
+        log_event(
+            log_level::info, "crash_suspect",
+            {{"request", each.attempt_id},
+             {"answer_age_ms", has_begun ? milliseconds_in(each.interrupted_at - *each.answer_began_at) : -1},
+             {"parts", join(each.parts, ",")}});
+    }
+}
+
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::refuse(const request_pointer& request, agent_refusal reason,
                                            std::string_view detail) {
@@ -606,20 +644,29 @@
     });
 }
 
+template <request_binding Binding, engine_control Engine>
+void engine_agent<Binding, Engine>::on_failed_poll(const error& failure) {
+    // A refused connection proves that the engine is down; a timeout may only be a slow response.
+    const bool is_refused = failure.code == errc::connection_failed;
+    const bool was_up = is_engine_up();
+    failed_polls_ = is_refused ? limits::engine_down_polls : failed_polls_ + 1;
+    if (!was_up || is_engine_up()) {
+        return;
+    }
+    log_event(log_level::warning, "engine_lost", {{"failure", to_string(failure)}});
+    if (is_refused) {
+        on_engine_crash();
+    }
+    refuse_waiting(agent_refusal::engine_down);
+}
+
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::on_report(const result<engine_report>& report) {
-    const time_point now = loop_.now();
     if (!report) {
-        // A refused connection proves that the engine is down; a timeout may only be a slow response.
-        const bool is_refused = report.error().code == errc::connection_failed;
-        const bool was_up = is_engine_up();
-        failed_polls_ = is_refused ? limits::engine_down_polls : failed_polls_ + 1;
-        if (was_up && !is_engine_up()) {
-            log_event(log_level::warning, "engine_lost", {{"failure", to_string(report.error())}});
-            refuse_waiting(agent_refusal::engine_down);
-        }
+        on_failed_poll(report.error());
         return;
     }
+    const time_point now = loop_.now();
     if (failed_polls_ >= limits::engine_down_polls || !report_) {
         log_event(log_level::info, "engine_regained",
                   {{"started_at", report->started_at}, {"adapters", report->loaded.size()}});
@@ -627,6 +674,9 @@
     failed_polls_ = 0;
     const bool restarted = report_ && report_->started_at != report->started_at;
     const bool is_first_report = !report_;
+    if (restarted) {
+        on_engine_crash();
+    }
     report_ = *report;
     if (!slots_) {
         report_.reset();
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "samphiretray/agent/crash_recorder.h"
 #include "samphiretray/agent/engine_admission.h"
 #include "samphiretray/agent/load_pacing.h"
 #include "samphiretray/agent/load_priorities.h"
@@ -80,6 +81,7 @@
         /// The request's entry in the admission queue; default-constructed until it is queued.
         agent::admission_request admission;
         std::optional<time_point> forwarded_at;
+        std::optional<time_point> answer_began_at;
         std::optional<time_point> first_byte_at;
         std::optional<agent::slot_pin> pin;
         std::unique_ptr<net::http_exchange> exchange;
@@ -114,8 +116,12 @@
     void on_end(const request_pointer& request, const std::optional<error>& failure);
     void refuse(const request_pointer& request, agent_refusal reason, std::string_view detail);
     void finish(const request_pointer& request, std::string_view outcome);
+    void note_interruption(const agent_request& request);
+    /// The incarnation of the engine in the last report has ended without notice.
+    void on_engine_crash();
     void poll();
     void on_report(const result<engine_report>& report);
+    void on_failed_poll(const error& failure);
     void refuse_after_failed_loads();
     void load_base_model();
     void refuse_waiting(agent_refusal reason);
@@ -135,6 +141,7 @@
     std::optional<agent::slot_table> slots_;
     agent::engine_admission admission_;
     agent::load_pacing pacing_;
+    agent::crash_recorder crashes_;
     routing::prefix_cache_model prefixes_{0};
     std::map<std::string, std::uint64_t> released_versions_;
     std::unordered_map<std::uint64_t, request_pointer> requests_;
@@ -158,6 +165,7 @@
     observe::metrics metrics_;
     observe::counter_family& requests_total_;
     observe::counter_family& orders_total_;
+    observe::counter_family& crashes_total_;
     observe::histogram_family& wait_seconds_;
 };
 
--- /dev/null
+++ b/src/agent/crash_recorder.cpp
@@ -0,0 +1,33 @@
+#include "samphiretray/agent/crash_recorder.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace samphiretray::agent {
+
+void crash_recorder::on_interrupted(interrupted_work work) {
+    const time_point now = work.interrupted_at;
+    std::erase_if(interrupted_, [&](const interrupted_work& each) {
+        return now - each.interrupted_at > settings_.confirmation_time;
+    });
+    if (interrupted_.size() < settings_.max_interrupted) {
+        interrupted_.push_back(std::move(work));
+    }
+}
+
+bool crash_recorder::is_suspect(const interrupted_work& work, time_point now) const {
+    const bool is_recent = now - work.interrupted_at <= settings_.confirmation_time;
+    return is_recent &&
+           (!work.answer_began_at || work.interrupted_at - *work.answer_began_at <= settings_.max_answer_age);
+}
+
+std::vector<interrupted_work> crash_recorder::take_suspects(time_point now) {
+    std::vector<interrupted_work> suspects = std::exchange(interrupted_, {});
+    std::erase_if(suspects, [&](const interrupted_work& each) { return !is_suspect(each, now); });
+    // An empty start sorts before all others, hence last.
+    std::ranges::stable_sort(suspects, std::greater{}, &interrupted_work::answer_began_at);
+    return suspects;
+}
+
+} // namespace samphiretray::agent
