--- /dev/null
+++ b/tests/fleet/crashing_part_test.cpp
@@ -0,0 +1,89 @@
+#include "tests/fleet/small_fleet.h"
+
+using namespace samphiretray;
+using platform::testing::small_fleet;
+
+namespace {
+
+/// From the operators' rule: at most this many requests reach engines later than `contact` after the fifth
+/// crash.
+constexpr std::size_t max_reached = 3;
+constexpr duration contact = 4s;
+
+/// Engines that crash whenever they begin an answer to a request with the part "dead".
+struct fleet_with_crashing_part : small_fleet {
+    fleet_with_crashing_part() : small_fleet(2, 3) {
+        for (auto& each : engines) {
+            each->engine.on_request =
+                [this, &engine = each->engine](const net::http_request& request,
+                                               const std::shared_ptr<net::http_response>& response) {
+                    answer(engine, request, *response);
+                };
+        }
+    }
+
+    void answer(platform::testing::fake_engine& engine, const net::http_request& request,
+                net::http_response& response) {
+        const net::http_headers headers{
+            {"content-type", "text/event-stream"},
+            {"x-samphiretray-attempt-id",
+             std::string{net::find_header(request.headers, "x-samphiretray-attempt-id")}},
+            {"x-samphiretray-server-seal", "seal"}};
+        const bool crashes =
+            net::find_header(request.headers, "x-samphiretray-prompt-prefix").find("dead:") !=
+            std::string_view::npos;
+        if (!crashes) {
+            response.send(200, headers, "id: 1\ndata: x\n\n");
+            return;
+        }
+        ++crash_count;
+        response.start(200, headers);
+        response.abort();
+        engine.restart();
+    }
+
+    /// Lets the agents find the crash, load the base model again and register the new start.
+    void recover() {
+        run_for(250ms);
+        for (const auto& each : entries) {
+            register_engines(*each);
+        }
+    }
+
+    std::size_t crash_count = 0;
+};
+
+std::string own_part(std::uint64_t number) {
+    return "own" + std::to_string(number) + ":50";
+}
+
+} // namespace
+
+TEST_CASE("requests that share a part which crashes engines stop reaching engines at every entry") {
+    // Each such request used to crash one more engine, whatever entry it came to: nothing remembered what the
+    // crashed engines had been running.
+    fleet_with_crashing_part fleet;
+    for (std::uint64_t i = 0; i < 5; ++i) {
+        const auto sound = fleet.ask(i % 2, "first:20,other:30," + own_part(100 + i));
+        CHECK((sound && sound->status == 200));
+        (void)fleet.ask(i % 2, "first:20,other:30,dead:40," + own_part(i));
+        fleet.recover();
+    }
+    REQUIRE(fleet.crash_count <= 5);
+    fleet.run_for(contact);
+    const std::size_t before = fleet.crash_count;
+    std::size_t refused = 0;
+    std::size_t served = 0;
+    for (std::uint64_t i = 0; i < 12; ++i) {
+        const auto held_back = fleet.ask(i % 2, "first:20,other:30,dead:40," + own_part(10 + i));
+        const bool is_refusal = held_back && held_back->status == 503 &&
+                                !net::find_header(held_back->headers, "retry-after").empty();
+        refused += is_refusal ? 1 : 0;
+        fleet.recover();
+        const auto sound = fleet.ask(i % 2, "first:20,other:30," + own_part(200 + i));
+        served += sound && sound->status == 200 ? 1 : 0;
+    }
+    CHECK(fleet.crash_count - before <= max_reached);
+    CHECK(refused >= 12 - max_reached);
+    CHECK(served == 12);
+}
--- /dev/null
+++ b/tests/fleet/small_fleet.h
@@ -0,0 +1,212 @@
+#pragma once
+
+#include "samphiretray/base/hash.h"
+#include "samphiretray/gateway/engine_agent-inl.h"
+#include "samphiretray/gateway/entry_gateway-inl.h"
+
+#include "platform/engine_client.h"
+#include "platform/request_binding.h"
+#include "tests/platform/fake_engine.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace samphiretray::platform::testing {
+
+/// Holds keys in memory. Entries find each other through it; a watch completes when a key below its prefix
+/// changes or its time is over.
+struct memory_store {
+    explicit memory_store(net::loop& loop) : events(loop) {}
+
+    void list(const std::string& prefix, const ports::completion<ports::store_listing>& done) {
+        ports::store_listing listing;
+        listing.revision = revision;
+        for (const auto& [key, value] : values) {
+            if (key.starts_with(prefix)) {
+                listing.items.push_back({key, value, revision});
+            }
+        }
+        events.post([done, listing] { done(listing); });
+    }
+    void watch(const std::string& prefix, std::uint64_t after, duration wait,
+               const ports::completion<ports::store_changes>& done) {
+        const auto poll = std::make_shared<std::function<void(duration)>>();
+        *poll = [this, prefix, after, done, poll](duration left) {
+            ports::store_changes found;
+            found.revision = revision;
+            for (const auto& [at, key] : changes) {
+                if (at > after && key.starts_with(prefix)) {
+                    found.changes.push_back({key, values.at(key), at});
+                }
+            }
+            if (!found.changes.empty() || left <= 0ms) {
+                done(found);
+                return;
+            }
+            timers.push_back(events.after(20ms, [poll, left] { (*poll)(left - 20ms); }));
+        };
+        events.post([poll, wait] { (*poll)(wait); });
+    }
+    void grant_lease(duration, const ports::completion<std::uint64_t>& done) {
+        events.post([done] { done(std::uint64_t{1}); });
+    }
+    void renew_lease(std::uint64_t lease, const ports::completion<std::uint64_t>& done) {
+        events.post([done, lease] { done(lease); });
+    }
+    void put(const std::string& key, const std::string& value, std::uint64_t,
+             const ports::completion<std::uint64_t>& done) {
+        values[key] = value;
+        changes.emplace_back(++revision, key);
+        events.post([done, at = revision] { done(at); });
+    }
+
+    net::loop& events;
+    std::map<std::string, std::string> values;
+    std::vector<std::pair<std::uint64_t, std::string>> changes;
+    std::uint64_t revision = 1;
+    std::deque<net::timer_handle> timers;
+};
+
+/// Entries, engines and the engines' agents in one process, all on one event loop. Each engine has a loopback
+/// address of its own, on which its agent listens at a port that all agents share.
+struct small_fleet {
+    using entry_type = gateway::entry_gateway<request_binding, memory_store>;
+    using agent_type = gateway::engine_agent<request_binding, engine_client>;
+
+    struct engine_vm {
+        engine_vm(small_fleet& fleet, std::size_t index)
+            : host("127.0.0." + std::to_string(11 + index)), engine(fleet.events, host),
+              client(fleet.events, *fleet.client,
+                     {.engine = engine.address(),
+                      .owner = host,
+                      .order_timeout = 30ms,
+                      .recheck_interval = 2ms}) {}
+
+        std::string host;
+        fake_engine engine;
+        engine_client client;
+        std::unique_ptr<agent_type> agent;
+    };
+
+    small_fleet(std::size_t entry_count, std::size_t engine_count) {
+        for (std::size_t i = 0; i < engine_count; ++i) {
+            engines.push_back(std::make_unique<engine_vm>(*this, i));
+            start_agent(*engines.back());
+        }
+        for (std::size_t i = 0; i < entry_count; ++i) {
+            start_entry(i);
+        }
+        REQUIRE(events.run_until(
+            [&] { return store.values.size() >= entry_count && reports() >= 3 * engine_count; }, hang_limit));
+        run_for(300ms);
+    }
+
+    void start_agent(engine_vm& vm) {
+        gateway::engine_agent_settings settings;
+        settings.node.vm = vm.host;
+        settings.listen = {vm.host, agent_port};
+        settings.control_listen = {vm.host, agent_control_port};
+        settings.engine = vm.engine.address();
+        settings.service = "engines";
+        settings.poll_interval = 20ms;
+        vm.agent = std::make_unique<agent_type>(events, settings, vm.client);
+        REQUIRE(vm.agent->start());
+        vm.agent->apply(state());
+        vm.agent->set_fencing_number(5);
+    }
+
+    void start_entry(std::size_t index) {
+        gateway::gateway_settings settings;
+        settings.node.vm = "entry-" + std::to_string(index);
+        settings.node.data_centre = "north-a";
+        settings.listen = any_port;
+        settings.ready_listen = any_port;
+        settings.control_listen = {"127.0.0." + std::to_string(101 + index), entry_control_port};
+        settings.agent_port = agent_port;
+        entries.resize(std::max(entries.size(), index + 1));
+        entries[index] = std::make_unique<entry_type>(events, settings, store);
+        REQUIRE(entries[index]->start());
+        entries[index]->apply(state());
+        register_engines(*entries[index]);
+        entries[index]->set_endpoints_complete();
+    }
+
+    void register_engines(entry_type& entry) {
+        for (std::size_t i = 0; i < engines.size(); ++i) {
+            gateway::endpoint value;
+            value.id = "i-" + std::to_string(i) + "-" + std::to_string(engines[i]->engine.born);
+            value.service = "engines";
+            value.address = engines[i]->engine.address();
+            value.data_centre = "north-a";
+            value.slots = 8;
+            value.started_at = engines[i]->engine.born;
+            entry.update_endpoint(value);
+        }
+    }
+
+    static gateway::routing_state state() {
+        gateway::routing_state made;
+        made.version = 1;
+        made.services = {{"engines", gateway::engine_capacity{8, 100'000, 4, {"m0"}}}};
+        gateway::route streams;
+        streams.name = "/e/";
+        streams.host = "a.example";
+        streams.prefix = "/e/";
+        streams.kind = gateway::call_kind::streaming;
+        streams.services = {{"engines", 1}};
+        streams.timeout = 5s;
+        made.routes = {streams};
+        made.organisations = {{"coop", {sha256_hex("key")}, std::nullopt, 0, 0, 1}};
+        return made;
+    }
+
+    /// Sends a request with these prompt parts to an entry and returns the answer.
+    result<net::fetched_response> ask(std::size_t entry, const std::string& parts) {
+        std::optional<result<net::fetched_response>> outcome;
+        net::http_call call;
+        call.peer = entries[entry]->listen_address();
+        call.method = "POST";
+        call.target = "/e/1";
+        call.timeout = 5s;
+        call.headers = {{"host", "a.example"},
+                        {"x-samphiretray-attempt-id", "attempt-" + std::to_string(++attempts)},
+                        {"x-samphiretray-credential", "key"},
+                        {"x-samphiretray-deadline-ms", "3000"},
+                        {"x-samphiretray-model", "m0"},
+                        {"x-samphiretray-token-count", "100,10"},
+                        {"x-samphiretray-prompt-prefix", parts}};
+        const auto handle = client->fetch(std::move(call), [&](result<net::fetched_response> answer) {
+            outcome.emplace(std::move(answer));
+        });
+        REQUIRE(events.run_until([&] { return outcome.has_value(); }, hang_limit));
+        return *outcome;
+    }
+
+    void run_for(duration time) {
+        events.run_until([] { return false; }, time);
+    }
+
+    [[nodiscard]] std::size_t reports() const {
+        std::size_t sum = 0;
+        for (const auto& each : engines) {
+            sum += static_cast<std::size_t>(each->engine.reports);
+        }
+        return sum;
+    }
+
+    static constexpr std::uint16_t agent_port = 27611;
+    static constexpr std::uint16_t agent_control_port = 27612;
+    static constexpr std::uint16_t entry_control_port = 27613;
+
+    net::loop events;
+    std::unique_ptr<net::http_client> client = net::http_client::create(events);
+    memory_store store{events};
+    std::vector<std::unique_ptr<engine_vm>> engines;
+    std::vector<std::unique_ptr<entry_type>> entries;
+    std::uint64_t attempts = 0;
+};
+
+} // namespace samphiretray::platform::testing
--- a/tests/platform/fake_engine.h
+++ b/tests/platform/fake_engine.h
@@ -32,9 +32,9 @@
 /// A model server on the loopback interface that enforces the platform's rules for orders: preconditions,
 /// fencing numbers and adapter slots.
 struct fake_engine {
-    explicit fake_engine(net::loop& loop) : events(loop) {
+    explicit fake_engine(net::loop& loop, const std::string& host = "127.0.0.1") : events(loop) {
         auto created = net::http_server::create(
-            events, {{"127.0.0.1", 0}},
+            events, {{host, 0}},
             [this](net::http_request request, std::shared_ptr<net::http_response> response) {
                 answer(request, std::move(response));
             });
