Stop polling for writability once a response has nothing more to write

An entry would end with all of its requests while an endpoint sends without end.

Cause: h2o looks at what it polls a socket for only when the socket is marked. If a write ends at once while the socket is still polled for an earlier, blocked one, nothing marks it, and the next event finds no write callback. The HTTP client and the links had a cure of their own for the same cause; the server had none. All three now share one. Ruled out: the quarantine of prompt parts (the untouched code aborts too).

--- a/src/net/h2o_response.cpp
+++ b/src/net/h2o_response.cpp
@@ -1,6 +1,7 @@
 #include "h2o_response.h"
 
 #include "http_reason.h"
+#include "socket_polling.h"
 
 #include <poll.h>
 #include <sys/socket.h>
@@ -308,6 +309,9 @@
     const auto self = shared_from_this();
     in_flight_ = false;
     flush();
+    if (socket_ != nullptr && is_open() && !in_flight_) {
+        update_polled_events(socket_);
+    }
     if (is_open() && buffered_bytes() == 0 && on_drained_) {
         on_drained_();
     }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -3,6 +3,7 @@
 #include "connection_pool.h"
 #include "response_parser.h"
 #include "socket_address.h"
+#include "socket_polling.h"
 
 #include <h2o.h>
 
@@ -172,13 +173,7 @@
 void client_call::on_written(h2o_socket_t* socket, const char* failure) {
     // After a failed write a response of the peer may still be unread, so only the read side ends the call.
     from_socket(socket).writing_ = failure != nullptr;
-    // Makes h2o update the polled events of the socket, so that it stops polling for writability. Without
-    // this, a write event after a 4 MiB body had been written in parts found no write callback, and h2o
-    // aborted.
-    h2o_socket_read_start(socket, on_read);
-    if (!from_socket(socket).read_enabled_) {
-        h2o_socket_read_stop(socket);
-    }
+    update_polled_events(socket);
 }
 
 void client_call::set_read_enabled(bool wanted) {
--- a/src/net/websocket_link.cpp
+++ b/src/net/websocket_link.cpp
@@ -1,5 +1,7 @@
 #include "websocket_link.h"
 
+#include "socket_polling.h"
+
 #include <h2o.h>
 
 #include <utility>
@@ -163,8 +165,7 @@
         self->fail(errc::connection_closed, "the peer closed the connection");
         return;
     }
-    // As in http_client.cpp: makes h2o stop polling for writability before the next event.
-    h2o_socket_read_start(socket, on_read);
+    update_polled_events(socket);
     self->flush();
 }
 
