--- a/src/routing/crash_quarantine.cpp
+++ b/src/routing/crash_quarantine.cpp
@@ -409,9 +409,9 @@
     crash_evidence evidence;
     evidence.revision = revision_;
     std::vector<std::pair<std::string, const known_crash*>> newest_first;
-    for (const auto& [engine, crash] : crashes_) {
-        newest_first.emplace_back(engine, &crash);
-    }
+    std::ranges::transform(crashes_, std::back_inserter(newest_first), [](const auto& each) {
+        return std::pair{each.first, &each.second};
+    });
     std::ranges::sort(newest_first, std::greater{}, [](const auto& each) { return each.second->at; });
     std::map<part_key, std::uint32_t> needed;
     for (const part_key part : rules_ | std::views::keys) {
