Keep the limits that servers name in their answers

Cause: nothing read the header Server-Limit. Ruled out by the code alone: that it was kept by each sender for itself, or late.

An agent now keeps its engine's limit: it is the only sender. A plain server's limit is kept by a few entries with equal parts, chosen by rendezvous hashing; the others leave the server alone, so nobody has to know what the others send. Limits, and their ends, are told to peers with the usage reports; unconfirmed ones are forgotten.

--- a/include/samphiretray/gateway/agent_protocol.h
+++ b/include/samphiretray/gateway/agent_protocol.h
@@ -23,6 +23,8 @@
     busy,
     deadline,
     load_failed,
+    /// The engine takes fewer requests a second than wait for it.
+    limited,
     /// The request was forwarded to the engine and no valid response came back.
     outcome_unknown,
 };
@@ -72,6 +74,7 @@
         {gateway::agent_refusal::busy, "busy"},
         {gateway::agent_refusal::deadline, "deadline"},
         {gateway::agent_refusal::load_failed, "load_failed"},
+        {gateway::agent_refusal::limited, "limited"},
         {gateway::agent_refusal::outcome_unknown, "outcome_unknown"},
     });
 
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -206,7 +206,12 @@
     const duration wait = model_load_time_left() + admission_.expected_wait(admission, loop_.now());
     const duration time_to_first_byte =
         admission_.prefill_rate().time_to_first_byte(admission.prefill_tokens);
-    const bool is_too_late = wait + load_wait + time_to_first_byte > request.budget.until_abandoned;
+    const duration limit_wait = limit_.wait_for(admission_.waiting_count() + 1, loop_.now());
+    if (limit_wait > request.budget.max_queue_wait) {
+        return agent_refusal::limited;
+    }
+    const bool is_too_late =
+        std::max(wait + load_wait, limit_wait) + time_to_first_byte > request.budget.until_abandoned;
     return is_too_late || wait > request.budget.max_queue_wait ? std::optional{agent_refusal::busy}
                                                                : std::nullopt;
 }
@@ -317,7 +322,11 @@
         const ports::adapter_version& adapter = requests_.at(id)->adapter;
         return adapter.adapter.empty() || slots_->can_run(adapter, false);
     };
-    while (const auto id = admission_.next(runnable, loop_.now())) {
+    while (limit_.allows(loop_.now())) {
+        const auto id = admission_.next(runnable, loop_.now());
+        if (!id || !limit_.try_take(loop_.now())) {
+            break;
+        }
         const request_pointer request = requests_.at(*id);
         if (!request->adapter.adapter.empty()) {
             request->pin = slots_->pin(request->adapter, false, loop_.now());
@@ -383,6 +392,7 @@
         return;
     }
     request->answer_began_at = loop_.now();
+    note_limit(head.requests_per_s);
     if (head.misdirected && request->pin) {
         slots_->unpin(*std::exchange(request->pin, std::nullopt), loop_.now());
         slots_->on_not_loaded(request->adapter);
@@ -447,6 +457,15 @@
            to_string(*failure));
 }
 
+template <request_binding Binding, engine_control Engine>
+void engine_agent<Binding, Engine>::note_limit(std::optional<double> requests_per_s) {
+    if (limit_.is_set() != requests_per_s.has_value()) {
+        log_event(log_level::info, requests_per_s ? "engine_limited" : "engine_unlimited",
+                  {{"requests_per_s", requests_per_s.value_or(0)}, {"waiting", admission_.waiting_count()}});
+    }
+    limit_.set(requests_per_s, loop_.now());
+}
+
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::note_interruption(const agent_request& request) {
     if (!request.exchange->may_have_been_sent()) {
@@ -701,6 +720,7 @@
     if (is_first_report || restarted) {
         prefixes_.clear();
         admission_.on_engine_restart();
+        limit_.set(std::nullopt, now);
         pacing_.on_engine_restart();
         slots_->adopt(report->loaded, now);
     }
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -15,6 +15,7 @@
 #include "samphiretray/net/http_server.h"
 #include "samphiretray/observe/metrics.h"
 #include "samphiretray/ports/engine.h"
+#include "samphiretray/rate/named_limit.h"
 #include "samphiretray/routing/crash_quarantine.h"
 #include "samphiretray/routing/prefix_cache_model.h"
 
@@ -117,6 +118,7 @@
     void on_end(const request_pointer& request, const std::optional<error>& failure);
     void refuse(const request_pointer& request, agent_refusal reason, std::string_view detail);
     void finish(const request_pointer& request, std::string_view outcome);
+    void note_limit(std::optional<double> requests_per_s);
     void note_interruption(const agent_request& request);
     /// The incarnation of the engine in the last report has ended without notice.
     void on_engine_crash();
@@ -143,6 +145,8 @@
     std::optional<agent::slot_table> slots_;
     agent::engine_admission admission_;
     agent::load_pacing pacing_;
+    /// The limit that the engine names, all of which this agent may use: it is the engine's only sender.
+    rate::named_limit limit_;
     agent::crash_recorder crashes_;
     /// Holds no requests back: it keeps what entries know about crashes, in case all of them restart.
     routing::crash_quarantine known_crashes_;
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -109,12 +109,12 @@
 entry_gateway<Binding, Store>::entry_gateway(net::loop& events, gateway_settings settings, Store& store)
     : loop_(events), settings_(std::move(settings)), incarnation_(random_hex(8)),
       http_(net::http_client::create(events)), choice_({}), ejection_(gateway_ejection),
-      retries_(retry_settings_of(settings_, 0)), usage_({}), quarantine_({}),
+      retries_(retry_settings_of(settings_, 0)), usage_({}), quarantine_({}), limits_({}),
       usage_exchange_(events, *http_, store,
                       {.vm = settings_.node.vm,
                        .data_centre = settings_.node.data_centre,
                        .listen = settings_.control_listen},
-                      usage_, quarantine_),
+                      usage_, quarantine_, limits_),
       crash_exchange_(events, *http_, quarantine_, settings_.agent_control_port),
       ended_requests_(metrics_.counter(
           {"samphiretray_requests_total", "Requests by kind and outcome", {"kind", "outcome"}})),
@@ -319,6 +319,7 @@
 void entry_gateway<Binding, Store>::forget_endpoint(const std::string& id) {
     choice_.remove(id);
     endpoints_paused_until_.erase(id);
+    limits_.forget(id);
 }
 
 template <request_binding Binding, typename Store>
@@ -443,6 +444,9 @@
         if (std::ranges::find(request.tried_endpoints, each->id) != request.tried_endpoints.end()) {
             continue;
         }
+        if (is_limited(request, *each)) {
+            continue;
+        }
         const auto pause = endpoints_paused_until_.find(each->id);
         const bool paused = pause != endpoints_paused_until_.end() && now < pause->second;
         (!paused && ejection_.usable(each->id, now) ? usable : avoided).push_back(each->id);
@@ -458,12 +462,29 @@
             request.caller.max_output_tokens};
 }
 
+template <request_binding Binding, typename Store>
+bool entry_gateway<Binding, Store>::is_limited(const active_request& request, const endpoint& value) const {
+    const bool via_agent = request.is_engine && !is_agent_down(value.address.host);
+    return !via_agent && !limits_.allows(value.id, loop_.now());
+}
+
 template <request_binding Binding, typename Store>
 bool entry_gateway<Binding, Store>::is_agent_down(const std::string& host) const {
     const auto found = agents_down_until_.find(host);
     return found != agents_down_until_.end() && loop_.now() < found->second;
 }
 
+template <request_binding Binding, typename Store>
+std::string_view entry_gateway<Binding, Store>::unplaced_cause(const active_request& request) const {
+    if (request.last_refusal) {
+        return name_of(*request.last_refusal);
+    }
+    const bool any_limited =
+        std::ranges::any_of(directory_.available(request.service),
+                            [&](const endpoint* each) { return is_limited(request, *each); });
+    return any_limited ? "limited" : request.tried_endpoints.empty() ? "no_endpoint" : "all_refused";
+}
+
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::dispatch(const request_pointer& request) {
     if (const auto match = quarantine_.check(request->shared, loop_.now())) {
@@ -481,10 +502,7 @@
         return !each.resident && is_agent_down(directory_.find(each.id)->address.host);
     });
     if (candidates.empty() || request->tried_endpoints.size() >= limits::max_tried_endpoints) {
-        const std::string_view cause = request->tried_endpoints.empty() ? "no_endpoint"
-                                       : request->last_refusal          ? name_of(*request->last_refusal)
-                                                                        : "all_refused";
-        give_up(*request, cause);
+        give_up(*request, unplaced_cause(*request));
         return;
     }
     send(request, candidates.front(), candidates.size() > 1);
@@ -537,6 +555,9 @@
     const time_point now = loop_.now();
     const endpoint* to = directory_.find(chosen.id);
     const bool via_agent = request->is_engine && !is_agent_down(to->address.host);
+    if (!via_agent && !limits_.try_take(to->id, now)) {
+        log_event(log_level::warning, "limit_overrun", {{"endpoint", to->id}});
+    }
     request->endpoint = to->id;
     request->agent_host = via_agent ? to->address.host : "";
     request->state = answer_state::awaiting_head;
@@ -656,6 +677,13 @@
         on_invalid_answer(request, "not an answer to the request");
         return;
     }
+    if (limits_.observe(request->endpoint, head.requests_per_s, now)) {
+        log_event(log_level::info, head.requests_per_s ? "endpoint_limited" : "endpoint_unlimited",
+                  {{"request", request->caller.attempt_id},
+                   {"endpoint", request->endpoint},
+                   {"requests_per_s", head.requests_per_s.value_or(0)},
+                   {"own_part", limits_.part_of(request->endpoint, head.requests_per_s.value_or(0))}});
+    }
     if (head.misdirected) {
         choice_.forget_adapter(request->endpoint, request->caller.adapter);
     }
@@ -1202,6 +1230,7 @@
            ",\"ready\":" + (is_ready() ? "true" : "false") +
            ",\"endpoints\":" + std::to_string(directory_.size()) +
            ",\"quarantined_parts\":" + std::to_string(quarantine_.quarantined_count(loop_.now())) +
+           ",\"limited_endpoints\":" + std::to_string(limits_.limited_count()) +
            ",\"requests\":" + std::to_string(active_requests_.size()) + "}";
 }
 
@@ -1211,8 +1240,12 @@
     const bool is_current = net::find_query_parameter(request.query, "incarnation") == incarnation_;
     const auto revision =
         parse_number<std::uint64_t>(net::find_query_parameter(request.query, "crashes_after"));
-    return {settings_.node.vm, incarnation_, table_ ? table_->version() : 0, usage_.spent(),
-            quarantine_.evidence_after(is_current ? revision.value_or(0) : 0, loop_.now())};
+    return {settings_.node.vm,
+            incarnation_,
+            table_ ? table_->version() : 0,
+            usage_.spent(),
+            quarantine_.evidence_after(is_current ? revision.value_or(0) : 0, loop_.now()),
+            limits_.observations(loop_.now())};
 }
 
 template <request_binding Binding, typename Store>
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -153,10 +153,15 @@
     [[nodiscard]] bool authenticate(active_request& request);
     [[nodiscard]] bool admit(active_request& request);
     void dispatch(const request_pointer& request);
+    /// Why no endpoint takes the request.
+    [[nodiscard]] std::string_view unplaced_cause(const active_request& request) const;
     /// Ends a request that would crash the engine that it is sent to.
     void hold_back(active_request& request, const routing::quarantine_match& match);
     [[nodiscard]] std::vector<std::string> usable_endpoints(const active_request& request);
     [[nodiscard]] routing::choice_request make_choice_request(const active_request& request) const;
+    /// True if the endpoint has named a limit that leaves no room for another request of this entry. Agents
+    /// keep the limits of their engines.
+    [[nodiscard]] bool is_limited(const active_request& request, const endpoint& value) const;
     [[nodiscard]] bool is_agent_down(const std::string& host) const;
     [[nodiscard]] waiting_budget waiting_budget_of(const active_request& request, bool has_others) const;
     void send(const request_pointer& request, const routing::choice_candidate& chosen, bool has_others);
@@ -228,6 +233,7 @@
     std::size_t entry_count_ = 0;
     rate::fleet_rate_limiter usage_;
     routing::crash_quarantine quarantine_;
+    rate::endpoint_limits limits_;
     usage_exchange<Store> usage_exchange_;
     crash_exchange crash_exchange_;
     std::map<std::string, net::http_handler> peer_handlers_;
--- a/include/samphiretray/gateway/model.h
+++ b/include/samphiretray/gateway/model.h
@@ -185,6 +185,8 @@
     /// Numbers of running and waiting requests, if the endpoint reports them.
     std::optional<std::uint32_t> running;
     std::optional<std::uint32_t> waiting;
+    /// Requests a second that the endpoint takes from all processes together, if it names a limit.
+    std::optional<double> requests_per_s;
 };
 
 /// The status that an engine reports.
--- a/include/samphiretray/gateway/usage_exchange-inl.h
+++ b/include/samphiretray/gateway/usage_exchange-inl.h
@@ -11,8 +11,9 @@
 template <typename Store>
 usage_exchange<Store>::usage_exchange(net::loop& events, net::http_client& http, Store& store,
                                       exchange_settings settings, rate::fleet_rate_limiter& usage,
-                                      routing::crash_quarantine& quarantine)
+                                      routing::crash_quarantine& quarantine, rate::endpoint_limits& limits)
     : loop_(events), http_(http), settings_(std::move(settings)), usage_(usage), quarantine_(quarantine),
+      limits_(limits),
       registration_(events, store,
                     {.key = std::string{prefix} + settings_.vm,
                      .value = net::to_string(settings_.listen) + " " + settings_.data_centre}),
@@ -73,7 +74,8 @@
     std::ranges::copy(peers_ | std::views::keys, std::back_inserter(names));
     usage_.set_peers(names, loop_.now());
     names.push_back(settings_.vm);
-    quarantine_.set_members(settings_.vm, std::move(names));
+    quarantine_.set_members(settings_.vm, names);
+    limits_.set_members(settings_.vm, std::move(names));
     log_event(log_level::info, "peers_changed", {{"peers", peers_.size()}});
     if (!on_peers_) {
         return;
@@ -138,6 +140,7 @@
         found->second.incarnation = report->incarnation;
         found->second.crash_revision = report->crashes.revision;
         quarantine_.merge(report->crashes, loop_.now());
+        limits_.merge(report->limits, loop_.now());
     }
 }
 
--- a/include/samphiretray/gateway/usage_exchange.h
+++ b/include/samphiretray/gateway/usage_exchange.h
@@ -43,7 +43,8 @@
 class usage_exchange {
 public:
     usage_exchange(net::loop& events, net::http_client& http, Store& store, exchange_settings settings,
-                   rate::fleet_rate_limiter& usage, routing::crash_quarantine& quarantine);
+                   rate::fleet_rate_limiter& usage, routing::crash_quarantine& quarantine,
+                   rate::endpoint_limits& limits);
     usage_exchange(const usage_exchange&) = delete;
     usage_exchange& operator=(const usage_exchange&) = delete;
     ~usage_exchange() = default;
@@ -85,6 +86,7 @@
     exchange_settings settings_;
     rate::fleet_rate_limiter& usage_;
     routing::crash_quarantine& quarantine_;
+    rate::endpoint_limits& limits_;
     node::registration<Store> registration_;
     node::prefix_follower<Store> follower_;
     std::map<std::string, peer> peers_;
--- a/include/samphiretray/gateway/usage_report.h
+++ b/include/samphiretray/gateway/usage_report.h
@@ -3,6 +3,7 @@
 #include "samphiretray/base/error.h"
 #include "samphiretray/gateway/crash_report.h"
 #include "samphiretray/rate/fleet_rate_limiter.h"
+#include "samphiretray/rate/named_limit.h"
 
 #include <string>
 #include <string_view>
@@ -20,6 +21,7 @@
     std::vector<rate::spent_tokens> spent;
     /// Newer than the revision that the peer has named.
     routing::crash_evidence crashes = {};
+    std::vector<rate::limit_observation> limits = {};
 };
 
 /// JSON form of a report.
--- a/src/gateway/usage_report.cpp
+++ b/src/gateway/usage_report.cpp
@@ -2,12 +2,44 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <optional>
+
 namespace samphiretray::gateway {
 
 namespace {
 
 using json = nlohmann::json;
 
+/// A limit is a list of the endpoint, its age in milliseconds, and the requests a second if one is named.
+json limit_json(const rate::limit_observation& limit) {
+    json entry = json::array({limit.endpoint, milliseconds_in(limit.age)});
+    if (limit.requests_per_s) {
+        entry.push_back(*limit.requests_per_s);
+    }
+    return entry;
+}
+
+std::optional<rate::limit_observation> limit_from(const json& entry) {
+    constexpr std::size_t shortest = 2;
+    constexpr std::int64_t longest_age_ms = 86'400'000;
+    const bool is_limited = entry.is_array() && entry.size() == shortest + 1;
+    const bool well_formed = entry.is_array() && (entry.size() == shortest || is_limited) &&
+                             entry[0].is_string() && entry[1].is_number_integer() &&
+                             (!is_limited || entry[shortest].is_number());
+    if (!well_formed) {
+        return std::nullopt;
+    }
+    const std::int64_t age = std::clamp<std::int64_t>(entry[1], 0, longest_age_ms);
+    rate::limit_observation limit{entry[0], std::nullopt, std::chrono::milliseconds{age}};
+    if (is_limited) {
+        limit.requests_per_s = std::max(entry[shortest].get<double>(), 0.0);
+    }
+    return limit;
+}
+
 } // namespace
 
 std::string encode(const usage_report& report) {
@@ -15,11 +47,14 @@
     for (const rate::spent_tokens& each : report.spent) {
         spent[each.organisation] = each.tokens;
     }
+    json limits = json::array();
+    std::ranges::transform(report.limits, std::back_inserter(limits), limit_json);
     return json{{"vm", report.vm},
                 {"incarnation", report.incarnation},
                 {"configuration", report.configuration_version},
                 {"spent", std::move(spent)},
-                {"crashes", to_json(report.crashes)}}
+                {"crashes", to_json(report.crashes)},
+                {"limits", std::move(limits)}}
         .dump();
 }
 
@@ -36,7 +71,7 @@
     if (!well_formed) {
         return make_error(errc::protocol_error, step::parse, std::string{peer}, "malformed usage report");
     }
-    usage_report report{parsed["vm"], parsed["incarnation"], parsed["configuration"], {}, {}};
+    usage_report report{parsed["vm"], parsed["incarnation"], parsed["configuration"], {}, {}, {}};
     for (const auto& [organisation, tokens] : parsed["spent"].items()) {
         if (tokens.is_number()) {
             report.spent.push_back({organisation, tokens.get<double>()});
@@ -50,6 +85,13 @@
         }
         report.crashes = std::move(*crashes);
     }
+    for (const json& each : parsed.value("limits", json::array())) {
+        auto limit = limit_from(each);
+        if (!limit) {
+            return make_error(errc::protocol_error, step::parse, std::string{peer}, "malformed limit");
+        }
+        report.limits.push_back(std::move(*limit));
+    }
     return report;
 }
 
--- a/tests/platform/engine_agent_test.cpp
+++ b/tests/platform/engine_agent_test.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <ranges>
 
 using namespace samphiretray;
 using namespace samphiretray::platform;
@@ -380,3 +381,47 @@
     fixture.calls.clear();
     CHECK(fixture.events.run_until([&] { return cancelled; }, hang_limit));
 }
+
+TEST_CASE(
+    "an engine that names a limit gets no more requests than it takes, and the rest is refused as limited") {
+    // All requests used to be passed on, whatever the engine's answers said.
+    agent_fixture fixture;
+    double limit = 5;
+    fixture.engine.on_request = [&limit](const net::http_request& request,
+                                         const std::shared_ptr<net::http_response>& response) {
+        net::http_headers headers{
+            {"x-samphiretray-attempt-id",
+             std::string{net::find_header(request.headers, "x-samphiretray-attempt-id")}},
+            {"x-samphiretray-server-seal", "seal"}};
+        if (limit > 0) {
+            headers.push_back({"server-limit", std::to_string(limit)});
+        }
+        response->send(200, headers, "id: 1\n\n");
+    };
+    fixture.start();
+    fixture.send_request("first", "");
+    fixture.wait_for_answers(1);
+    for (int i = 0; i < 40; ++i) {
+        fixture.send_request("burst-" + std::to_string(i), "", "", 5s, [](net::http_headers& headers) {
+            gateway::add_waiting_budget(headers, {1s, 1s, 4s});
+        });
+    }
+    fixture.run_for(2s);
+    // The operators allow one and a half times the limit, and 5 requests.
+    CHECK(fixture.engine.requests.size() <= 1 + 2 * 5 * 3 / 2 + 5);
+    CHECK(fixture.engine.requests.size() >= 5);
+    fixture.wait_for_answers(41);
+    const auto refused = std::ranges::count_if(fixture.answers, [](const auto& answer) {
+        return answer && gateway::read_refusal(answer->headers) == gateway::agent_refusal::limited;
+    });
+    CHECK(refused >= 25);
+    limit = 0;
+    fixture.send_request("last limited", "");
+    fixture.wait_for_answers(42);
+    for (int i = 0; i < 20; ++i) {
+        fixture.send_request("free-" + std::to_string(i), "");
+    }
+    fixture.wait_for_answers(62);
+    CHECK(std::ranges::all_of(fixture.answers | std::views::drop(41),
+                              [](const auto& answer) { return answer && answer->status == 200; }));
+}
--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -692,3 +692,41 @@
     REQUIRE(fixture.events.run_until([&] { return ready.has_value(); }, hang_limit));
     CHECK((*ready)->status == 503);
 }
+
+TEST_CASE("a plain server that names a limit gets no more requests, and others get the rest") {
+    // The limit used to be passed on to the caller and not read.
+    entry_with_servers fixture;
+    fixture.register_all();
+    fixture.responders[0] = [](const auto& request, const auto& response) {
+        net::http_headers headers = signed_headers(request);
+        headers.push_back({"server-limit", "2.0"});
+        response->send(200, headers, "whole");
+    };
+    std::size_t answered = 0;
+    for (int i = 0; i < 30; ++i) {
+        answered += status_of(fixture.send_and_wait("/u/1")) == 200 ? 1 : 0;
+        fixture.events.run_until([] { return false; }, 20ms);
+    }
+    CHECK(answered == 30);
+    // One request before the limit is known, then 2 a second; the operators' rule allows 1.5 times as many
+    // and 5.
+    CHECK(fixture.received[0].size() <= 6);
+    CHECK(fixture.received[1].size() >= 24);
+}
+
+TEST_CASE("while all servers of a service are at their limits, a request is refused at once as not run") {
+    entry_with_servers fixture;
+    fixture.register_all();
+    fixture.responders[0] = fixture.responders[1] = [](const auto& request, const auto& response) {
+        net::http_headers headers = signed_headers(request);
+        headers.push_back({"server-limit", "0.5"});
+        response->send(200, headers, "whole");
+    };
+    CHECK(status_of(fixture.send_and_wait("/u/1")) == 200);
+    CHECK(status_of(fixture.send_and_wait("/u/1")) == 200);
+    const time_point before = fixture.events.now();
+    CHECK(status_of(fixture.send_and_wait("/u/1")) == 503);
+    CHECK(fixture.events.now() - before < 500ms);
+    CHECK_FALSE(net::find_header(fixture.outcome->value().headers, "retry-after").empty());
+    CHECK(fixture.received_count() == 2);
+}
