Play prompt parts that crash engines in the soak

One stream in twenty has a part on which the soak's engines crash whenever they begin an answer; in the calm end at most three may crash on it (the operators' bound), and nine of ten of the others are answered.

--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -20,8 +20,14 @@
 }
 
 void invariant_checker::on_attempt_sent(const std::string& name, request_kind kind,
-                                        const std::string& organisation, time_point now) {
-    attempts_[name] = {kind, organisation, now, 0, 0, false};
+                                        const std::string& organisation, bool crashes_engines,
+                                        time_point now) {
+    attempts_[name] = {kind, organisation, crashes_engines, now, 0, 0, false};
+}
+
+std::size_t invariant_checker::prompt_crashes(time_point since) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(prompt_crashes_, [since](time_point each) { return each >= since; }));
 }
 
 void invariant_checker::on_attempt_run(const std::string& server, const std::string& name,
@@ -125,7 +131,7 @@
 
 double invariant_checker::answered_fraction(const std::string& organisation, time_point since) const {
     const auto is_in_range = [&](const attempt& each) {
-        return each.organisation == organisation && each.sent_at >= since;
+        return each.organisation == organisation && !each.crashes_engines && each.sent_at >= since;
     };
     const auto is_answered = [&](const attempt& each) {
         return is_in_range(each) && each.status == 200 && each.complete;
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -25,8 +25,11 @@
 public:
     explicit invariant_checker(time_point start) : start_(start) {}
 
+    /// `crashes_engines` if its prompt has the part on which engines crash; nobody expects an answer then.
     void on_attempt_sent(const std::string& attempt, request_kind kind, const std::string& organisation,
-                         time_point now);
+                         bool crashes_engines, time_point now);
+    /// An engine crashed on an attempt's prompt.
+    void on_prompt_crash(time_point now) { prompt_crashes_.push_back(now); }
     /// A server starts to run an attempt; `credential_received` if the request still carries the caller's API
     /// key.
     void on_attempt_run(const std::string& server, const std::string& attempt,
@@ -53,6 +56,8 @@
     void add_violation(const std::string& what, time_point now);
 
     [[nodiscard]] const std::vector<std::string>& violations() const noexcept { return violations_; }
+    /// Number of crashes on a prompt from `since` on.
+    [[nodiscard]] std::size_t prompt_crashes(time_point since) const;
     [[nodiscard]] std::size_t attempt_count() const noexcept { return attempts_.size(); }
     /// Fraction of the organisation's attempts sent from `since` on that got a complete response.
     [[nodiscard]] double answered_fraction(const std::string& organisation, time_point since) const;
@@ -61,6 +66,7 @@
     struct attempt {
         request_kind kind = request_kind::safe;
         std::string organisation;
+        bool crashes_engines = false;
         time_point sent_at;
         int runs = 0;
         /// HTTP status; 0 while there is no response, -1 if the call failed.
@@ -77,6 +83,7 @@
 
     time_point start_;
     std::map<std::string, attempt> attempts_;
+    std::vector<time_point> prompt_crashes_;
     /// Name of the first owner that sent an order, by engine.
     std::map<std::string, std::string> owners_;
     /// Newest reported version by process and incarnation.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -38,12 +38,17 @@
 
 constexpr int plain_server_count = 2;
 constexpr std::uint16_t agent_port_offset = 900;
+constexpr std::uint16_t control_port_offset = 3;
 /// Time for processes and routes to recover after the last fault has been cleared.
 constexpr duration recovery_time = 6s;
 /// The run ends with this long a phase without faults.
 constexpr duration fault_free_time = 4s;
 /// Fraction of the requests in the phase without faults that must be answered.
 constexpr double min_answered_fraction = 0.9;
+/// One in so many streams has the prompt part on which engines crash.
+constexpr std::size_t crashing_one_in = 20;
+/// Most crashes on it in the phase without faults, as the operators allow once it has crashed five engines.
+constexpr std::size_t max_late_prompt_crashes = 3;
 /// Processes must exit this soon after SIGTERM.
 constexpr duration stop_timeout = 9s;
 constexpr duration call_timeout = 2s;
@@ -176,13 +181,14 @@
     added->name = "entry-" + std::to_string(index);
     added->is_entry = true;
     added->request_address = at(host, 1);
-    added->control_address = at(host, 3);
+    added->control_address = at(host, control_port_offset);
     added->store_link = std::make_unique<fault_proxy>(at(host, 4), at(1, 0));
     write_settings(*added, {{"store", net::to_string(at(host, 4))},
                             {"listen", net::to_string(added->request_address)},
                             {"ready_listen", net::to_string(at(host, 2))},
                             {"control_listen", net::to_string(added->control_address)},
                             {"agent_port", options_.port + agent_port_offset},
+                            {"agent_control_port", options_.port + control_port_offset},
                             {"data_centres", json::array({{{"name", "north-a"}, {"region", "north"}}})}});
     start(*added);
     processes_.push_back(std::move(added));
@@ -197,7 +203,7 @@
                                           checker_));
     auto agent = std::make_unique<process>();
     agent->name = "agent-" + std::to_string(index);
-    agent->control_address = at(host, 3);
+    agent->control_address = at(host, control_port_offset);
     agent->store_link = std::make_unique<fault_proxy>(at(host, 4), at(1, 0));
     agent->engine_link = std::make_unique<fault_proxy>(at(host, 5), at(host, 1));
     write_settings(*agent, {{"store", net::to_string(at(host, 4))},
@@ -336,7 +342,14 @@
         const std::size_t adapter = std::min(random_below(8), random_below(8));
         call.headers.push_back({"x-samphiretray-model", "m0/a" + std::to_string(adapter)});
     }
-    checker_.on_attempt_sent(attempt, kind, organisation, loop_.now());
+    const bool crashes_engines = kind == request_kind::stream && random_below(crashing_one_in) == 0;
+    if (kind == request_kind::stream) {
+        call.headers.push_back({"x-samphiretray-prompt-prefix",
+                                "system:50,document" + std::to_string(random_below(20)) + ":100," +
+                                    (crashes_engines ? std::string{crashing_part} + "," : "") + "own" +
+                                    std::to_string(id) + ":20"});
+    }
+    checker_.on_attempt_sent(attempt, kind, organisation, crashes_engines, loop_.now());
     open_calls_[id] =
         client_->fetch(std::move(call), [this, id, attempt](const result<net::fetched_response>& answer) {
             if (answer) {
@@ -485,6 +498,12 @@
                                    " of the requests of the calm end are answered",
                                loop_.now());
     }
+    const std::size_t late_crashes = checker_.prompt_crashes(fault_free_since);
+    if (late_crashes > max_late_prompt_crashes) {
+        checker_.add_violation(std::to_string(late_crashes) +
+                                   " engines crashed on a known prompt part in the calm end",
+                               loop_.now());
+    }
     for (const auto& each : processes_) {
         each->expected_to_end = true;
         each->child.signal(SIGTERM);
@@ -497,9 +516,11 @@
     if (!ended) {
         checker_.add_violation("a process has not stopped 9 s after SIGTERM", loop_.now());
     }
-    std::printf("seed %llu: %zu requests, %.3f of the calm end answered, %zu violations; logs in %s\n",
-                static_cast<unsigned long long>(options_.seed), checker_.attempt_count(), answered,
-                checker_.violations().size(), folder_.c_str());
+    std::printf(
+        "seed %llu: %zu requests, %.3f of the calm end answered, %zu crashes on a prompt (%zu in the calm "
+        "end), %zu violations; logs in %s\n",
+        static_cast<unsigned long long>(options_.seed), checker_.attempt_count(), answered,
+        checker_.prompt_crashes({}), late_crashes, checker_.violations().size(), folder_.c_str());
     for (const std::string& each : checker_.violations()) {
         std::printf("VIOLATION %s\n", each.c_str());
     }
--- a/soak/platform_server.cpp
+++ b/soak/platform_server.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t adapter_slots = 3;
 constexpr duration service_time = 15ms;
 constexpr duration load_time = 60ms;
+constexpr duration prompt_crash_downtime = 400ms;
 constexpr duration order_delay = 1500ms;
 constexpr int event_count = 4;
 /// Time between writes of a response that does not end.
@@ -189,6 +190,14 @@
                              ? faulty_outcomes.at(faulty_response_count_++ % faulty_outcomes.size())
                              : response_outcome::complete;
     const std::string id = id_;
+    const bool crashes =
+        description_.is_engine &&
+        net::find_header(request.headers, "x-samphiretray-prompt-prefix").find(crashing_part) !=
+            std::string_view::npos;
+    if (crashes) {
+        run_after(service_time, [this, response, attempt, id] { crash_on_prompt(response, attempt, id); });
+        return;
+    }
     run_after(service_time, [this, response, attempt, outcome, id] {
         if (id != id_ || !response->is_open()) {
             response->abort();
@@ -198,6 +207,18 @@
     });
 }
 
+void platform_server::crash_on_prompt(const std::shared_ptr<net::http_response>& response,
+                                      const std::string& attempt, const std::string& id) {
+    if (id != id_ || !is_up()) {
+        response->abort();
+        return;
+    }
+    checker_.on_prompt_crash(loop_.now());
+    response->start(200, {{"x-samphiretray-attempt-id", attempt}, {"x-samphiretray-server-seal", "seal"}});
+    response->abort();
+    crash(prompt_crash_downtime);
+}
+
 void platform_server::send_response(const std::shared_ptr<net::http_response>& response,
                                     const std::string& attempt, response_outcome outcome) {
     if (outcome == response_outcome::dropped) {
--- a/soak/platform_server.h
+++ b/soak/platform_server.h
@@ -29,6 +29,9 @@
 /// body and one of another attempt.
 [[nodiscard]] std::string expected_body(const std::string& attempt);
 
+/// Engines crash whenever they begin a response to a request with this prompt part.
+inline constexpr std::string_view crashing_part = "crash:10";
+
 /// How a server sends a response.
 enum class response_outcome {
     complete,
@@ -66,6 +69,8 @@
     void handle_request(const net::http_request& request,
                         const std::shared_ptr<net::http_response>& response);
     void run_request(const net::http_request& request, const std::shared_ptr<net::http_response>& response);
+    void crash_on_prompt(const std::shared_ptr<net::http_response>& response, const std::string& attempt,
+                         const std::string& id);
     void handle_order(const net::http_request& request, const std::shared_ptr<net::http_response>& response);
     void send_response(const std::shared_ptr<net::http_response>& response, const std::string& attempt,
                        response_outcome outcome);
