--- a/tests/fleet/small_fleet.h
+++ b/tests/fleet/small_fleet.h
@@ -33,22 +33,23 @@
     }
     void watch(const std::string& prefix, std::uint64_t after, duration wait,
                const ports::completion<ports::store_changes>& done) {
-        const auto poll = std::make_shared<std::function<void(duration)>>();
-        *poll = [this, prefix, after, done, poll](duration left) {
-            ports::store_changes found;
-            found.revision = revision;
-            for (const auto& [at, key] : changes) {
-                if (at > after && key.starts_with(prefix)) {
-                    found.changes.push_back({key, values.at(key), at});
-                }
-            }
-            if (!found.changes.empty() || left <= 0ms) {
-                done(found);
-                return;
+        events.post([this, prefix, after, wait, done] { poll_changes(prefix, after, wait, done); });
+    }
+    void poll_changes(const std::string& prefix, std::uint64_t after, duration left,
+                      const ports::completion<ports::store_changes>& done) {
+        ports::store_changes found;
+        found.revision = revision;
+        for (const auto& [at, key] : changes) {
+            if (at > after && key.starts_with(prefix)) {
+                found.changes.push_back({key, values.at(key), at});
             }
-            timers.push_back(events.after(20ms, [poll, left] { (*poll)(left - 20ms); }));
-        };
-        events.post([poll, wait] { (*poll)(wait); });
+        }
+        if (!found.changes.empty() || left <= 0ms) {
+            done(found);
+            return;
+        }
+        timers.push_back(events.after(
+            20ms, [this, prefix, after, left, done] { poll_changes(prefix, after, left - 20ms, done); }));
     }
     void grant_lease(duration, const ports::completion<std::uint64_t>& done) {
         events.post([done] { done(std::uint64_t{1}); });
