Round waits for a named limit up

Found by reading: an agent asks whether its engine's limit allows a request, takes the request out of its queue, and then takes it from the limit. A wait of less than a microsecond was cut to none, so the limit could allow a request that could not be taken; the request then counted as running and was never sent, until its caller left. Waits are rounded up now. The new test failed before: allowed, and not taken.

--- a/src/rate/named_limit.cpp
+++ b/src/rate/named_limit.cpp
@@ -20,8 +20,9 @@
     return {requests_per_s, min_burst + burst_s * requests_per_s};
 }
 
+/// Rounded up, so that a wait that is not over never looks like none.
 duration seconds(double value) {
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(value));
+    return std::chrono::ceil<duration>(std::chrono::duration<double>(value));
 }
 
 } // namespace
--- a/tests/rate/named_limit_test.cpp
+++ b/tests/rate/named_limit_test.cpp
@@ -127,3 +127,17 @@
     CHECK(limit.wait_for(4, start) == 2s);
     CHECK(limit.wait_for(4, start + 1s) == 1s);
 }
+
+TEST_CASE("a request that the limit allows can be taken") {
+    // An agent takes a request out of its queue once the limit allows one. If it could not be taken from the
+    // limit then, the request counted as running and was never sent.
+    named_limit limit;
+    limit.set(3.0, start);
+    const duration third = 333'333us;
+    for (time_point now = start; now < start + 3s; now += third / 3) {
+        for (duration offset = -2us; offset <= 2us; offset += 1us) {
+            const bool allowed = limit.allows(now + offset);
+            CHECK(limit.try_take(now + offset) == allowed);
+        }
+    }
+}
