--- a/include/samphiretray/base/text.h
+++ b/include/samphiretray/base/text.h
@@ -38,7 +38,8 @@
 }
 
 /// Parses `text` as a decimal number. Returns nothing if it contains anything else or is out of range.
-template <std::integral Number>
+template <typename Number>
+    requires std::integral<Number> || std::floating_point<Number>
 [[nodiscard]] std::optional<Number> parse_number(std::string_view text) {
     Number value{};
     const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
