Work out the quarantined parts only when a crash begins to count

They were worked out with each poll, ten times a second, while any crash was settling. The result depends only on settled crashes, so the next time is when the next crash settles, or when evidence changes.

--- a/include/samphiretray/routing/crash_quarantine.h
+++ b/include/samphiretray/routing/crash_quarantine.h
@@ -166,7 +166,8 @@
     void drop_oldest();
     void expire(time_point now);
     void update_rules(time_point now);
-    [[nodiscard]] crash_list settled_crashes(time_point now) const;
+    /// The crashes that count; also notes when the next one does.
+    [[nodiscard]] crash_list take_settled_crashes(time_point now);
     [[nodiscard]] suspicions suspicions_of(const crash_list& counted) const;
     [[nodiscard]] bool is_established(part_key part, const suspicion& value, const crash_list& counted) const;
     [[nodiscard]] rule make_rule(part_key part, const suspicions& all, const crash_list& counted) const;
@@ -191,7 +192,7 @@
     std::unordered_map<part_key, rule> rules_;
     std::map<part_key, quarantine_phase> reported_phases_;
     bool changed_ = false;
-    /// When the youngest crash begins to count.
+    /// When the next crash begins to count.
     std::optional<time_point> settles_at_;
 };
 
--- a/src/routing/crash_quarantine.cpp
+++ b/src/routing/crash_quarantine.cpp
@@ -134,8 +134,6 @@
     }
     known.revision = ++revision_;
     changed_ = true;
-    const time_point settles_at = known.at + settings_.settle_time;
-    settles_at_ = std::max(settles_at_.value_or(settles_at), settles_at);
     std::set<part_key> added = parts_of(known.requests);
     std::ranges::for_each(parts_before, [&added](part_key part) { added.erase(part); });
     add_suspects(added);
@@ -197,11 +195,15 @@
     return changes;
 }
 
-crash_quarantine::crash_list crash_quarantine::settled_crashes(time_point now) const {
+crash_quarantine::crash_list crash_quarantine::take_settled_crashes(time_point now) {
     crash_list settled;
+    settles_at_.reset();
     for (const known_crash& each : crashes_ | std::views::values) {
-        if (now - each.at >= settings_.settle_time) {
+        const time_point settles_at = each.at + settings_.settle_time;
+        if (settles_at <= now) {
             settled.push_back(&each);
+        } else {
+            settles_at_ = std::min(settles_at_.value_or(settles_at), settles_at);
         }
     }
     return settled;
@@ -237,12 +239,7 @@
 }
 
 void crash_quarantine::update_rules(time_point now) {
-    if (settles_at_ && now >= *settles_at_) {
-        settles_at_.reset();
-    }
-    // Crashes that still settle are looked at again with the next poll.
-    changed_ = settles_at_.has_value();
-    const crash_list counted = settled_crashes(now);
+    const crash_list counted = take_settled_crashes(now);
     suspicions established = suspicions_of(counted);
     std::erase_if(established,
                   [&](const auto& each) { return !is_established(each.first, each.second, counted); });
