Hash prompt parts without copying their ids; convert ages in one place

Each request copied the ids of its shared parts into strings only to hash them. Reports of crashes and of limits each had a conversion of ages with a bound of its own.

--- a/include/samphiretray/gateway/crash_report.h
+++ b/include/samphiretray/gateway/crash_report.h
@@ -1,11 +1,15 @@
 #pragma once
 
 #include "samphiretray/base/error.h"
+#include "samphiretray/base/hash.h"
 #include "samphiretray/gateway/model.h"
 #include "samphiretray/routing/crash_quarantine.h"
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <algorithm>
+#include <iterator>
+#include <ranges>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,14 +17,28 @@
 /// The form in which processes exchange evidence about crashed engines.
 namespace samphiretray::gateway {
 
-/// The parts of a prompt that other requests may share: all but the last one, which belongs to the request or
-/// its session.
-[[nodiscard]] std::vector<std::string> shared_parts(const std::vector<prompt_part>& prompt);
-[[nodiscard]] routing::prompt_request make_prompt_request(std::string_view attempt_id,
-                                                          const std::vector<std::string>& shared_parts);
+/// The ids of the parts of a prompt that other requests may share: all but the last one, which belongs to the
+/// request or its session.
+[[nodiscard]] inline auto shared_part_ids(const std::vector<prompt_part>& prompt) {
+    return prompt | std::views::take(std::max<std::size_t>(prompt.size(), 1) - 1) |
+           std::views::transform(&prompt_part::id);
+}
+
+template <std::ranges::input_range Ids>
+[[nodiscard]] routing::prompt_request make_prompt_request(std::string_view attempt_id, const Ids& part_ids) {
+    routing::prompt_request request{hash64(attempt_id), {}};
+    std::ranges::transform(part_ids, std::back_inserter(request.parts),
+                           [](std::string_view id) { return hash64(id); });
+    return request;
+}
+
 /// Names an incarnation of an engine alike in all processes.
 [[nodiscard]] std::string crashed_engine_name(const net::address& engine, std::uint64_t started_at);
 
+/// An age in a report. Whatever is older than a day has long been forgotten; the limit keeps the conversion
+/// to microseconds from overflowing.
+[[nodiscard]] duration age_from(std::uint64_t milliseconds);
+
 [[nodiscard]] nlohmann::json to_json(const routing::crash_evidence& evidence);
 /// Fails with `protocol_error` if `value` is not crash evidence.
 [[nodiscard]] result<routing::crash_evidence> crash_evidence_from(const nlohmann::json& value,
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -439,7 +439,7 @@
     if (!failure) {
         if (request->first_byte_at) {
             const caller_request& caller = request->forwarded.caller;
-            const auto answered = make_prompt_request(caller.attempt_id, shared_parts(caller.prefix));
+            const auto answered = make_prompt_request(caller.attempt_id, shared_part_ids(caller.prefix));
             known_crashes_.on_answered(answered.parts, *request->first_byte_at, loop_.now());
         }
         request->response->finish();
@@ -472,8 +472,9 @@
         return;
     }
     const caller_request& caller = request.forwarded.caller;
-    crashes_.on_interrupted(
-        {caller.attempt_id, shared_parts(caller.prefix), request.answer_began_at, loop_.now()});
+    agent::interrupted_work work{caller.attempt_id, {}, request.answer_began_at, loop_.now()};
+    std::ranges::copy(shared_part_ids(caller.prefix), std::back_inserter(work.parts));
+    crashes_.on_interrupted(std::move(work));
 }
 
 template <request_binding Binding, engine_control Engine>
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -386,7 +386,8 @@
     for (const prompt_part& part : request->caller.prefix) {
         request->prompt.push_back({part.id, part.tokens});
     }
-    request->shared = make_prompt_request(request->caller.attempt_id, shared_parts(request->caller.prefix));
+    request->shared =
+        make_prompt_request(request->caller.attempt_id, shared_part_ids(request->caller.prefix));
     return authenticate(*request) && admit(*request);
 }
 
--- a/src/gateway/crash_report.cpp
+++ b/src/gateway/crash_report.cpp
@@ -1,7 +1,5 @@
 #include "samphiretray/gateway/crash_report.h"
 
-#include "samphiretray/base/hash.h"
-
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -24,12 +22,6 @@
                                                                 : std::nullopt;
 }
 
-/// Crashes are forgotten long before the limit, which keeps the conversion to microseconds from overflowing.
-duration age_from(std::uint64_t milliseconds) {
-    constexpr std::chrono::milliseconds limit = 24h;
-    return std::chrono::milliseconds{std::min(milliseconds, static_cast<std::uint64_t>(limit.count()))};
-}
-
 bool is_list_of_numbers(const json& value, std::size_t min_size) {
     return value.is_array() && value.size() >= min_size &&
            std::ranges::all_of(value, [](const json& each) { return each.is_number_unsigned(); });
@@ -63,27 +55,15 @@
 
 } // namespace
 
-std::vector<std::string> shared_parts(const std::vector<prompt_part>& prompt) {
-    std::vector<std::string> parts;
-    if (!prompt.empty()) {
-        std::transform(prompt.begin(), std::prev(prompt.end()), std::back_inserter(parts),
-                       [](const prompt_part& part) { return part.id; });
-    }
-    return parts;
-}
-
-routing::prompt_request make_prompt_request(std::string_view attempt_id,
-                                            const std::vector<std::string>& shared_parts) {
-    routing::prompt_request request{hash64(attempt_id), {}};
-    std::ranges::transform(shared_parts, std::back_inserter(request.parts),
-                           [](const std::string& id) { return hash64(id); });
-    return request;
-}
-
 std::string crashed_engine_name(const net::address& engine, std::uint64_t started_at) {
     return net::to_string(engine) + "#" + std::to_string(started_at);
 }
 
+duration age_from(std::uint64_t milliseconds) {
+    constexpr std::chrono::milliseconds limit = 24h;
+    return std::chrono::milliseconds{std::min(milliseconds, static_cast<std::uint64_t>(limit.count()))};
+}
+
 json to_json(const routing::crash_evidence& evidence) {
     json crashes = json::array();
     for (const routing::engine_crash& each : evidence.crashes) {
--- a/src/gateway/usage_report.cpp
+++ b/src/gateway/usage_report.cpp
@@ -3,7 +3,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <chrono>
 #include <iterator>
 #include <optional>
 
@@ -15,7 +14,7 @@
 
 /// A limit is a list of the endpoint, its age in milliseconds, and the requests a second if one is named.
 json limit_json(const rate::limit_observation& limit) {
-    json entry = json::array({limit.endpoint, milliseconds_in(limit.age)});
+    json entry = json::array({limit.endpoint, static_cast<std::uint64_t>(milliseconds_in(limit.age))});
     if (limit.requests_per_s) {
         entry.push_back(*limit.requests_per_s);
     }
@@ -24,16 +23,14 @@
 
 std::optional<rate::limit_observation> limit_from(const json& entry) {
     constexpr std::size_t shortest = 2;
-    constexpr std::int64_t longest_age_ms = 86'400'000;
     const bool is_limited = entry.is_array() && entry.size() == shortest + 1;
     const bool well_formed = entry.is_array() && (entry.size() == shortest || is_limited) &&
-                             entry[0].is_string() && entry[1].is_number_integer() &&
+                             entry[0].is_string() && entry[1].is_number_unsigned() &&
                              (!is_limited || entry[shortest].is_number());
     if (!well_formed) {
         return std::nullopt;
     }
-    const std::int64_t age = std::clamp<std::int64_t>(entry[1], 0, longest_age_ms);
-    rate::limit_observation limit{entry[0], std::nullopt, std::chrono::milliseconds{age}};
+    rate::limit_observation limit{entry[0], std::nullopt, age_from(entry[1])};
     if (is_limited) {
         limit.requests_per_s = std::max(entry[shortest].get<double>(), 0.0);
     }
