--- a/tests/fleet/crashing_part_test.cpp
+++ b/tests/fleet/crashing_part_test.cpp
@@ -12,7 +12,7 @@
 
 /// Engines that crash whenever they begin an answer to a request with the part "dead".
 struct fleet_with_crashing_part : small_fleet {
-    fleet_with_crashing_part() : small_fleet(2, 3) {
+    explicit fleet_with_crashing_part(std::size_t engine_count = 3) : small_fleet(2, engine_count) {
         for (auto& each : engines) {
             each->engine.on_request =
                 [this, &engine = each->engine](const net::http_request& request,
@@ -50,6 +50,16 @@
         }
     }
 
+    /// Requests with the part crash five engines or fewer, until the part is quarantined.
+    void quarantine() {
+        for (std::uint64_t i = 0; i < 5; ++i) {
+            (void)ask(i % 2, "first:20,dead:40,own" + std::to_string(i) + ":50");
+            recover();
+        }
+        run_for(1s);
+        REQUIRE(crash_count >= 3);
+    }
+
     std::size_t crash_count = 0;
 };
 
@@ -87,3 +97,63 @@
     CHECK(refused >= 12 - max_reached);
     CHECK(served == 12);
 }
+
+// Guards against a quarantine that ends with the processes that know it (BUDGET): an entry that had been
+// restarted sent requests with the part to engines until it had heard of the crashes from a peer.
+TEST_CASE("entries that are restarted send no request with a quarantined part to engines") {
+    fleet_with_crashing_part fleet;
+    fleet.quarantine();
+    const std::size_t before = fleet.crash_count;
+    for (std::uint64_t i = 0; i < 8; ++i) {
+        fleet.start_entry(i % 2);
+        (void)fleet.ask(i % 2, "first:20,dead:40," + own_part(10 + i));
+        fleet.recover();
+    }
+    CHECK(fleet.crash_count - before <= max_reached);
+    const auto sound = fleet.ask(0, "first:20," + own_part(100));
+    CHECK((sound && sound->status == 200));
+}
+
+// As above, while no other entry can tell: all were restarted at the same time.
+TEST_CASE("entries that are all restarted send no request with a quarantined part to engines") {
+    fleet_with_crashing_part fleet;
+    fleet.quarantine();
+    const std::size_t before = fleet.crash_count;
+    for (std::uint64_t i = 0; i < 4; ++i) {
+        fleet.start_entry(0);
+        fleet.start_entry(1);
+        (void)fleet.ask(i % 2, "first:20,dead:40," + own_part(10 + i));
+        (void)fleet.ask((i + 1) % 2, "first:20,dead:40," + own_part(20 + i));
+        fleet.recover();
+    }
+    CHECK(fleet.crash_count - before <= max_reached);
+}
+
+// Guards against requests that reach engines long after their part has been quarantined, since they were
+// waiting at an agent at that moment (BUDGET).
+TEST_CASE("requests that wait at an agent do not begin once their part is quarantined") {
+    fleet_with_crashing_part fleet{8};
+    std::vector<std::shared_ptr<small_fleet::asked>> waiting;
+    for (auto& each : fleet.engines) {
+        each->engine.delay_orders(1000);
+    }
+    for (std::uint64_t i = 0; i < 12; ++i) {
+        waiting.push_back(
+            fleet.send(i % 2, "first:20,dead:40," + own_part(10 + i), "m0/a" + std::to_string(i)));
+    }
+    fleet.run_for(100ms);
+    for (std::uint64_t i = 0; i < 3; ++i) {
+        (void)fleet.ask(i % 2, "first:20,dead:40," + own_part(i));
+        fleet.run_for(20ms);
+    }
+    fleet.run_for(900ms);
+    const std::size_t before = fleet.crash_count;
+    for (auto& each : fleet.engines) {
+        each->engine.order_fates.clear();
+    }
+    fleet.run_for(2s);
+    CHECK(fleet.crash_count == before);
+    for (const auto& each : waiting) {
+        CHECK(each->status() == 503);
+    }
+}
