Keep the quarantine of prompt parts at the agents as well

Cause: the quarantine lived only in the memory of entries, as a check before a request is sent. An entry that starts again sent the part on until it had heard of the crashes (0.3 to 0.45 s; all entries at once forgot it), and requests that were waiting at agents when the part was quarantined began afterwards. The class of fault is a decision that ends with the process that made it, and that is not applied to work already under way.

Now entries announce the quarantined parts to the agents of their region, two entries to each agent, at each change and every 5 s. An entry that learns of a part in this way asks the agent for the evidence.

The same cause elsewhere: - An answer that fell silent after its first event counted as proof that its part is harmless, which lifted the quarantine at all entries; now an answer has to go on for 0.5 s, or to end whole. - An entry that knew no other took itself for the one that probes; now it sends no probe. - An agent that was killed or frozen at the crash could not tell what its engine had been running; after three inquiries the entries report the requests of their own that were cut, unless the engine has gone on.

--- a/include/samphiretray/gateway/agent_protocol.h
+++ b/include/samphiretray/gateway/agent_protocol.h
@@ -12,7 +12,7 @@
 namespace samphiretray::gateway {
 
 /// Why an agent answered a request with an error of its own. The request has not run, except possibly with
-/// `outcome_unknown`.
+/// `outcome_unknown` and `withdrawn`.
 enum class agent_refusal {
     draining,
     /// The engine does not respond, or has no base model loaded.
@@ -27,6 +27,11 @@
     limited,
     /// The request was forwarded to the engine and no valid response came back.
     outcome_unknown,
+    /// The prompt has a part that crashes engines.
+    quarantined,
+    /// The request was taken back from the engine before an answer began, since its prompt has a part that
+    /// crashes engines. It may have run.
+    withdrawn,
 };
 
 /// At-most-once requests reuse only connections that have been idle for at most this long. The peer may be
@@ -55,8 +60,11 @@
 /// Headers of responses from an agent to an entry.
 void add_engine_load(net::http_headers& headers, const routing::engine_load& load);
 [[nodiscard]] std::optional<routing::engine_load> read_engine_load(const net::http_headers& headers);
-void add_refusal(net::http_headers& headers, agent_refusal reason);
+/// `retry_after` is the time until the reason no longer holds, if the agent knows it.
+void add_refusal(net::http_headers& headers, agent_refusal reason,
+                 std::optional<duration> retry_after = std::nullopt);
 [[nodiscard]] std::optional<agent_refusal> read_refusal(const net::http_headers& headers);
+[[nodiscard]] std::optional<duration> read_refusal_wait(const net::http_headers& headers);
 
 /// Removes all of these headers.
 void remove_agent_headers(net::http_headers& headers);
@@ -76,6 +84,8 @@
         {gateway::agent_refusal::load_failed, "load_failed"},
         {gateway::agent_refusal::limited, "limited"},
         {gateway::agent_refusal::outcome_unknown, "outcome_unknown"},
+        {gateway::agent_refusal::quarantined, "quarantined"},
+        {gateway::agent_refusal::withdrawn, "withdrawn"},
     });
 
 } // namespace samphiretray
--- a/include/samphiretray/gateway/crash_exchange.h
+++ b/include/samphiretray/gateway/crash_exchange.h
@@ -7,28 +7,47 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace samphiretray::gateway {
 
-/// Path at the control address of an agent. The body of the request is evidence that the agent should keep;
-/// the response is the evidence that the agent has in addition.
+/// Paths at the control address of an agent. The body of a request is what the entry knows; the response to
+/// `crashes_path` is the evidence that the agent has in addition.
 inline constexpr std::string_view crashes_path = "/crashes";
+inline constexpr std::string_view announcements_path = "/quarantine";
 
-/// Asks the agents of engines that have cut answers whether they crashed, and what they were running.
+/// An answer that ended before its time, as the entry that received it knows it.
+struct cut_answer {
+    net::address engine;
+    /// Start of the engine in Unix milliseconds, as the entry knew it when it sent the request.
+    std::uint64_t engine_started_at = 0;
+    routing::prompt_request request;
+};
+
+/// Asks the agents of engines that have cut answers whether they crashed, and what they were running, and
+/// announces the quarantined parts to agents.
 class crash_exchange {
 public:
-    /// `agent_control_port` 0 means that agents are not asked.
+    /// `agent_control_port` 0 means that there are no agents to talk to.
     crash_exchange(net::loop& events, net::http_client& http, routing::crash_quarantine& quarantine,
                    std::uint16_t agent_control_port)
         : loop_(events), http_(http), quarantine_(quarantine), port_(agent_control_port) {}
 
-    /// An answer from the engine beside the agent on `host` was cut.
-    void on_interrupted(const std::string& host);
+    /// The agent on `host`, or its engine, has closed the connection of a request before the end of its
+    /// answer. `cut` is set if the request may have crashed the engine.
+    void on_interrupted(const std::string& host, std::optional<cut_answer> cut);
+    /// The agent on `host` holds back a part that this entry does not.
+    void on_held_back_by(const std::string& host);
+    /// Tells the agent on `host` which parts are quarantined.
+    void announce(const std::string& host);
 
 private:
     struct inquiry {
         std::uint32_t attempts = 0;
+        time_point began_at;
+        std::vector<cut_answer> cut_answers;
         net::timer_handle timer;
         std::unique_ptr<net::http_exchange> exchange;
     };
@@ -36,6 +55,11 @@
     void ask_later(const std::string& host, duration delay);
     void ask(const std::string& host);
     void on_answer(const std::string& host, const result<net::fetched_response>& answer);
+    /// Reports the engines that have ended as crashed, with this entry's own requests as the suspects: an
+    /// agent that was restarted since does not know what its engine was running, and one that does not answer
+    /// cannot say.
+    void report_own(const inquiry& ended, std::optional<std::uint64_t> engine_started_at);
+    [[nodiscard]] std::string message_text() const;
 
     net::loop& loop_;
     net::http_client& http_;
@@ -43,6 +67,8 @@
     std::uint16_t port_;
     /// Inquiries in progress, by host.
     std::map<std::string, inquiry> inquiries_;
+    /// Announcements in progress, by host.
+    std::map<std::string, std::unique_ptr<net::http_exchange>> announcements_;
 };
 
 } // namespace samphiretray::gateway
--- a/include/samphiretray/gateway/crash_report.h
+++ b/include/samphiretray/gateway/crash_report.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 #include <ranges>
 #include <string>
 #include <string_view>
@@ -44,9 +45,17 @@
 [[nodiscard]] result<routing::crash_evidence> crash_evidence_from(const nlohmann::json& value,
                                                                   std::string_view peer);
 
-[[nodiscard]] std::string encode(const routing::crash_evidence& evidence);
-/// Fails with `protocol_error` if `text` is not crash evidence.
-[[nodiscard]] result<routing::crash_evidence> decode_crash_evidence(std::string_view text,
-                                                                    std::string_view peer);
+/// What entries and agents tell each other about crashes.
+struct crash_message {
+    routing::crash_evidence evidence;
+    /// The parts that the sender holds back from engines; only entries announce them.
+    std::vector<routing::held_part> held = {};
+    /// Start of the sender's engine, in Unix milliseconds; only agents tell it.
+    std::optional<std::uint64_t> engine_started_at = {};
+};
+
+[[nodiscard]] std::string encode(const crash_message& message);
+/// Fails with `protocol_error` if `text` is not a message about crashes.
+[[nodiscard]] result<crash_message> decode_crash_message(std::string_view text, std::string_view peer);
 
 } // namespace samphiretray::gateway
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -254,7 +254,13 @@
     for (const prompt_part& part : request->forwarded.caller.prefix) {
         request->prompt.push_back({part.id, part.tokens});
     }
+    request->shared = make_prompt_request(request->forwarded.caller.attempt_id,
+                                          shared_part_ids(request->forwarded.caller.prefix));
     learn_engine_id(*request);
+    if (const auto held = held_parts_.check(request->shared.parts, request->arrived_at)) {
+        refuse(request, agent_refusal::quarantined, "", held->retry_after);
+        return;
+    }
     const agent::admission_request admission = make_admission_request(*request);
     if (const auto reason = reason_to_refuse(*request, admission)) {
         refuse(request, *reason, "");
@@ -446,9 +452,7 @@
     }
     if (!failure) {
         if (request->first_byte_at) {
-            const caller_request& caller = request->forwarded.caller;
-            const auto answered = make_prompt_request(caller.attempt_id, shared_part_ids(caller.prefix));
-            known_crashes_.on_answered(answered.parts, *request->first_byte_at, loop_.now());
+            known_crashes_.on_answered(request->shared.parts, *request->first_byte_at, loop_.now());
         }
         request->response->finish();
         finish(request, "answered");
@@ -512,13 +516,14 @@
 
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::refuse(const request_pointer& request, agent_refusal reason,
-                                           std::string_view detail) {
+                                           std::string_view detail, std::optional<duration> retry_after) {
     net::http_headers headers;
-    add_refusal(headers, reason);
+    add_refusal(headers, reason, retry_after);
     if (report_) {
         add_engine_load(headers, current_load());
     }
-    request->response->send(reason == agent_refusal::outcome_unknown ? 502 : 503, headers, "");
+    const bool may_have_run = reason == agent_refusal::outcome_unknown || reason == agent_refusal::withdrawn;
+    request->response->send(may_have_run ? 502 : 503, headers, "");
     finish(request, detail.empty() ? name_of(reason) : detail);
 }
 
@@ -786,6 +791,25 @@
     }
 }
 
+template <request_binding Binding, engine_control Engine>
+void engine_agent<Binding, Engine>::withdraw_held() {
+    std::vector<request_pointer> held;
+    std::ranges::copy_if(
+        requests_ | std::views::values, std::back_inserter(held), [this](const request_pointer& each) {
+            return !each->answer_began_at && held_parts_.check(each->shared.parts, loop_.now());
+        });
+    for (const request_pointer& each : held) {
+        if (each->forwarded_at) {
+            each->exchange.reset();
+            refuse(each, agent_refusal::withdrawn, "");
+        } else {
+            refuse(each, agent_refusal::quarantined, "",
+                   held_parts_.check(each->shared.parts, loop_.now())->retry_after);
+        }
+    }
+    process_queue();
+}
+
 template <request_binding Binding, engine_control Engine>
 bool engine_agent<Binding, Engine>::has_base_model() const {
     return report_ && !report_->models.empty();
@@ -869,9 +893,9 @@
 }
 
 template <request_binding Binding, engine_control Engine>
-void engine_agent<Binding, Engine>::on_crash_inquiry(const net::http_request& request,
+void engine_agent<Binding, Engine>::on_crash_message(const net::http_request& request,
                                                      net::http_response& response) {
-    const auto told = decode_crash_evidence(request.body, request.peer);
+    const auto told = decode_crash_message(request.body, request.peer);
     if (!told) {
         log_event(log_level::warning, "crash_inquiry_refused",
                   {{"peer", request.peer}, {"failure", to_string(told.error())}});
@@ -879,11 +903,22 @@
         return;
     }
     const time_point now = loop_.now();
-    known_crashes_.merge(*told, now);
-    routing::crash_evidence own = known_crashes_.evidence_after(0, now);
-    std::erase_if(own.crashes, [&](const routing::engine_crash& each) {
-        return std::ranges::find(told->crashes, each.engine, &routing::engine_crash::engine) !=
-               told->crashes.end();
+    known_crashes_.merge(told->evidence, now);
+    if (held_parts_.merge(told->held, now)) {
+        log_event(log_level::info, "prompt_parts_held",
+                  {{"peer", request.peer}, {"parts", held_parts_.count(now)}});
+        withdraw_held();
+    }
+    if (request.path == announcements_path) {
+        response.send(200, {}, "");
+        return;
+    }
+    crash_message own{known_crashes_.evidence_after(0, now),
+                      {},
+                      report_ ? std::optional{report_->started_at} : std::nullopt};
+    std::erase_if(own.evidence.crashes, [&](const routing::engine_crash& each) {
+        return std::ranges::find(told->evidence.crashes, each.engine, &routing::engine_crash::engine) !=
+               told->evidence.crashes.end();
     });
     response.send(200, {{"content-type", "application/json"}}, encode(own));
 }
@@ -891,8 +926,8 @@
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::on_control(const net::http_request& request,
                                                net::http_response& response) {
-    if (request.path == crashes_path) {
-        on_crash_inquiry(request, response);
+    if (request.path == crashes_path || request.path == announcements_path) {
+        on_crash_message(request, response);
     } else if (request.path == "/metrics") {
         response.send(200, {{"content-type", "text/plain; version=0.0.4"}}, metrics_.text());
     } else if (request.path == "/status") {
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -17,6 +17,7 @@
 #include "samphiretray/ports/engine.h"
 #include "samphiretray/rate/named_limit.h"
 #include "samphiretray/routing/crash_quarantine.h"
+#include "samphiretray/routing/held_parts.h"
 #include "samphiretray/routing/prefix_cache_model.h"
 
 #include <concepts>
@@ -74,6 +75,8 @@
         std::shared_ptr<net::http_response> response;
         ports::adapter_version adapter;
         std::vector<routing::prompt_segment> prompt;
+        /// Identifies the request, and the parts of its prompt that others may share, in evidence of crashes.
+        routing::prompt_request shared;
         time_point arrived_at;
         time_point deadline;
         waiting_budget budget;
@@ -118,7 +121,8 @@
     void on_mismatched_response(const request_pointer& request, int code, const answer_summary& head);
     void on_data(const request_pointer& request, std::string_view bytes);
     void on_end(const request_pointer& request, const std::optional<error>& failure);
-    void refuse(const request_pointer& request, agent_refusal reason, std::string_view detail);
+    void refuse(const request_pointer& request, agent_refusal reason, std::string_view detail,
+                std::optional<duration> retry_after = std::nullopt);
     void finish(const request_pointer& request, std::string_view outcome);
     void note_limit(std::optional<double> requests_per_s);
     void note_interruption(const agent_request& request);
@@ -130,13 +134,15 @@
     void refuse_after_failed_loads();
     void load_base_model();
     void refuse_waiting(agent_refusal reason);
+    /// Takes back the requests with quarantined parts whose answers have not begun.
+    void withdraw_held();
     [[nodiscard]] bool has_base_model() const;
     void check_drained();
     [[nodiscard]] routing::engine_load current_load() const;
     [[nodiscard]] bool is_engine_up() const;
     void check_engine_draining();
     void on_control(const net::http_request& request, net::http_response& response);
-    void on_crash_inquiry(const net::http_request& request, net::http_response& response);
+    void on_crash_message(const net::http_request& request, net::http_response& response);
 
     net::loop& loop_;
     engine_agent_settings settings_;
@@ -150,8 +156,10 @@
     /// The limit that the engine names, all of which this agent may use: it is the engine's only sender.
     rate::named_limit limit_;
     agent::crash_recorder crashes_;
-    /// Holds no requests back: it keeps what entries know about crashes, in case all of them restart.
+    /// What this agent and the entries know about crashes, in case all entries restart.
     routing::crash_quarantine known_crashes_;
+    /// The quarantined parts that entries have announced.
+    routing::held_parts held_parts_;
     routing::prefix_cache_model prefixes_{0};
     std::map<std::string, std::uint64_t> released_versions_;
     std::unordered_map<std::uint64_t, request_pointer> requests_;
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "samphiretray/base/hash.h"
+#include "samphiretray/base/rendezvous.h"
 #include "samphiretray/base/text.h"
 #include "samphiretray/gateway/crash_report.h"
 #include "samphiretray/gateway/entry_gateway.h"
@@ -42,6 +43,10 @@
 inline constexpr duration max_suspect_answer_age = 500ms;
 /// An engine that has gone on for this long after the first byte of an answer will not crash on the request.
 inline constexpr duration harmless_answer_age = 1s;
+/// While prompt parts are quarantined, agents are told again after this time, since they may have been
+/// restarted.
+inline constexpr duration quarantine_announcement_interval = 5s;
+inline constexpr std::size_t entries_informing_an_agent = 2;
 /// Most endpoints tried for one request, whatever the route allows; those whose agents refused count.
 inline constexpr std::size_t max_tried_endpoints = 5;
 /// The urgency of a request ranges from 0, the most urgent, to this value.
@@ -139,6 +144,12 @@
     if (auto started = start_servers(); !started) {
         return started;
     }
+    usage_exchange_.on_peers_changed([this](const std::vector<peer_entry>& peers) {
+        peers_ = peers;
+        if (on_peers_) {
+            on_peers_(peers);
+        }
+    });
     usage_exchange_.start();
     tick_timer_ = loop_.every(limits::tick_interval, [this] { on_tick(); });
     log_event(log_level::info, "entry_started",
@@ -532,6 +543,14 @@
     }
 }
 
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::on_held_back_by_agent(const request_pointer& request) {
+    ejection_.abandoned(request->endpoint, loop_.now());
+    crash_exchange_.on_held_back_by(request->agent_host);
+    request->may_have_run = request->may_have_run || request->last_refusal == agent_refusal::withdrawn;
+    hold_back(*request, {0, request->refusal_wait.value_or(limits::retry_after_when_full)});
+}
+
 template <request_binding Binding, typename Store>
 waiting_budget entry_gateway<Binding, Store>::waiting_budget_of(const active_request& request,
                                                                 bool has_others) const {
@@ -561,6 +580,7 @@
     }
     request->endpoint = to->id;
     request->agent_host = via_agent ? to->address.host : "";
+    request->engine_started_at = to->started_at;
     request->state = answer_state::awaiting_head;
     request->body_started = false;
     discard_buffered(*request);
@@ -665,6 +685,7 @@
     request->state = classify(*request, head, headers);
     if (request->state == answer_state::agent_refused) {
         request->last_refusal = read_refusal(headers);
+        request->refusal_wait = read_refusal_wait(headers);
         return;
     }
     if (request->state == answer_state::invalid) {
@@ -800,8 +821,15 @@
     const time_point now = loop_.now();
     choice_.ended(request->endpoint, request->id,
                   failure ? std::nullopt : std::optional<duration>{now - request->sent_at});
+    if (request->state == answer_state::agent_refused && !failure &&
+        (request->last_refusal == agent_refusal::quarantined ||
+         request->last_refusal == agent_refusal::withdrawn)) {
+        on_held_back_by_agent(request);
+        return;
+    }
     const bool refused = request->state == answer_state::agent_refused &&
-                         request->last_refusal != agent_refusal::outcome_unknown;
+                         request->last_refusal != agent_refusal::outcome_unknown &&
+                         request->last_refusal != agent_refusal::withdrawn;
     const bool is_cut = failure && failure->code == errc::connection_closed;
     if (request->is_engine && (is_cut || (request->state == answer_state::agent_refused && !refused))) {
         on_interrupted(*request);
@@ -867,15 +895,18 @@
 
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::on_interrupted(const active_request& request) {
-    if (!request.agent_host.empty()) {
-        crash_exchange_.on_interrupted(request.agent_host);
-        return;
-    }
-    // Without its agent, nobody else knows what the engine was running.
     const bool is_suspect =
         !request.body_started || loop_.now() - request.answer_began_at <= limits::max_suspect_answer_age;
-    if (const endpoint* at = directory_.find(request.endpoint); at != nullptr && is_suspect) {
-        quarantine_.on_crash({crashed_engine_name(at->address, at->started_at), 0ms, {request.shared}},
+    const endpoint* at = directory_.find(request.endpoint);
+    std::optional<cut_answer> cut;
+    if (at != nullptr && is_suspect) {
+        cut = cut_answer{at->address, request.engine_started_at, request.shared};
+    }
+    if (!request.agent_host.empty()) {
+        crash_exchange_.on_interrupted(request.agent_host, std::move(cut));
+    } else if (cut) {
+        // Without its agent, nobody else knows what the engine was running.
+        quarantine_.on_crash({crashed_engine_name(cut->engine, cut->engine_started_at), 0ms, {cut->request}},
                              loop_.now());
     }
 }
@@ -893,7 +924,10 @@
     for (const request_pointer& each : active_requests_ | std::views::values) {
         const bool is_answered =
             each->state == answer_state::relayed && each->body_started && is_event_stream(*each);
-        if (is_answered && now - each->answer_began_at > limits::harmless_answer_age) {
+        // An answer that has only fallen silent may have been cut by a crash that is not known here yet.
+        const bool has_gone_on = is_answered && each->events.last_progress_at() - each->answer_began_at >=
+                                                    limits::max_suspect_answer_age;
+        if (has_gone_on && now - each->answer_began_at > limits::harmless_answer_age) {
             note_harmless(*each);
         }
     }
@@ -901,7 +935,13 @@
 
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::report_quarantine_changes() {
-    for (const routing::quarantine_change& each : quarantine_.poll(loop_.now())) {
+    const auto changes = quarantine_.poll(loop_.now());
+    const bool is_due = quarantine_announced_at_ &&
+                        loop_.now() - *quarantine_announced_at_ >= limits::quarantine_announcement_interval;
+    if (!changes.empty() || is_due) {
+        announce_quarantine();
+    }
+    for (const routing::quarantine_change& each : changes) {
         const std::string_view phase = each.phase ? name_of(*each.phase) : "harmless";
         quarantine_counter_.add({phase});
         log_event(log_level::warning, "prompt_part_quarantine",
@@ -914,6 +954,48 @@
     }
 }
 
+/// Each agent is informed by two entries of its region, as far as there are any.
+template <request_binding Binding, typename Store>
+bool entry_gateway<Binding, Store>::informs_agent_of(const endpoint& engine) const {
+    const auto region_of = [this](const std::string& data_centre) {
+        const auto found = settings_.regions.find(data_centre);
+        return found == settings_.regions.end() ? data_centre : found->second;
+    };
+    const std::string region = region_of(engine.data_centre);
+    std::vector<std::string> others;
+    for (const peer_entry& each : peers_) {
+        if (region_of(each.data_centre) == region) {
+            others.push_back(each.vm);
+        }
+    }
+    const bool is_local = region_of(settings_.node.data_centre) == region;
+    if (!is_local && !others.empty()) {
+        return false;
+    }
+    if (!is_local) {
+        std::ranges::transform(peers_, std::back_inserter(others), &peer_entry::vm);
+    }
+    return rendezvous_rank(settings_.node.vm, others, hash64(engine.address.host)) <
+           limits::entries_informing_an_agent;
+}
+
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::announce_quarantine() {
+    if (quarantine_.announcement(loop_.now()).empty()) {
+        quarantine_announced_at_.reset();
+        return;
+    }
+    quarantine_announced_at_ = loop_.now();
+    for (const std::string& id : directory_.ids()) {
+        const endpoint* known = directory_.find(id);
+        const service* configured = table_ ? table_->find_service(known->service) : nullptr;
+        const bool is_engine = configured != nullptr && configured->engine.has_value();
+        if (is_engine && informs_agent_of(*known)) {
+            crash_exchange_.announce(known->address.host);
+        }
+    }
+}
+
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::on_no_answer(const request_pointer& request,
                                                  const std::optional<error>& failure) {
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -71,7 +71,7 @@
 
     /// Calls `action` with the other registered entries whenever they change.
     void on_peers_changed(std::function<void(const std::vector<peer_entry>&)> action) {
-        usage_exchange_.on_peers_changed(std::move(action));
+        on_peers_ = std::move(action);
     }
     /// Registers `handler` for requests of peers to `path` on the control address.
     void set_peer_handler(std::string path, net::http_handler handler) {
@@ -123,6 +123,7 @@
         bool may_have_run = false;
         bool ended = false;
         std::optional<agent_refusal> last_refusal;
+        std::optional<duration> refusal_wait;
 
         std::uint64_t attempt = 0;
         std::string endpoint;
@@ -133,6 +134,7 @@
         bool body_started = false;
         /// First byte of the current attempt's answer.
         time_point answer_began_at;
+        std::uint64_t engine_started_at = 0;
         /// The parts of the prompt have been noted as harmless.
         bool noted_harmless = false;
         /// First byte of the whole answer.
@@ -157,6 +159,7 @@
     [[nodiscard]] std::string_view unplaced_cause(const active_request& request) const;
     /// Ends a request that would crash the engine that it is sent to.
     void hold_back(active_request& request, const routing::quarantine_match& match);
+    void on_held_back_by_agent(const request_pointer& request);
     [[nodiscard]] std::vector<std::string> usable_endpoints(const active_request& request);
     [[nodiscard]] routing::choice_request make_choice_request(const active_request& request) const;
     /// True if the endpoint has named a limit that leaves no room for another request of this entry. Agents
@@ -181,6 +184,9 @@
     /// An engine, or its agent, has closed the connection of a request before the end of its answer.
     void on_interrupted(const active_request& request);
     void report_quarantine_changes();
+    /// Announces the quarantined parts to the agents that this entry informs.
+    void announce_quarantine();
+    [[nodiscard]] bool informs_agent_of(const endpoint& engine) const;
     /// The engine has survived the start of the answer.
     void note_harmless(active_request& request);
     void note_harmless_prompts();
@@ -236,6 +242,9 @@
     rate::endpoint_limits limits_;
     usage_exchange<Store> usage_exchange_;
     crash_exchange crash_exchange_;
+    std::vector<peer_entry> peers_;
+    std::optional<time_point> quarantine_announced_at_;
+    std::function<void(const std::vector<peer_entry>&)> on_peers_;
     std::map<std::string, net::http_handler> peer_handlers_;
     /// Hosts of agents that could not be connected to.
     std::map<std::string, time_point> agents_down_until_;
--- a/include/samphiretray/routing/crash_quarantine.h
+++ b/include/samphiretray/routing/crash_quarantine.h
@@ -68,6 +68,8 @@
     std::size_t max_crashes = 64;
     std::size_t max_requests_per_crash = 12;
     std::size_t max_parts_per_request = 8;
+    /// A lifted quarantine is announced for this long.
+    duration lift_announcement = 30s;
     /// Most parts with a recent answer in each of two generations.
     std::size_t max_answered_parts = 4096;
     /// Parts that together explain all crashes of another part make it ambiguous; more than this many do not.
@@ -82,6 +84,18 @@
     duration retry_after{0};
 };
 
+/// A quarantined part as one process announces it to another.
+struct held_part {
+    part_key part = 0;
+    /// If not empty, only requests that also have one of these parts are held back.
+    std::vector<part_key> companions;
+    /// Zero if the part is no longer quarantined.
+    duration time_left{0};
+};
+
+/// Whether requests with these parts, one of which is quarantined with these companions, are held back.
+[[nodiscard]] bool is_held_back(std::span<const part_key> parts, std::span<const part_key> companions);
+
 struct quarantine_change {
     part_key part = 0;
     /// Empty if the part has turned out to be harmless.
@@ -101,7 +115,8 @@
 public:
     explicit crash_quarantine(crash_quarantine_settings settings) : settings_(settings) {}
 
-    /// Names of this process and of all processes that may send a probe request.
+    /// Names of this process and of all processes that may send a probe request. Before the first call this
+    /// process sends none.
     void set_members(std::string own_name, std::vector<std::string> all_names);
 
     /// An engine began an answer at `began_at` and did not crash.
@@ -123,6 +138,9 @@
     [[nodiscard]] crash_evidence supporting_evidence(time_point now) const;
 
     [[nodiscard]] std::size_t crash_count() const noexcept { return crashes_.size(); }
+    /// The parts that are quarantined now, and those that have turned out to be harmless since `poll` last
+    /// found one quarantined.
+    [[nodiscard]] std::vector<held_part> announcement(time_point now) const;
     /// Number of parts that are quarantined or probed.
     [[nodiscard]] std::size_t quarantined_count(time_point now) const;
 
@@ -191,6 +209,8 @@
     std::optional<time_point> generation_started_;
     std::unordered_map<part_key, rule> rules_;
     std::map<part_key, quarantine_phase> reported_phases_;
+    /// Parts whose quarantine was lifted, and when.
+    std::map<part_key, time_point> lifted_;
     bool changed_ = false;
     /// When the next crash begins to count.
     std::optional<time_point> settles_at_;
--- a/src/gateway/agent_protocol.cpp
+++ b/src/gateway/agent_protocol.cpp
@@ -15,7 +15,9 @@
 constexpr std::string_view load_header = "samphiretray-engine-load";
 constexpr std::string_view refusal_header = "samphiretray-refusal";
 constexpr std::string_view engine_start_header = "samphiretray-engine-start";
-constexpr std::array agent_headers{budget_header, load_header, refusal_header, engine_start_header};
+constexpr std::string_view refusal_wait_header = "samphiretray-refusal-wait-ms";
+constexpr std::array agent_headers{budget_header, load_header, refusal_header, engine_start_header,
+                                   refusal_wait_header};
 /// The header lists backlog tokens, running requests, reserved KV memory, free slots, wanted adapters and
 /// reading rate, followed by the names of resident adapters.
 constexpr std::size_t load_number_count = 6;
@@ -88,8 +90,16 @@
     return load;
 }
 
-void add_refusal(net::http_headers& headers, agent_refusal reason) {
+void add_refusal(net::http_headers& headers, agent_refusal reason, std::optional<duration> retry_after) {
     headers.push_back({std::string{refusal_header}, std::string{name_of(reason)}});
+    if (retry_after) {
+        headers.push_back({std::string{refusal_wait_header}, milliseconds_text(*retry_after)});
+    }
+}
+
+std::optional<duration> read_refusal_wait(const net::http_headers& headers) {
+    const auto wait = parse_number<std::uint32_t>(net::find_header(headers, refusal_wait_header));
+    return wait ? std::optional<duration>{std::chrono::milliseconds{*wait}} : std::nullopt;
 }
 
 std::optional<agent_refusal> read_refusal(const net::http_headers& headers) {
--- a/src/gateway/crash_exchange.cpp
+++ b/src/gateway/crash_exchange.cpp
@@ -14,23 +14,46 @@
 constexpr duration first_inquiry_delay = 250ms;
 constexpr duration next_inquiry_delay = 500ms;
 constexpr std::uint32_t max_inquiries = 3;
-constexpr duration inquiry_timeout = 400ms;
+constexpr duration message_timeout = 400ms;
 /// A younger crash explains the cut answer.
 constexpr duration explaining_crash_age = 3s;
+/// Suspects that one entry reports for one crash.
+constexpr std::size_t max_cut_answers = 12;
 
 } // namespace
 
-void crash_exchange::on_interrupted(const std::string& host) {
+void crash_exchange::on_interrupted(const std::string& host, std::optional<cut_answer> cut) {
+    if (port_ == 0) {
+        return;
+    }
+    const bool is_new = !inquiries_.contains(host);
+    if (is_new) {
+        ask_later(host, first_inquiry_delay);
+        inquiries_[host].began_at = loop_.now();
+    }
+    inquiry& current = inquiries_[host];
+    if (cut && current.cut_answers.size() < max_cut_answers) {
+        current.cut_answers.push_back(*std::move(cut));
+    }
+}
+
+void crash_exchange::on_held_back_by(const std::string& host) {
     if (port_ == 0 || inquiries_.contains(host)) {
         return;
     }
-    ask_later(host, first_inquiry_delay);
+    inquiries_[host].began_at = loop_.now();
+    ask(host);
 }
 
 void crash_exchange::ask_later(const std::string& host, duration delay) {
     inquiries_[host].timer = loop_.after(delay, [this, host] { ask(host); });
 }
 
+std::string crash_exchange::message_text() const {
+    const time_point now = loop_.now();
+    return encode(crash_message{quarantine_.supporting_evidence(now), quarantine_.announcement(now)});
+}
+
 void crash_exchange::ask(const std::string& host) {
     inquiry& current = inquiries_[host];
     ++current.attempts;
@@ -38,8 +61,8 @@
     call.peer = {host, port_};
     call.method = "POST";
     call.target = crashes_path;
-    call.body = encode(quarantine_.supporting_evidence(loop_.now()));
-    call.timeout = inquiry_timeout;
+    call.body = message_text();
+    call.timeout = message_timeout;
     current.exchange =
         http_.fetch(std::move(call),
                     [this, host](const result<net::fetched_response>& answer) { on_answer(host, answer); });
@@ -50,26 +73,67 @@
     if (found == inquiries_.end()) {
         return;
     }
-    const auto evidence =
-        answer ? decode_crash_evidence(answer->body, host) : result<routing::crash_evidence>{answer.error()};
-    const std::uint32_t attempts = found->second.attempts;
+    const auto message =
+        answer ? decode_crash_message(answer->body, host) : result<crash_message>{answer.error()};
     // This runs in a callback of the exchange, which must not be destroyed inside it.
-    loop_.post([kept = std::make_shared<inquiry>(std::move(found->second))] {});
+    const auto kept = std::make_shared<inquiry>(std::move(found->second));
+    loop_.post([kept] {});
     inquiries_.erase(found);
     bool is_explained = false;
-    if (evidence) {
-        quarantine_.merge(*evidence, loop_.now());
-        is_explained = std::ranges::any_of(evidence->crashes, [](const routing::engine_crash& each) {
+    if (message) {
+        quarantine_.merge(message->evidence, loop_.now());
+        is_explained = std::ranges::any_of(message->evidence.crashes, [](const routing::engine_crash& each) {
             return each.age < explaining_crash_age;
         });
     } else {
         log_event(log_level::warning, "crash_inquiry_failed",
-                  {{"at", host}, {"attempt", attempts}, {"failure", to_string(evidence.error())}});
+                  {{"at", host}, {"attempt", kept->attempts}, {"failure", to_string(message.error())}});
     }
-    if (!is_explained && attempts < max_inquiries) {
+    if (is_explained || kept->cut_answers.empty()) {
+        return;
+    }
+    if (kept->attempts < max_inquiries) {
         ask_later(host, next_inquiry_delay);
-        inquiries_[host].attempts = attempts;
+        inquiry& next = inquiries_[host];
+        next.attempts = kept->attempts;
+        next.began_at = kept->began_at;
+        next.cut_answers = std::move(kept->cut_answers);
+        return;
     }
+    report_own(*kept, message ? message->engine_started_at : std::nullopt);
+}
+
+void crash_exchange::report_own(const inquiry& ended, std::optional<std::uint64_t> engine_started_at) {
+    const time_point now = loop_.now();
+    for (const cut_answer& each : ended.cut_answers) {
+        const bool has_gone_on = engine_started_at && *engine_started_at <= each.engine_started_at;
+        if (!has_gone_on) {
+            quarantine_.on_crash({crashed_engine_name(each.engine, each.engine_started_at),
+                                  now - ended.began_at,
+                                  {each.request}},
+                                 now);
+        }
+    }
+}
+
+void crash_exchange::announce(const std::string& host) {
+    if (port_ == 0 || announcements_.contains(host)) {
+        return;
+    }
+    net::http_call call;
+    call.peer = {host, port_};
+    call.method = "POST";
+    call.target = announcements_path;
+    call.body = message_text();
+    call.timeout = message_timeout;
+    announcements_[host] =
+        http_.fetch(std::move(call), [this, host](const result<net::fetched_response>& answer) {
+            if (!answer) {
+                log_event(log_level::debug, "quarantine_not_announced",
+                          {{"at", host}, {"failure", to_string(answer.error())}});
+            }
+            loop_.post([this, host] { announcements_.erase(host); });
+        });
 }
 
 } // namespace samphiretray::gateway
--- a/src/gateway/crash_report.cpp
+++ b/src/gateway/crash_report.cpp
@@ -34,6 +34,13 @@
     return numbers;
 }
 
+/// A held part is a list of its hash, the milliseconds left and its companions.
+json held_json(const routing::held_part& held) {
+    json numbers = json::array({held.part, static_cast<std::uint64_t>(milliseconds_in(held.time_left))});
+    std::ranges::copy(held.companions, std::back_inserter(numbers));
+    return numbers;
+}
+
 std::optional<routing::engine_crash> crash_from(const json& value) {
     const auto age = value.is_object() ? unsigned_field(value, "age_ms") : std::nullopt;
     const bool well_formed = age && value.contains("engine") && value["engine"].is_string() &&
@@ -105,12 +112,35 @@
     return evidence;
 }
 
-std::string encode(const routing::crash_evidence& evidence) {
-    return to_json(evidence).dump();
+std::string encode(const crash_message& message) {
+    json body = to_json(message.evidence);
+    if (!message.held.empty()) {
+        json held = json::array();
+        std::ranges::transform(message.held, std::back_inserter(held), held_json);
+        body["held"] = std::move(held);
+    }
+    if (message.engine_started_at) {
+        body["engine_started_at"] = *message.engine_started_at;
+    }
+    return body.dump();
 }
 
-result<routing::crash_evidence> decode_crash_evidence(std::string_view text, std::string_view peer) {
-    return crash_evidence_from(json::parse(text, nullptr, false), peer);
+result<crash_message> decode_crash_message(std::string_view text, std::string_view peer) {
+    const json parsed = json::parse(text, nullptr, false);
+    auto evidence = crash_evidence_from(parsed, peer);
+    if (!evidence) {
+        return evidence.error();
+    }
+    crash_message message{*std::move(evidence), {}, unsigned_field(parsed, "engine_started_at")};
+    for (const json& each : parsed.value("held", json::array())) {
+        if (!is_list_of_numbers(each, 2)) {
+            return malformed(peer);
+        }
+        routing::held_part held{each[0], {}, age_from(each[1])};
+        held.companions.assign(std::next(each.begin(), 2), each.end());
+        message.held.push_back(std::move(held));
+    }
+    return message;
 }
 
 } // namespace samphiretray::gateway
--- a/src/routing/crash_quarantine.cpp
+++ b/src/routing/crash_quarantine.cpp
@@ -42,6 +42,11 @@
 
 } // namespace
 
+bool is_held_back(std::span<const part_key> parts, std::span<const part_key> companions) {
+    return companions.empty() ||
+           std::ranges::any_of(companions, [parts](part_key other) { return contains(parts, other); });
+}
+
 void crash_quarantine::set_members(std::string own_name, std::vector<std::string> all_names) {
     own_name_ = std::move(own_name);
     members_ = std::move(all_names);
@@ -189,8 +194,12 @@
     for (const part_key part : reported_phases_ | std::views::keys) {
         if (!phases.contains(part)) {
             changes.push_back({part, std::nullopt, 0, duration::zero(), 0});
+            lifted_[part] = now;
         }
     }
+    std::erase_if(lifted_, [&](const auto& each) {
+        return phases.contains(each.first) || now - each.second > settings_.lift_announcement;
+    });
     reported_phases_ = std::move(phases);
     return changes;
 }
@@ -351,7 +360,7 @@
 bool crash_quarantine::may_probe(part_key part, std::uint32_t slot) const {
     const auto weight = [&](const std::string& name) { return hash64(name, part + slot); };
     const auto chosen = std::ranges::max_element(members_, {}, weight);
-    return chosen == members_.end() || *chosen == own_name_;
+    return chosen != members_.end() && *chosen == own_name_;
 }
 
 std::optional<quarantine_match> crash_quarantine::check(const prompt_request& request, time_point now) {
@@ -362,10 +371,7 @@
         }
         rule& value = found->second;
         const quarantine_phase current = phase(value, now);
-        const bool is_ambiguous = !value.companions.empty();
-        const bool has_companion = std::ranges::any_of(
-            value.companions, [&](part_key other) { return contains(request.parts, other); });
-        if (current == quarantine_phase::released || (is_ambiguous && !has_companion)) {
+        if (current == quarantine_phase::released || !is_held_back(request.parts, value.companions)) {
             continue;
         }
         const duration held = quarantine_time(value);
@@ -429,6 +435,19 @@
     return evidence;
 }
 
+std::vector<held_part> crash_quarantine::announcement(time_point now) const {
+    std::vector<held_part> parts;
+    for (const auto& [part, value] : rules_) {
+        if (phase(value, now) == quarantine_phase::quarantined) {
+            parts.push_back({part, value.companions, quarantine_time(value) - (now - value.last_crash)});
+        }
+    }
+    std::ranges::transform(lifted_ | std::views::keys, std::back_inserter(parts), [](part_key part) {
+        return held_part{part, {}, duration::zero()};
+    });
+    return parts;
+}
+
 std::size_t crash_quarantine::quarantined_count(time_point now) const {
     return static_cast<std::size_t>(std::ranges::count_if(rules_ | std::views::values, [&](const rule& each) {
         return phase(each, now) != quarantine_phase::released;
--- a/tests/fleet/crashing_part_test.cpp
+++ b/tests/fleet/crashing_part_test.cpp
@@ -17,28 +17,32 @@
             each->engine.on_request =
                 [this, &engine = each->engine](const net::http_request& request,
                                                const std::shared_ptr<net::http_response>& response) {
-                    answer(engine, request, *response);
+                    answer(engine, request, response);
                 };
         }
     }
 
     void answer(platform::testing::fake_engine& engine, const net::http_request& request,
-                net::http_response& response) {
+                const std::shared_ptr<net::http_response>& response) {
         const net::http_headers headers{
             {"content-type", "text/event-stream"},
             {"x-samphiretray-attempt-id",
              std::string{net::find_header(request.headers, "x-samphiretray-attempt-id")}},
             {"x-samphiretray-server-seal", "seal"}};
-        const bool crashes =
-            net::find_header(request.headers, "x-samphiretray-prompt-prefix").find("dead:") !=
-            std::string_view::npos;
-        if (!crashes) {
-            response.send(200, headers, "id: 1\ndata: x\n\n");
+        const std::string_view prompt = net::find_header(request.headers, "x-samphiretray-prompt-prefix");
+        if (prompt.find("hang:") != std::string_view::npos) {
+            response->start(200, headers);
+            response->write("id: 1\ndata: x\n\n");
+            hanging.push_back(response);
+            return;
+        }
+        if (prompt.find("dead:") == std::string_view::npos) {
+            response->send(200, headers, "id: 1\ndata: x\n\n");
             return;
         }
         ++crash_count;
-        response.start(200, headers);
-        response.abort();
+        response->start(200, headers);
+        response->abort();
         engine.restart();
     }
 
@@ -61,6 +65,8 @@
     }
 
     std::size_t crash_count = 0;
+    /// Answers that fall silent after the first event, as if their link had been cut.
+    std::vector<std::shared_ptr<net::http_response>> hanging;
 };
 
 std::string own_part(std::uint64_t number) {
@@ -157,3 +163,19 @@
         CHECK(each->status() == 503);
     }
 }
+
+// Guards against a quarantine that is lifted at all entries by an answer that only seems to go on, since its
+// link was cut or its agent frozen when the engine crashed (BUDGET).
+TEST_CASE("an answer that falls silent after its first event does not clear a part that crashes engines") {
+    fleet_with_crashing_part fleet{4};
+    const auto silent = fleet.send(0, "first:20,dead:40,hang:5," + own_part(50), "m0");
+    REQUIRE(fleet.events.run_until([&] { return !fleet.hanging.empty(); }, platform::testing::hang_limit));
+    fleet.quarantine();
+    fleet.run_for(1500ms);
+    const std::size_t before = fleet.crash_count;
+    for (std::uint64_t i = 0; i < 4; ++i) {
+        (void)fleet.ask(i % 2, "first:20,dead:40," + own_part(10 + i));
+        fleet.recover();
+    }
+    CHECK(fleet.crash_count == before);
+}
--- a/tests/fleet/small_fleet.h
+++ b/tests/fleet/small_fleet.h
@@ -196,12 +196,12 @@
                         {"x-samphiretray-model", model},
                         {"x-samphiretray-token-count", "100,10"},
                         {"x-samphiretray-prompt-prefix", parts}};
-        sent->exchange = client->fetch(
-            std::move(call), [weak = std::weak_ptr{sent}](result<net::fetched_response> answer) {
-                if (const auto self = weak.lock()) {
-                    self->answer.emplace(std::move(answer));
-                }
-            });
+        sent->exchange = client->fetch(std::move(call),
+                                       [weak = std::weak_ptr{sent}](result<net::fetched_response> answer) {
+                                           if (const auto self = weak.lock()) {
+                                               self->answer.emplace(std::move(answer));
+                                           }
+                                       });
         return sent;
     }
 
--- /dev/null
+++ b/tests/gateway/crash_message_test.cpp
@@ -0,0 +1,36 @@
+#include "samphiretray/gateway/crash_report.h"
+
+#include <catch2/catch.hpp>
+
+using namespace samphiretray;
+using namespace samphiretray::gateway;
+
+TEST_CASE("a message about crashes is read as it was written") {
+    crash_message message;
+    message.evidence.revision = 4;
+    message.evidence.crashes = {{"10.0.0.1:80#7", 1500ms, {{11, {21, 22}}, {12, {}}}}};
+    message.evidence.harmless = {{23, 250ms}};
+    message.held = {{21, {22, 24}, 18s}, {25, {}, 0ms}};
+    message.engine_started_at = 1'774'344'211'282;
+    const auto read = decode_crash_message(encode(message), "peer");
+    REQUIRE(read);
+    CHECK(read->evidence.crashes.front().requests.front().parts == std::vector<routing::part_key>{21, 22});
+    CHECK(read->evidence.harmless.front().age == 250ms);
+    REQUIRE(read->held.size() == 2);
+    CHECK(read->held[0].part == 21);
+    CHECK(read->held[0].companions == std::vector<routing::part_key>{22, 24});
+    CHECK(read->held[0].time_left == 18s);
+    CHECK(read->held[1].time_left == 0ms);
+    CHECK(read->engine_started_at == message.engine_started_at);
+}
+
+TEST_CASE("a message about crashes that is malformed is refused") {
+    const std::string valid = R"({"revision":1,"crashes":[],"harmless":[],"held":)";
+    CHECK(decode_crash_message(valid + "[[1,2]]}", "peer"));
+    for (const char* held :
+         {"[[1]]}", "[7]}", "[[1,-2]]}", R"([["a",2]]})", R"({"a":1}})", "7}", "[[[]]]}"}) {
+        CHECK_FALSE(decode_crash_message(valid + held, "peer"));
+    }
+    CHECK_FALSE(decode_crash_message("", "peer"));
+    CHECK_FALSE(decode_crash_message("[]", "peer"));
+}
--- a/tests/routing/crash_quarantine_test.cpp
+++ b/tests/routing/crash_quarantine_test.cpp
@@ -26,6 +26,8 @@
     time_point now = start;
     std::uint64_t next_id = 1;
 
+    observed_quarantine() { quarantine.set_members("entry", {"entry"}); }
+
     void crash(std::vector<std::vector<part_key>> interrupted) {
         engine_crash record{"engine#" + std::to_string(next_id), 0ms, {}};
         for (auto& parts : interrupted) {
@@ -436,3 +438,37 @@
     CHECK(rc::check("each engine crashes as soon as it is back",
                     [&] { RC_ASSERT(held_back_share(3) <= 0.05); }));
 }
+
+// Guards against a probe from each of many processes at once: one that has just been restarted knows no
+// other.
+TEST_CASE("a process that has not heard of any other sends no probe") {
+    crash_quarantine quarantine{{}};
+    for (std::uint64_t i = 0; i < 3; ++i) {
+        quarantine.on_crash({"engine#" + std::to_string(i), 0ms, {request(i, {deadly})}}, start);
+    }
+    const time_point later = start + crash_quarantine_settings{}.quarantine_time + 1s;
+    (void)quarantine.poll(later);
+    CHECK(quarantine.check(request(9, {deadly}), later));
+    quarantine.set_members("entry", {"entry"});
+    CHECK_FALSE(quarantine.check(request(9, {deadly}), later));
+}
+
+TEST_CASE(
+    "quarantined parts are announced until they end, and then as lifted if an answer has cleared them") {
+    observed_quarantine fleet;
+    for (int i = 0; i < 3; ++i) {
+        fleet.crash({{deadly}});
+    }
+    fleet.pass(1s);
+    const auto held = fleet.quarantine.announcement(fleet.now);
+    REQUIRE(held.size() == 1);
+    CHECK(held.front().part == deadly);
+    CHECK(held.front().time_left == crash_quarantine_settings{}.quarantine_time - 1s);
+    fleet.answer({deadly});
+    fleet.pass(100ms);
+    const auto lifted = fleet.quarantine.announcement(fleet.now);
+    REQUIRE(lifted.size() == 1);
+    CHECK(lifted.front().time_left == 0ms);
+    fleet.pass(crash_quarantine_settings{}.lift_announcement + 1s);
+    CHECK(fleet.quarantine.announcement(fleet.now).empty());
+}
