Follow a store that has been restored from an older copy

Cause: whatever read from the store kept the highest revision that it had seen. The readers' replicas ignored everything with a lower revision, and so did the entries that read from them. The class of fault is comparing positions of different histories.

Now listings and watches carry the era of the store; followers and replicas list again when it changes, in each process and between peers (a replica of another era is refused). Repeated losses of the history back off.

--- a/include/samphiretray/gateway/endpoint_directory.h
+++ b/include/samphiretray/gateway/endpoint_directory.h
@@ -15,6 +15,12 @@
     /// expired during the outage are written again within about two seconds.
     static constexpr duration reregistration_grace = 2s;
 
+    /// A removed endpoint is remembered this long. After that, nothing tells an old record of it from a new one.
+    static constexpr duration departed_memory = 30s;
+
+    /// True if the record is older than what is known of the endpoint, or not newer than that of one that has
+    /// been removed. A store that has been restored from a copy lists such records.
+    [[nodiscard]] bool is_outdated(const endpoint& value, time_point now) const;
     /// Adds or replaces an endpoint. Returns true if it is new or has restarted.
     bool update(endpoint value);
     /// With `after_outage`, discovery has just returned and the record may be written again, so the endpoint
@@ -30,8 +36,17 @@
     [[nodiscard]] std::size_t size() const noexcept { return endpoints_.size(); }
 
 private:
+    struct departed_endpoint {
+        std::uint64_t started_at = 0;
+        std::uint64_t sequence = 0;
+        time_point at;
+    };
+
+    void expire_departed(time_point now);
+
     std::map<std::string, endpoint> endpoints_;
     std::unordered_map<std::string, time_point> removed_at_;
+    std::unordered_map<std::string, departed_endpoint> departed_;
 };
 
 } // namespace samphiretray::gateway
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -283,6 +283,14 @@
 
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::update_endpoint(endpoint value) {
+    if (directory_.is_outdated(value, loop_.now())) {
+        log_event(log_level::info, "endpoint_record_outdated",
+                  {{"endpoint", value.id},
+                   {"started_at", value.started_at},
+                   {"sequence", value.sequence},
+                   {"draining", value.draining ? "true" : "false"}});
+        return;
+    }
     const endpoint* known = directory_.find(value.id);
     const bool began_draining = value.draining && (known == nullptr || !known->draining);
     const bool is_same = known != nullptr && known->draining == value.draining &&
--- a/include/samphiretray/gateway/model.h
+++ b/include/samphiretray/gateway/model.h
@@ -114,6 +114,8 @@
     std::uint64_t started_at = 0;
     /// Loaded adapters, named "model/adapter", with their versions.
     std::vector<ports::adapter_version> adapters;
+    /// Rises with each record that an incarnation writes.
+    std::uint64_t sequence = 0;
 };
 
 /// The latest released version of an adapter, which is named "model/adapter".
--- a/include/samphiretray/gateway/usage_exchange-inl.h
+++ b/include/samphiretray/gateway/usage_exchange-inl.h
@@ -33,6 +33,9 @@
 void usage_exchange<Store>::on_change(const ports::store_change& change) {
     const std::string name = change.key.substr(prefix.size());
     if (name == settings_.vm) {
+        if (!change.value) {
+            registration_.renew_lost_key();
+        }
         return;
     }
     if (!change.value) {
--- a/include/samphiretray/node/prefix_follower-inl.h
+++ b/include/samphiretray/node/prefix_follower-inl.h
@@ -34,6 +34,11 @@
             on_failure(listing.error());
             return;
         }
+        if (listing->era < era_) {
+            on_failure(
+                make_error(errc::unavailable, step::receive, "store", "the listing is of an older era"));
+            return;
+        }
         on_success();
         apply(*listing);
         schedule(settings_.min_watch_interval, &prefix_follower::watch);
@@ -53,7 +58,12 @@
                          on_failure(changes.error());
                          return;
                      }
+                     if (changes->era != era_) {
+                         on_history_lost(changes->era);
+                         return;
+                     }
                      on_success();
+                     lost_histories_ = 0;
                      apply(*changes);
                      const duration elapsed = loop_.now() - requested_at_;
                      schedule(std::max<duration>(settings_.min_watch_interval - elapsed, 0ms),
@@ -63,6 +73,17 @@
 
 template <ports::watched_store Store>
 void prefix_follower<Store>::apply(const ports::store_listing& listing) {
+    if (synchronized_ && listing.era != era_) {
+        log_event(log_level::warning, "store_era_changed",
+                  {{"prefix", settings_.prefix},
+                   {"era", listing.era},
+                   {"revision", listing.revision},
+                   {"revision_before", revision_}});
+        // Keys that the copy lacks are written again, like those that expire during an outage.
+        outage_ended_at_ = loop_.now();
+    }
+    const bool is_same_history = listing.era == era_;
+    era_ = listing.era;
     std::set<std::string> present;
     for (const ports::stored_item& item : listing.items) {
         present.insert(item.key);
@@ -73,7 +94,7 @@
     for (const std::string& key : missing) {
         report({key, std::nullopt, listing.revision});
     }
-    revision_ = std::max(revision_, listing.revision);
+    revision_ = is_same_history ? std::max(revision_, listing.revision) : listing.revision;
     if (!std::exchange(synchronized_, true)) {
         log_event(log_level::info, "store_prefix_read",
                   {{"prefix", settings_.prefix}, {"keys", known_keys_.size()}, {"revision", revision_}});
@@ -115,12 +136,23 @@
     last_answer_at_ = now;
 }
 
+template <ports::watched_store Store>
+void prefix_follower<Store>::on_history_lost(std::uint64_t era) {
+    log_event(log_level::warning, "store_history_dropped",
+              {{"prefix", settings_.prefix}, {"revision", revision_}, {"era", era_}, {"store_era", era}});
+    schedule(lost_histories_ == 0 ? duration{0} : backoff(lost_histories_), &prefix_follower::list);
+    ++lost_histories_;
+}
+
+template <ports::watched_store Store>
+duration prefix_follower<Store>::backoff(std::uint32_t failures) const {
+    return std::min(settings_.max_backoff, settings_.base_backoff * (1U << std::min(failures - 1, 8U)));
+}
+
 template <ports::watched_store Store>
 void prefix_follower<Store>::on_failure(const error& failure) {
     if (failure.code == errc::stale_revision) {
-        log_event(log_level::warning, "store_history_dropped",
-                  {{"prefix", settings_.prefix}, {"revision", revision_}});
-        schedule(0ms, &prefix_follower::list);
+        on_history_lost(era_);
         return;
     }
     if (failures_ == 0) {
@@ -133,9 +165,7 @@
                    {"age_ms", milliseconds_in(age())},
                    {"failure", to_string(failure)}});
     }
-    const duration wait =
-        std::min(settings_.max_backoff, settings_.base_backoff * (1U << std::min(failures_ - 1, 8U)));
-    schedule(failures_ == 1 ? duration{1ms} : wait,
+    schedule(failures_ == 1 ? duration{1ms} : backoff(failures_),
              synchronized_ ? &prefix_follower::watch : &prefix_follower::list);
 }
 
--- a/include/samphiretray/node/prefix_follower.h
+++ b/include/samphiretray/node/prefix_follower.h
@@ -34,8 +34,8 @@
 };
 
 /// Reports all keys below a prefix and their changes: lists the keys, then watches, and lists again if the
-/// store has dropped the history since the last read. A known key that a new listing lacks is reported as
-/// removed.
+/// store has dropped the history since the last read or has been restored from an older copy. A known key
+/// that a new listing lacks is reported as removed.
 template <ports::watched_store Store>
 class prefix_follower {
 public:
@@ -60,6 +60,9 @@
     void report(const ports::store_change& change);
     void on_success();
     void on_failure(const error& failure);
+    /// The history that the last read belongs to is gone.
+    void on_history_lost(std::uint64_t era);
+    [[nodiscard]] duration backoff(std::uint32_t failures) const;
     void schedule(duration delay, void (prefix_follower::*next)());
 
     net::loop& loop_;
@@ -68,7 +71,10 @@
     follower_events handlers_;
     std::set<std::string> known_keys_;
     std::uint64_t revision_ = 0;
+    std::uint64_t era_ = 0;
     std::uint32_t failures_ = 0;
+    /// Watches in a row that were refused because the history was gone.
+    std::uint32_t lost_histories_ = 0;
     bool synchronized_ = false;
     time_point requested_at_;
     time_point last_answer_at_;
--- a/include/samphiretray/node/prefix_replica.h
+++ b/include/samphiretray/node/prefix_replica.h
@@ -23,11 +23,11 @@
     /// Data older than `max_age` is not served.
     explicit prefix_replica(duration max_age) : max_age_(max_age) {}
 
-    /// Applies a listing of all keys from a call that began at `as_of`. A listing whose revision is older
-    /// than the replica's is ignored.
+    /// Applies a listing of all keys from a call that began at `as_of`. A listing that is older than the
+    /// replica is ignored; one of a newer era replaces all of it.
     void apply(const ports::store_listing& listing, time_point as_of);
-    /// Applies the changes after revision `after`. If the replica has not reached `after`, there is a gap,
-    /// and the replica is reset to empty.
+    /// Applies the changes after revision `after`. If the replica has not reached `after`, or the changes are
+    /// of another era, there is a gap, and the replica is reset to empty.
     void apply(std::uint64_t after, const ports::store_changes& changes, time_point as_of);
 
     /// Fails with `unavailable` if the data is too old.
@@ -41,6 +41,7 @@
     [[nodiscard]] bool has_changes_since(std::uint64_t after) const noexcept {
         return last_change_revision_ > after;
     }
+    [[nodiscard]] std::uint64_t era() const noexcept { return era_; }
     /// Time since the data was current; empty before the first listing.
     [[nodiscard]] std::optional<duration> age(time_point now) const;
 
@@ -58,6 +59,7 @@
 
     duration max_age_;
     std::map<std::string, item> items_;
+    std::uint64_t era_ = 0;
     std::uint64_t revision_ = 0;
     std::uint64_t last_change_revision_ = 0;
     /// Removals up to this revision may have been dropped.
--- a/include/samphiretray/node/registration.h
+++ b/include/samphiretray/node/registration.h
@@ -33,6 +33,14 @@
     ~registration() = default;
 
     void start() { grant(); }
+    /// Writes the key again, with a new lease, after the store has lost it.
+    void renew_lost_key() {
+        if (std::exchange(lease_, 0) != 0) {
+            ++generation_;
+            log_event(log_level::warning, "registration_lost", {{"key", settings_.key}});
+            grant();
+        }
+    }
 
 private:
     void grant() {
@@ -58,8 +66,9 @@
 
     template <typename Next>
     ports::completion<std::uint64_t> with_retry(Next next) {
-        return [this, next, weak = std::weak_ptr{alive_}](result<std::uint64_t> outcome) {
-            if (weak.expired()) {
+        return [this, next, generation = generation_,
+                weak = std::weak_ptr{alive_}](result<std::uint64_t> outcome) {
+            if (weak.expired() || generation != generation_) {
                 return;
             }
             if (outcome) {
@@ -78,6 +87,8 @@
     Store& store_;
     registration_settings settings_;
     std::uint64_t lease_ = 0;
+    /// Responses to calls of an earlier generation are ignored.
+    std::uint64_t generation_ = 0;
     net::timer_handle timer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/include/samphiretray/node/shared_store_client-inl.h
+++ b/include/samphiretray/node/shared_store_client-inl.h
@@ -76,6 +76,7 @@
 ports::store_listing shared_store_client<Store>::to_listing(ports::store_changes changes) {
     ports::store_listing listing;
     listing.revision = changes.revision;
+    listing.era = changes.era;
     for (ports::store_change& each : changes.changes) {
         if (each.value) {
             listing.items.push_back({std::move(each.key), *std::move(each.value), each.revision});
@@ -171,7 +172,8 @@
     net::http_call call;
     call.peer = reader.address;
     call.target = std::string{path} + "?prefix=" + net::url_encode(prefix) +
-                  "&after=" + std::to_string(after) + "&wait=" + std::to_string(milliseconds_in(limit));
+                  "&after=" + std::to_string(after) + "&era=" + std::to_string(find_replica(prefix)->era()) +
+                  "&wait=" + std::to_string(milliseconds_in(limit));
     call.timeout = limit + settings_.answer_timeout;
     constexpr std::size_t max_update_size = 8U << 20U;
     calls_.fetch(http_, std::move(call), max_update_size,
@@ -201,25 +203,27 @@
     const std::string prefix = net::find_query_parameter(request.query, "prefix");
     const auto after = parse_number<std::uint64_t>(net::find_query_parameter(request.query, "after"));
     const auto wait = parse_number<std::uint32_t>(net::find_query_parameter(request.query, "wait"));
+    const auto era = parse_number<std::uint64_t>(net::find_query_parameter(request.query, "era")).value_or(0);
     const prefix_replica* replica = find_replica(prefix);
     if (replica == nullptr || !after || !wait) {
         response->send(404, {}, "no such prefix\n");
         return;
     }
-    const bool should_wait =
-        *wait > 0 && !replica->has_changes_since(*after) && replica->changes_since(*after, loop_.now());
+    const bool should_wait = *wait > 0 && era == replica->era() && !replica->has_changes_since(*after) &&
+                             replica->changes_since(*after, loop_.now());
     if (!should_wait) {
-        send_update(*replica, *after, *response);
+        send_update(*replica, *after, era, *response);
         return;
     }
     const duration requested_wait =
         std::min<duration>(std::chrono::milliseconds{*wait}, settings_.max_peer_wait);
     const duration fresh_for = settings_.max_age - replica->age(loop_.now()).value_or(settings_.max_age);
-    const auto position = pending_watches_.insert(pending_watches_.end(), {prefix, *after, response, {}});
+    const auto position =
+        pending_watches_.insert(pending_watches_.end(), {prefix, *after, era, response, {}});
     position->timer = loop_.after(std::min(requested_wait, fresh_for + 1ms), [this, position] {
         const pending_watch peer = std::move(*position);
         pending_watches_.erase(position);
-        send_update(*find_replica(peer.prefix), peer.after, *peer.response);
+        send_update(*find_replica(peer.prefix), peer.after, peer.era, *peer.response);
     });
 }
 
@@ -227,9 +231,10 @@
 void shared_store_client<Store>::answer_pending_watches(const std::string& prefix) {
     const prefix_replica& replica = *find_replica(prefix);
     std::erase_if(pending_watches_, [&](const pending_watch& each) {
-        const bool is_due = each.prefix == prefix && replica.has_changes_since(each.after);
+        const bool is_due =
+            each.prefix == prefix && (each.era != replica.era() || replica.has_changes_since(each.after));
         if (is_due) {
-            send_update(replica, each.after, *each.response);
+            send_update(replica, each.after, each.era, *each.response);
         }
         return is_due || !each.response->is_open();
     });
@@ -237,9 +242,14 @@
 
 template <ports::watched_store Store>
 void shared_store_client<Store>::send_update(const prefix_replica& from, std::uint64_t after,
-                                             net::http_response& response) const {
+                                             std::uint64_t era, net::http_response& response) const {
     const time_point now = loop_.now();
     replica_update update;
+    if (after != 0 && era != from.era()) {
+        // A peer that is ahead asks the store itself.
+        response.send(era < from.era() ? 410 : 503, {}, "the replica is of another era\n");
+        return;
+    }
     if (after == 0) {
         auto listing = from.listing(now);
         if (!listing) {
@@ -247,6 +257,7 @@
             return;
         }
         update.changes.revision = listing->revision;
+        update.changes.era = listing->era;
         for (ports::stored_item& each : listing->items) {
             update.changes.changes.push_back({std::move(each.key), std::move(each.value), each.revision});
         }
--- a/include/samphiretray/node/shared_store_client.h
+++ b/include/samphiretray/node/shared_store_client.h
@@ -73,6 +73,7 @@
     struct pending_watch {
         std::string prefix;
         std::uint64_t after = 0;
+        std::uint64_t era = 0;
         std::shared_ptr<net::http_response> response;
         net::timer_handle timer;
     };
@@ -87,7 +88,9 @@
     [[nodiscard]] prefix_replica* find_replica(const std::string& prefix);
     void on_reader_failed(const std::string& vm, const std::string& prefix, const error& failure);
     void answer_pending_watches(const std::string& prefix);
-    void send_update(const prefix_replica& from, std::uint64_t after, net::http_response& response) const;
+    /// `era` is the era of the revision `after`.
+    void send_update(const prefix_replica& from, std::uint64_t after, std::uint64_t era,
+                     net::http_response& response) const;
 
     net::loop& loop_;
     net::http_client& http_;
--- a/include/samphiretray/ports/shared_store.h
+++ b/include/samphiretray/ports/shared_store.h
@@ -9,6 +9,9 @@
 
 namespace samphiretray::ports {
 
+/// A store may be restored from an older copy of itself. Its revisions then go back and are given out again for
+/// other changes, and its era rises: revisions of different eras cannot be compared.
+
 /// A key with its value and the revision of its last write.
 struct stored_item {
     std::string key;
@@ -21,6 +24,7 @@
     std::vector<stored_item> items;
     /// The listing contains the changes up to this revision.
     std::uint64_t revision = 0;
+    std::uint64_t era = 0;
 };
 
 /// A write or the removal of a key.
@@ -35,9 +39,10 @@
 struct store_changes {
     std::vector<store_change> changes;
     std::uint64_t revision = 0;
+    std::uint64_t era = 0;
 };
 
-/// A key-value store with one revision counter for all keys. Each completion runs exactly once, on the event
+/// A key-value store with one revision counter for all keys in each era. Each completion runs exactly once, on the event
 /// loop. Errors are those of `key_value_service`, and `stale_revision` if the store no longer has the changes
 /// that a watch asks for.
 template <typename Store>
--- a/src/node/prefix_replica.cpp
+++ b/src/node/prefix_replica.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace samphiretray::node {
 
@@ -19,9 +20,13 @@
 }
 
 void prefix_replica::apply(const ports::store_listing& listing, time_point as_of) {
-    if (listing.revision < revision_) {
+    if (std::pair{listing.era, listing.revision} < std::pair{era_, revision_}) {
         return;
     }
+    if (listing.era != era_) {
+        *this = prefix_replica{max_age_};
+        era_ = listing.era;
+    }
     std::set<std::string_view> present;
     for (const ports::stored_item& each : listing.items) {
         present.insert(each.key);
@@ -40,8 +45,11 @@
 }
 
 void prefix_replica::apply(std::uint64_t after, const ports::store_changes& changes, time_point as_of) {
-    if (!as_of_ || after > revision_) {
+    if (!as_of_ || after > revision_ || changes.era != era_) {
+        // Nothing of an older era is taken after this.
+        const std::uint64_t era = std::max(era_, changes.era);
         *this = prefix_replica{max_age_};
+        era_ = era;
         return;
     }
     for (const ports::store_change& each : changes.changes) {
@@ -82,6 +90,7 @@
     }
     ports::store_listing all;
     all.revision = revision_;
+    all.era = era_;
     for (const auto& [key, known] : items_) {
         if (known.value) {
             all.items.push_back({key, *known.value, known.revision});
@@ -99,6 +108,7 @@
     }
     ports::store_changes changes;
     changes.revision = revision_;
+    changes.era = era_;
     for (const auto& [key, known] : items_) {
         if (known.revision > after) {
             changes.changes.push_back({key, known.value, known.revision});
--- a/src/node/shared_store_client.cpp
+++ b/src/node/shared_store_client.cpp
@@ -33,8 +33,10 @@
     for (const ports::store_change& each : update.changes.changes) {
         rows.push_back({each.key, each.revision, each.value ? json(to_base64(*each.value)) : json(nullptr)});
     }
-    return json{
-        {"revision", update.changes.revision}, {"age_ms", milliseconds_in(update.age)}, {"rows", rows}}
+    return json{{"revision", update.changes.revision},
+                {"era", update.changes.era},
+                {"age_ms", milliseconds_in(update.age)},
+                {"rows", rows}}
         .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -52,6 +54,11 @@
     }
     replica_update update;
     update.changes.revision = parsed["revision"];
+    const json era = parsed.value("era", json(0U));
+    if (!era.is_number_unsigned()) {
+        return refused();
+    }
+    update.changes.era = era;
     update.age = std::chrono::milliseconds{parsed["age_ms"].get<std::uint32_t>()};
     for (const json& row : parsed["rows"]) {
         auto change = read_change(row);
--- a/tests/gateway/endpoint_directory_test.cpp
+++ b/tests/gateway/endpoint_directory_test.cpp
@@ -62,3 +62,34 @@
     CHECK(directory.available("engines").empty());
     CHECK(directory.ids().empty());
 }
+
+// Guards against the use of servers that had left, or were leaving, when the store came back from an older copy
+// (DRAIN).
+TEST_CASE("a record that is older than what is known of the endpoint is outdated") {
+    const auto record = [](std::uint64_t started_at, std::uint64_t sequence) {
+        endpoint made = make_endpoint("e1", started_at);
+        made.sequence = sequence;
+        return made;
+    };
+    endpoint_directory directory;
+    endpoint leaving = record(5, 8);
+    leaving.draining = true;
+    directory.update(leaving);
+    CHECK(directory.is_outdated(record(5, 7), start));
+    CHECK(directory.is_outdated(record(4, 9), start));
+    CHECK_FALSE(directory.is_outdated(record(5, 8), start));
+    CHECK_FALSE(directory.is_outdated(record(5, 9), start));
+    CHECK_FALSE(directory.is_outdated(record(6, 1), start));
+    directory.remove("e1", false, start);
+    CHECK(directory.is_outdated(record(5, 8), start + 1s));
+    CHECK_FALSE(directory.is_outdated(record(5, 9), start + 1s));
+    CHECK_FALSE(directory.is_outdated(record(6, 1), start + 1s));
+    CHECK_FALSE(directory.is_outdated(record(5, 8), start + endpoint_directory::departed_memory));
+}
+
+TEST_CASE("an endpoint that is kept after an outage takes the record that it had before") {
+    endpoint_directory directory;
+    directory.update(make_endpoint("e1", 5));
+    directory.remove("e1", true, start);
+    CHECK_FALSE(directory.is_outdated(make_endpoint("e1", 5), start + 1s));
+}
--- a/tests/node/prefix_follower_test.cpp
+++ b/tests/node/prefix_follower_test.cpp
@@ -132,6 +132,72 @@
     CHECK(fixture.follower.revision() == 3);
 }
 
+// Guards against changes that are never seen after the store has come back from an older copy and has given the
+// revision of the last read out again (CONFIG).
+TEST_CASE("prefix_follower: a watch that answers from another era is followed by a new listing") {
+    follower_fixture fixture;
+    fixture.store.listings.push_back(ports::store_listing{{{"op/a", "1", 5}, {"op/b", "1", 9}}, 9, 1});
+    fixture.store.watches.push_back(ports::store_changes{{{"op/c", "1", 12}}, 12, 2});
+    fixture.store.listings.push_back(ports::store_listing{{{"op/a", "2", 7}, {"op/c", "1", 12}}, 12, 2});
+    fixture.follower.start();
+    fixture.run_until([&] { return fixture.synchronized == 2 && fixture.store.watched_after.size() == 2; });
+    REQUIRE(fixture.changes.size() == 5);
+    CHECK(fixture.changes[2].value == "2");
+    CHECK(fixture.changes[4].key == "op/b");
+    CHECK_FALSE(fixture.changes[4].value);
+    CHECK(fixture.changes[4].after_outage);
+}
+
+TEST_CASE("prefix_follower: the store is watched from the revision of its new era, which may be lower") {
+    follower_fixture fixture;
+    fixture.store.listings.push_back(ports::store_listing{{{"op/a", "1", 5}}, 90, 1});
+    fixture.store.watches.push_back(make_error(errc::stale_revision, step::receive, "store", "status 410"));
+    fixture.store.listings.push_back(ports::store_listing{{{"op/a", "1", 5}}, 40, 2});
+    fixture.follower.start();
+    fixture.run_until([&] { return fixture.store.watched_after.size() == 2; });
+    CHECK(fixture.store.watched_after == std::vector<std::uint64_t>{90, 40});
+    CHECK(fixture.follower.revision() == 40);
+}
+
+TEST_CASE("prefix_follower: a listing of an older era is not taken") {
+    follower_fixture fixture;
+    fixture.store.listings.push_back(ports::store_listing{{{"op/a", "2", 5}}, 9, 2});
+    fixture.store.watches.push_back(make_error(errc::stale_revision, step::receive, "store", "status 410"));
+    fixture.store.watches.push_back(make_error(errc::stale_revision, step::receive, "store", "status 410"));
+    fixture.store.listings.push_back(ports::store_listing{{{"op/a", "1", 50}}, 90, 1});
+    fixture.store.listings.push_back(ports::store_listing{{{"op/a", "3", 11}}, 11, 2});
+    fixture.follower.start();
+    fixture.run_until([&] { return fixture.synchronized == 2; });
+    REQUIRE(fixture.changes.size() == 2);
+    CHECK(fixture.changes[1].value == "3");
+}
+
+TEST_CASE("prefix_follower: histories that are lost one after the other are not listed in a tight loop") {
+    follower_fixture fixture;
+    for (int i = 0; i < 200; ++i) {
+        fixture.store.listings.push_back(ports::store_listing{{}, 9});
+        fixture.store.watches.push_back(
+            make_error(errc::stale_revision, step::receive, "store", "status 410"));
+    }
+    fixture.follower.start();
+    fixture.loop.run_until([] { return false; }, 50ms);
+    CHECK(fixture.synchronized < 40);
+}
+
+TEST_CASE("registration: a key that the store has lost is written again with a new lease") {
+    net::loop loop;
+    scripted_store store{loop, {}, {}, {}, {}, {}, {}, {}};
+    store.grants = {std::uint64_t{7}, std::uint64_t{8}};
+    store.puts = {std::uint64_t{1}, std::uint64_t{2}};
+    registration<scripted_store> kept{loop, store, {.key = "entries/a", .value = "x"}};
+    kept.start();
+    REQUIRE(loop.run_until([&] { return store.puts.size() == 1; }, hang_limit));
+    kept.renew_lost_key();
+    kept.renew_lost_key();
+    REQUIRE(loop.run_until([&] { return store.puts.empty(); }, hang_limit));
+    CHECK(store.put_leases == std::vector<std::uint64_t>{7, 8});
+}
+
 TEST_CASE("registration: an expired lease is replaced and the key written again") {
     // Otherwise an entry whose lease expired while its process was frozen would stay unknown to its peers.
     net::loop loop;
--- a/tests/node/prefix_replica_test.cpp
+++ b/tests/node/prefix_replica_test.cpp
@@ -185,3 +185,32 @@
     CHECK(replica.changes_since(before, later).error().code == errc::stale_revision);
     CHECK(replica.changes_since(store.revision, later));
 }
+
+// Guards against replicas that keep the revisions of a history that is gone, and pass old values on (CONFIG).
+TEST_CASE("prefix_replica: a listing of a newer era replaces all, whatever its revision") {
+    prefix_replica replica{max_age};
+    replica.apply(ports::store_listing{{{"a", "1", 50}, {"b", "1", 60}}, 60, 1}, start);
+    replica.apply(ports::store_listing{{{"a", "2", 30}}, 40, 2}, start + 1s);
+    const auto all = replica.listing(start + 1s);
+    REQUIRE(all);
+    CHECK(all->era == 2);
+    CHECK(all->revision == 40);
+    REQUIRE(all->items.size() == 1);
+    CHECK(all->items[0].value == "2");
+    CHECK_FALSE(replica.changes_since(20, start + 1s));
+    replica.apply(ports::store_listing{{{"b", "1", 70}}, 70, 1}, start + 1s);
+    CHECK(replica.listing(start + 1s)->items.size() == 1);
+    replica.apply(40, ports::store_changes{{{"c", "1", 45}}, 45, 2}, start + 1s);
+    CHECK(replica.changes_since(40, start + 1s)->changes.size() == 1);
+}
+
+TEST_CASE("prefix_replica: changes of another era empty it until the next listing") {
+    prefix_replica replica{max_age};
+    replica.apply(ports::store_listing{{{"a", "1", 50}}, 60, 1}, start);
+    replica.apply(60, ports::store_changes{{{"a", "2", 65}}, 65, 2}, start + 1s);
+    CHECK_FALSE(replica.listing(start + 1s));
+    replica.apply(ports::store_listing{{{"a", "1", 70}}, 70, 1}, start + 1s);
+    CHECK_FALSE(replica.listing(start + 1s));
+    replica.apply(ports::store_listing{{{"a", "2", 65}}, 66, 2}, start + 1s);
+    CHECK(replica.listing(start + 1s)->items[0].value == "2");
+}
--- a/tests/node/shared_store_client_test.cpp
+++ b/tests/node/shared_store_client_test.cpp
@@ -21,6 +21,14 @@
     net::loop& loop;
     std::map<std::string, ports::store_change> keys;
     std::uint64_t revision = 1;
+    std::uint64_t era = 1;
+
+    /// Comes back from an older copy.
+    void restore(std::map<std::string, ports::store_change> copy, std::uint64_t copied_revision) {
+        keys = std::move(copy);
+        revision = copied_revision;
+        ++era;
+    }
 
     [[nodiscard]] bool is_changed(std::uint64_t after) const {
         return std::ranges::any_of(keys, [after](const auto& each) { return each.second.revision > after; });
@@ -48,6 +56,7 @@
             }
             ports::store_listing all;
             all.revision = store.revision;
+            all.era = store.era;
             for (const auto& [key, change] : store.keys) {
                 if (change.value) {
                     all.items.push_back({key, *change.value, change.revision});
@@ -68,8 +77,10 @@
         *timer = store.loop.after(1ms, [this, after, until, timer, done = std::move(done)] {
             if (is_unavailable) {
                 done(make_error(errc::unavailable, step::receive, "store", "status 503"));
+            } else if (after > store.revision) {
+                done(make_error(errc::stale_revision, step::receive, "store", "status 410"));
             } else if (store.is_changed(after) || store.loop.now() >= until) {
-                ports::store_changes changes{{}, store.revision};
+                ports::store_changes changes{{}, store.revision, store.era};
                 for (const auto& [key, change] : store.keys) {
                     if (change.revision > after) {
                         changes.changes.push_back(change);
@@ -266,6 +277,32 @@
     }
 }
 
+// Guards against changes that no entry sees, or only those that read the store themselves, after the store has
+// come back from an older copy (CONFIG).
+TEST_CASE("shared store reads: after the store was restored, twice, all entries see what it holds") {
+    const bool has_caught_up = GENERATE(false, true);
+    data_centre site{9};
+    for (const std::string round : {"1", "2"}) {
+        const auto copy = site.store.keys;
+        const std::uint64_t revision = site.store.revision;
+        for (int i = 0; i < 5; ++i) {
+            site.store.change("servers/lost" + round, std::to_string(i));
+        }
+        REQUIRE(site.loop.run_until([&] { return site.all_see("servers/lost" + round, "4"); }, 200ms));
+        site.store.restore(copy, revision);
+        // Revisions that had been given out are given out again before anybody reads.
+        for (int i = 0; has_caught_up && i < 8; ++i) {
+            site.store.change("servers/other", round);
+        }
+        site.store.change("servers/new" + round, "x");
+        CHECK(site.loop.run_until([&] { return site.all_see("servers/new" + round, "x"); }, 400ms));
+        CHECK(site.loop.run_until([&] { return site.all_see("servers/lost" + round, std::nullopt); }, 400ms));
+        site.run(100ms);
+    }
+    const auto calls = site.calls_in(300ms);
+    CHECK(std::ranges::count_if(calls, [](int each) { return each > 0; }) == 2);
+}
+
 TEST_CASE("replica_update: encoding preserves arbitrary bytes, and malformed input is refused") {
     replica_update update;
     update.changes = {{{"servers/a", std::string("\x00\xff\"", 3), 5}, {"servers/b", std::nullopt, 6}}, 7};
--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -100,3 +100,27 @@
     fixture.service.put("entries/e1", "x", 0, store(written));
     CHECK(fixture.wait_for(written).error().code == errc::connection_closed);
 }
+
+TEST_CASE("listings and watches have the era that the store names, which the store keeps in mind") {
+    store_fixture fixture;
+    const auto of_era = [](const char* era, std::string body) {
+        net::fetched_response made = answer_with(200, std::move(body));
+        made.headers.push_back({"Store-Era", era});
+        return made;
+    };
+    fixture.queued_responses = {of_era("3", R"({"items":[],"hasMore":false,"at":10})"),
+                                of_era("4", R"({"events":[],"at":12})"),
+                                of_era("4", R"({"items":[{"key":"a","value":""}],"hasMore":true,"at":10})"),
+                                of_era("5", R"({"items":[],"hasMore":false,"at":9})")};
+    std::optional<result<ports::store_listing>> listing;
+    fixture.service.list("op/", store(listing));
+    CHECK(fixture.wait_for(listing)->era == 3);
+    std::optional<result<ports::store_changes>> changes;
+    fixture.service.watch("op/", 4, 50ms, store(changes));
+    CHECK(fixture.wait_for(changes)->era == 4);
+    CHECK(fixture.service.era() == 4);
+    std::optional<result<ports::store_listing>> mixed;
+    fixture.service.list("op/", store(mixed));
+    CHECK_FALSE(fixture.wait_for(mixed));
+    CHECK(fixture.service.era() == 5);
+}
