--- a/include/samphiretray/gateway/endpoint_directory.h
+++ b/include/samphiretray/gateway/endpoint_directory.h
@@ -15,7 +15,8 @@
     /// expired during the outage are written again within about two seconds.
     static constexpr duration reregistration_grace = 2s;
 
-    /// A removed endpoint is remembered this long. After that, nothing tells an old record of it from a new one.
+    /// A removed endpoint is remembered this long. After that, nothing tells an old record of it from a new
+    /// one.
     static constexpr duration departed_memory = 30s;
 
     /// True if the record is older than what is known of the endpoint, or not newer than that of one that has
--- a/include/samphiretray/ports/shared_store.h
+++ b/include/samphiretray/ports/shared_store.h
@@ -9,8 +9,8 @@
 
 namespace samphiretray::ports {
 
-/// A store may be restored from an older copy of itself. Its revisions then go back and are given out again for
-/// other changes, and its era rises: revisions of different eras cannot be compared.
+/// A store may be restored from an older copy of itself. Its revisions then go back and are given out again
+/// for other changes, and its era rises: revisions of different eras cannot be compared.
 
 /// A key with its value and the revision of its last write.
 struct stored_item {
@@ -42,9 +42,9 @@
     std::uint64_t era = 0;
 };
 
-/// A key-value store with one revision counter for all keys in each era. Each completion runs exactly once, on the event
-/// loop. Errors are those of `key_value_service`, and `stale_revision` if the store no longer has the changes
-/// that a watch asks for.
+/// A key-value store with one revision counter for all keys in each era. Each completion runs exactly once,
+/// on the event loop. Errors are those of `key_value_service`, and `stale_revision` if the store no longer
+/// has the changes that a watch asks for.
 template <typename Store>
 concept watched_store =
     requires(Store& store, std::string prefix, std::uint64_t after_revision, duration max_wait,
--- a/tests/gateway/endpoint_directory_test.cpp
+++ b/tests/gateway/endpoint_directory_test.cpp
@@ -63,8 +63,8 @@
     CHECK(directory.ids().empty());
 }
 
-// Guards against the use of servers that had left, or were leaving, when the store came back from an older copy
-// (DRAIN).
+// Guards against the use of servers that had left, or were leaving, when the store came back from an older
+// copy (DRAIN).
 TEST_CASE("a record that is older than what is known of the endpoint is outdated") {
     const auto record = [](std::uint64_t started_at, std::uint64_t sequence) {
         endpoint made = make_endpoint("e1", started_at);
--- a/tests/node/prefix_follower_test.cpp
+++ b/tests/node/prefix_follower_test.cpp
@@ -132,8 +132,8 @@
     CHECK(fixture.follower.revision() == 3);
 }
 
-// Guards against changes that are never seen after the store has come back from an older copy and has given the
-// revision of the last read out again (CONFIG).
+// Guards against changes that are never seen after the store has come back from an older copy and has given
+// the revision of the last read out again (CONFIG).
 TEST_CASE("prefix_follower: a watch that answers from another era is followed by a new listing") {
     follower_fixture fixture;
     fixture.store.listings.push_back(ports::store_listing{{{"op/a", "1", 5}, {"op/b", "1", 9}}, 9, 1});
--- a/tests/node/shared_store_client_test.cpp
+++ b/tests/node/shared_store_client_test.cpp
@@ -277,8 +277,8 @@
     }
 }
 
-// Guards against changes that no entry sees, or only those that read the store themselves, after the store has
-// come back from an older copy (CONFIG).
+// Guards against changes that no entry sees, or only those that read the store themselves, after the store
+// has come back from an older copy (CONFIG).
 TEST_CASE("shared store reads: after the store was restored, twice, all entries see what it holds") {
     const bool has_caught_up = GENERATE(false, true);
     data_centre site{9};
