--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -125,3 +125,40 @@
     CHECK(decode_release(R"({"model":"m0","version":4})")->adapter.empty());
     CHECK_FALSE(decode_release(R"({"model":"m0","adapter":"a3","version":"4"})"));
 }
+
+// Guards against processes that end, or stop following the list, because of one odd record of another writer.
+TEST_CASE("odd records of servers are refused, and none ends the process") {
+    const auto record = [](const std::string& fields) {
+        return R"({"service":"s","zone":"z","state":"ready",)" + fields + "}";
+    };
+    const std::string valid = R"("address":"10.0.0.1:80","slots":4,"born":7,"seq":3)";
+    REQUIRE(decode_endpoint("i-1", record(valid)));
+    const std::string digits(400, '9');
+    const std::string deep = std::string(400'000, '[') + std::string(400'000, ']');
+    std::string deep_object;
+    for (int i = 0; i < 100'000; ++i) {
+        deep_object += R"({"a":)";
+    }
+    for (const std::string& odd : {
+             record(R"("address":"10.0.0.1:80","slots":)" + digits),
+             record(R"("address":"10.0.0.1:80","slots":1e300)"),
+             record(R"("address":"10.0.0.1:80","slots":-4)"),
+             record(R"("address":"10.0.0.1:80","slots":4,"born":1e19)"),
+             record(R"("address":"10.0.0.1:80","slots":4,"born":18446744073709551616)"),
+             record(R"("address":"10.0.0.1:80","slots":4,"seq":)" + digits),
+             record(R"("address":"10.0.0.1:99999","slots":4)"),
+             record(R"("address":"10.0.0.1:-1","slots":4)"),
+             record(R"("address":"10.0.0.1:)" + digits + R"(","slots":4)"),
+             record(R"("address":[],"slots":4)"),
+             record(R"("address":"10.0.0.1:80","slots":)" + deep),
+             record(R"("address":"10.0.0.1:80","slots":4,"models":)" + deep),
+             deep,
+             deep_object,
+             std::string{"\xff\xfe{}"},
+             std::string{},
+             std::string{"null"},
+         }) {
+        CHECK_FALSE(decode_endpoint("i-1", odd));
+    }
+    CHECK(decode_endpoint("i-1", record(valid + R"(,"remarks":)" + deep)));
+}
