Play refusals and repeated answers of servers in the soak

Servers refuse every other request as not run for a while, and the link to a plain server repeats what the server has sent 15 ms later, refusals too, while the connection is in use again. Each run is counted at the servers as before.

--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -21,6 +21,7 @@
 using clock = std::chrono::steady_clock;
 
 constexpr std::chrono::milliseconds added_delay{100};
+constexpr std::chrono::milliseconds repetition_delay{15};
 constexpr int poll_ms = 5;
 constexpr std::size_t read_size = 64U << 10U;
 
@@ -48,8 +49,13 @@
     bool from_target = false;
     bool eof_received = false;
     bool eof_forwarded = false;
-    /// Bytes not yet forwarded, with the time at which they were read.
-    std::deque<std::pair<clock::time_point, std::string>> buffered;
+    struct chunk {
+        /// Not forwarded before this time.
+        clock::time_point since;
+        std::string bytes;
+    };
+    /// Bytes not yet forwarded.
+    std::deque<chunk> buffered;
 };
 
 struct connection {
@@ -57,7 +63,7 @@
     bool failed = false;
 };
 
-void read_available(relay_direction& direction, connection& parent) {
+void read_available(relay_direction& direction, connection& parent, link_fault fault) {
     if (direction.eof_received) {
         return;
     }
@@ -65,7 +71,13 @@
     const ssize_t size = ::read(direction.from, bytes.data(), bytes.size());
     if (size > 0) {
         bytes.resize(static_cast<std::size_t>(size));
-        direction.buffered.emplace_back(clock::now(), std::move(bytes));
+        const clock::time_point now = clock::now();
+        if (fault == link_fault::repeated && direction.from_target) {
+            direction.buffered.push_back({now, bytes});
+            direction.buffered.push_back({now + repetition_delay, std::move(bytes)});
+        } else {
+            direction.buffered.push_back({now, std::move(bytes)});
+        }
     } else if (size == 0) {
         direction.eof_received = true;
     } else if (errno != EAGAIN && errno != ENOTCONN) {
@@ -78,8 +90,8 @@
         fault == link_fault::silent || (fault == link_fault::one_way && direction.from_target);
     const auto min_age = fault == link_fault::delayed ? added_delay : std::chrono::milliseconds{0};
     while (!is_blocked && !direction.buffered.empty() &&
-           clock::now() - direction.buffered.front().first >= min_age) {
-        std::string& bytes = direction.buffered.front().second;
+           clock::now() - direction.buffered.front().since >= min_age) {
+        std::string& bytes = direction.buffered.front().bytes;
         const ssize_t size = ::send(direction.to, bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (size < 0) {
             parent.failed = parent.failed || (errno != EAGAIN && errno != ENOTCONN);
@@ -150,7 +162,7 @@
         }
         for (connection& each : connections) {
             for (relay_direction& direction : each.directions) {
-                read_available(direction, each);
+                read_available(direction, each, fault);
                 forward_buffered(direction, each, fault);
             }
         }
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -17,6 +17,8 @@
     one_way,
     /// Bytes are buffered in both directions; new connections are accepted but receive nothing.
     silent,
+    /// What the target sends is sent once more 15 ms later, as by a server that answers twice.
+    repeated,
 };
 
 /// Forwards TCP connections from one loopback address to another and injects faults. Buffered bytes are
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -101,7 +101,8 @@
     void inject_fault();
     void run_after(duration delay, std::function<void()> action);
     void inject_process_fault(process& target);
-    void inject_link_fault(fault_proxy& link);
+    /// `may_repeat`: the responses on the link are small enough for a copy to be a whole response.
+    void inject_link_fault(fault_proxy& link, bool may_repeat = false);
     void clear_faults();
     void print_fault(const std::string& fault) const;
     [[nodiscard]] int report(time_point fault_free_since);
@@ -383,10 +384,10 @@
     }
 }
 
-void soak_run::inject_link_fault(fault_proxy& link) {
-    constexpr auto faults =
-        std::to_array({link_fault::delayed, link_fault::reset, link_fault::one_way, link_fault::silent});
-    link.set_fault(faults[random_below(faults.size())]);
+void soak_run::inject_link_fault(fault_proxy& link, bool may_repeat) {
+    constexpr auto faults = std::to_array({link_fault::delayed, link_fault::reset, link_fault::one_way,
+                                           link_fault::silent, link_fault::repeated});
+    link.set_fault(faults[random_below(faults.size() - (may_repeat ? 0 : 1))]);
     run_after(random_time(200, 2500), [&link] { link.set_fault(link_fault::none); });
 }
 
@@ -410,7 +411,7 @@
         break;
     case 4: {
         print_fault("fault on the connection to a plain server");
-        inject_link_fault(*server_links_[random_below(server_links_.size())]);
+        inject_link_fault(*server_links_[random_below(server_links_.size())], true);
         break;
     }
     case 5: {
@@ -429,10 +430,21 @@
         server.crash(random_time(100, 1500));
         break;
     case 7:
-        print_fault("response faults or delayed orders at " + server.id());
-        random_below(2) == 0 ? server.set_response_faults(true) : server.set_delayed_orders(true);
+        print_fault("response faults, refusals or delayed orders at " + server.id());
+        switch (random_below(3)) {
+        case 0:
+            server.set_response_faults(true);
+            break;
+        case 1:
+            server.set_refusing(true);
+            break;
+        default:
+            server.set_delayed_orders(true);
+            break;
+        }
         run_after(random_time(200, 2500), [&server] {
             server.set_response_faults(false);
+            server.set_refusing(false);
             server.set_delayed_orders(false);
         });
         break;
@@ -464,6 +476,7 @@
     std::ranges::for_each(server_links_, [](const auto& link) { link->set_fault(link_fault::none); });
     std::ranges::for_each(servers_, [](const auto& server) {
         server->set_response_faults(false);
+        server->set_refusing(false);
         server->set_delayed_orders(false);
     });
 }
--- a/soak/platform_server.cpp
+++ b/soak/platform_server.cpp
@@ -181,6 +181,11 @@
                        "");
         return;
     }
+    if (refuses_ && ++refusable_count_ % 2 == 0) {
+        response->send(503, {{"x-samphiretray-attempt-id", attempt}, {"x-samphiretray-not-executed", "1"}},
+                       "");
+        return;
+    }
     const auto counts = split(net::find_header(request.headers, "x-samphiretray-token-count"), ',');
     const double tokens = counts.empty() ? 1 : parse_number<int>(counts[0]).value_or(1);
     const bool key_seen = !net::find_header(request.headers, "x-samphiretray-credential").empty();
@@ -229,8 +234,14 @@
     const std::string& sent_attempt = is_replay ? previous_attempt_ : attempt;
     const std::string body = expected_body(sent_attempt);
     const std::string_view first_half = std::string_view{body}.substr(0, body.size() / 2);
-    response->start(200,
-                    {{"x-samphiretray-attempt-id", sent_attempt}, {"x-samphiretray-server-seal", "seal"}});
+    const net::http_headers headers{{"x-samphiretray-attempt-id", sent_attempt},
+                                    {"x-samphiretray-server-seal", "seal"}};
+    previous_attempt_ = attempt;
+    if (outcome == response_outcome::complete || outcome == response_outcome::replayed) {
+        response->send(200, headers, body);
+        return;
+    }
+    response->start(200, headers);
     switch (outcome) {
     case response_outcome::dropped:
         break;
@@ -248,11 +259,8 @@
         break;
     case response_outcome::complete:
     case response_outcome::replayed:
-        response->write(body);
-        response->finish();
         break;
     }
-    previous_attempt_ = attempt;
 }
 
 void platform_server::keep_writing(const std::shared_ptr<net::http_response>& response,
--- a/soak/platform_server.h
+++ b/soak/platform_server.h
@@ -57,6 +57,8 @@
     void crash(duration downtime);
     /// While on, responses fail in the ways of `response_outcome`, one after the other.
     void set_response_faults(bool on) noexcept { has_response_faults_ = on; }
+    /// While on, every other request is refused as not run.
+    void set_refusing(bool on) noexcept { refuses_ = on; }
     /// While on, orders get no response and are carried out 1.5 s later.
     void set_delayed_orders(bool on) noexcept { delays_orders_ = on; }
     [[nodiscard]] bool is_up() const noexcept { return server_ != nullptr; }
@@ -94,6 +96,8 @@
     std::vector<std::string> models_{"m0"};
     /// Versions of the loaded adapters by name.
     std::map<std::string, std::uint64_t> adapters_;
+    bool refuses_ = false;
+    std::uint64_t refusable_count_ = 0;
     bool has_response_faults_ = false;
     std::size_t faulty_response_count_ = 0;
     std::string previous_attempt_;
--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -379,6 +379,28 @@
     CHECK(fixture.wait_for_outcome()->body == "answer three");
 }
 
+// Guards against "not run" for a request that has run (REFUSED), and against a second run of it (TWICE).
+TEST_CASE("a duplicate of an earlier refusal is not taken as a refusal of the next request") {
+    entry_with_servers fixture;
+    net::testing::raw_listener server;
+    fixture.entry->apply(entry_with_servers::make_state(3));
+    fixture.entry->update_endpoint({"i-raw", "orders", server.local_address(), "north-a", 6, false, 1, {}});
+    fixture.entry->set_endpoints_complete();
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nX-Samphiretray-Attempt-Id: a1\r\n"
+                                "X-Samphiretray-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    fixture.send_request("/u/1", {}, "key", "one", "a1");
+    auto connection = server.accept(fixture.events);
+    REQUIRE(connection.receive_until(fixture.events, "one"));
+    connection.send(fixture.events, refusal);
+    CHECK(fixture.wait_for_outcome()->status == 503);
+    fixture.register_server(1);
+    fixture.send_request("/u/1", {}, "key", "two", "a2");
+    REQUIRE(connection.receive_until(fixture.events, "two"));
+    connection.send(fixture.events, refusal);
+    CHECK(fixture.wait_for_outcome()->status == 502);
+    CHECK(fixture.received_count() == 0);
+}
+
 TEST_CASE("an endless answer is aborted at the size limit, and other requests are served meanwhile") {
     // A faulty server may send body bytes until its caller closes the connection.
     entry_with_servers fixture;
