Obey servers that say that they leave, or that they want no requests for a while

Two new rules of the operators: a server that leaves says so in all its answers (Server-Leaving), and one that turns a request away with 503 may say for how long it wants none (Retry-After). No process read either. Entries and agents now take an endpoint that has said so as draining, for its incarnation and five minutes at most, and send nothing to one that has asked for a pause until its end, five minutes at most. If all endpoints of a service want a pause, callers are refused at once as not run, with the time that is left.

The new cases of test_platform and test_gateway need the new code to pass.

--- a/include/samphiretray/gateway/endpoint_directory.h
+++ b/include/samphiretray/gateway/endpoint_directory.h
@@ -3,6 +3,7 @@
 #include "samphiretray/gateway/model.h"
 
 #include <map>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 
@@ -30,9 +31,19 @@
     /// Removes the endpoints whose grace period has passed, and returns their ids.
     std::vector<std::string> expire(time_point now);
 
+    /// An endpoint that has said in an answer that it leaves counts as draining for this long.
+    static constexpr duration leaving_memory = 5min;
+
+    /// Returns false if that is known already, or the endpoint is not.
+    bool note_leaving(const std::string& id, time_point now);
+    /// The endpoint wants no requests from this process until then.
+    void note_pause(const std::string& id, time_point until);
+    /// Time until an endpoint of the service wants requests again; nothing if none has asked for a pause.
+    [[nodiscard]] std::optional<duration> pause_left(std::string_view service, time_point now) const;
+
     [[nodiscard]] const endpoint* find(const std::string& id) const;
-    /// The endpoints of a service that are not draining.
-    [[nodiscard]] std::vector<const endpoint*> available(std::string_view service) const;
+    /// The endpoints of a service that are not draining and have not asked for a pause.
+    [[nodiscard]] std::vector<const endpoint*> available(std::string_view service, time_point now) const;
     [[nodiscard]] std::vector<std::string> ids() const;
     [[nodiscard]] std::size_t size() const noexcept { return endpoints_.size(); }
 
@@ -43,11 +54,23 @@
         time_point at;
     };
 
+    /// What an incarnation of an endpoint has said in its answers.
+    struct told_state {
+        std::uint64_t started_at = 0;
+        std::optional<time_point> leaving_since;
+        time_point paused_until;
+    };
+
     void expire_departed(time_point now);
+    /// Null if the endpoint is not known.
+    [[nodiscard]] told_state* told_by(const std::string& id);
+    [[nodiscard]] bool is_leaving(const endpoint& value, time_point now) const;
+    [[nodiscard]] duration pause_left(const endpoint& value, time_point now) const;
 
     std::map<std::string, endpoint> endpoints_;
     std::unordered_map<std::string, time_point> removed_at_;
     std::unordered_map<std::string, departed_endpoint> departed_;
+    std::unordered_map<std::string, told_state> told_;
 };
 
 } // namespace samphiretray::gateway
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -5,6 +5,7 @@
 #include "samphiretray/base/text.h"
 #include "samphiretray/gateway/crash_exchange.h"
 #include "samphiretray/gateway/crash_report.h"
+#include "samphiretray/gateway/endpoint_directory.h"
 #include "samphiretray/gateway/engine_agent.h"
 
 #include <algorithm>
@@ -32,6 +33,8 @@
 inline constexpr std::uint64_t fencing_numbers_per_agent = 1U << 16U;
 /// A graceful shutdown ends this long before the process would be killed.
 inline constexpr duration agent_stop_margin = 400ms;
+/// An engine that has said in an answer that it leaves counts as draining for this long.
+inline constexpr duration leaving_memory = endpoint_directory::leaving_memory;
 /// The engine runs on the same machine, so connecting is fast.
 inline constexpr duration engine_connect_timeout = 150ms;
 /// Longer than the idle timeout of the entries' HTTP clients, so that always the entry closes an idle
@@ -206,7 +209,8 @@
     const duration wait = model_load_time_left() + admission_.expected_wait(admission, loop_.now());
     const duration time_to_first_byte =
         admission_.prefill_rate().time_to_first_byte(admission.prefill_tokens);
-    const duration limit_wait = limit_.wait_for(admission_.waiting_count() + 1, loop_.now());
+    const duration limit_wait =
+        std::max(limit_.wait_for(admission_.waiting_count() + 1, loop_.now()), pause_left());
     if (limit_wait > request.budget.max_queue_wait) {
         return agent_refusal::limited;
     }
@@ -336,7 +340,7 @@
         const ports::adapter_version& adapter = requests_.at(id)->adapter;
         return adapter.adapter.empty() || slots_->can_run(adapter, false);
     };
-    while (limit_.allows(loop_.now())) {
+    while (limit_.allows(loop_.now()) && pause_left() <= duration::zero()) {
         const auto id = admission_.next(runnable, loop_.now());
         if (!id || !limit_.try_take(loop_.now())) {
             break;
@@ -407,6 +411,7 @@
     }
     request->answer_began_at = loop_.now();
     note_limit(head.requests_per_s);
+    note_answer(head);
     if (head.misdirected && request->pin) {
         slots_->unpin(*std::exchange(request->pin, std::nullopt), loop_.now());
         slots_->on_not_loaded(request->adapter);
@@ -478,6 +483,30 @@
     limit_.set(requests_per_s, loop_.now());
 }
 
+template <request_binding Binding, engine_control Engine>
+void engine_agent<Binding, Engine>::note_answer(const answer_summary& head) {
+    if (head.is_leaving) {
+        said_leaving_at_ = loop_.now();
+        check_engine_draining();
+    }
+    if (head.pause) {
+        paused_until_ = loop_.now() + *head.pause;
+        log_event(log_level::info, "engine_paused",
+                  {{"pause_ms", milliseconds_in(*head.pause)}, {"waiting", admission_.waiting_count()}});
+    }
+}
+
+template <request_binding Binding, engine_control Engine>
+bool engine_agent<Binding, Engine>::is_engine_leaving() const {
+    const bool has_said = said_leaving_at_ && loop_.now() - *said_leaving_at_ < limits::leaving_memory;
+    return (report_ && report_->draining) || has_said;
+}
+
+template <request_binding Binding, engine_control Engine>
+duration engine_agent<Binding, Engine>::pause_left() const {
+    return std::max<duration>(paused_until_ - loop_.now(), 0ms);
+}
+
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::note_interruption(const agent_request& request) {
     if (!request.exchange->may_have_been_sent()) {
@@ -737,6 +766,8 @@
         prefixes_.clear();
         admission_.on_engine_restart();
         limit_.set(std::nullopt, now);
+        paused_until_ = now;
+        said_leaving_at_.reset();
         pacing_.on_engine_restart();
         slots_->adopt(report->loaded, now);
     }
@@ -769,10 +800,11 @@
 /// their entries try another engine.
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::check_engine_draining() {
-    if (report_->draining != engine_draining_since_.has_value()) {
-        log_event(log_level::info, report_->draining ? "engine_leaving" : "engine_staying",
+    const bool is_leaving = is_engine_leaving();
+    if (report_ && is_leaving != engine_draining_since_.has_value()) {
+        log_event(log_level::info, is_leaving ? "engine_leaving" : "engine_staying",
                   {{"started_at", report_->started_at}, {"waiting", admission_.waiting_count()}});
-        engine_draining_since_ = report_->draining ? std::optional{loop_.now()} : std::nullopt;
+        engine_draining_since_ = is_leaving ? std::optional{loop_.now()} : std::nullopt;
     }
     const std::optional<time_point> since = engine_draining_since_ ? engine_draining_since_ : drain_started_;
     if (since && loop_.now() - *since >= limits::engine_drain_grace) {
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -125,6 +125,11 @@
                 std::optional<duration> retry_after = std::nullopt);
     void finish(const request_pointer& request, std::string_view outcome);
     void note_limit(std::optional<double> requests_per_s);
+    /// What the engine says of itself in an answer.
+    void note_answer(const answer_summary& head);
+    [[nodiscard]] bool is_engine_leaving() const;
+    /// Time until the engine wants requests again.
+    [[nodiscard]] duration pause_left() const;
     void note_interruption(const agent_request& request);
     /// The incarnation of the engine in the last report has ended without notice.
     void on_engine_crash();
@@ -155,6 +160,10 @@
     agent::load_pacing pacing_;
     /// The limit that the engine names, all of which this agent may use: it is the engine's only sender.
     rate::named_limit limit_;
+    /// The engine has asked for no requests until then.
+    time_point paused_until_;
+    /// When the engine said last in an answer that it is leaving.
+    std::optional<time_point> said_leaving_at_;
     agent::crash_recorder crashes_;
     /// What this agent and the entries know about crashes, in case all entries restart.
     routing::crash_quarantine known_crashes_;
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -460,7 +460,7 @@
     const time_point now = loop_.now();
     std::vector<std::string> usable;
     std::vector<std::string> avoided;
-    for (const endpoint* each : directory_.available(request.service)) {
+    for (const endpoint* each : directory_.available(request.service, loop_.now())) {
         if (std::ranges::find(request.tried_endpoints, each->id) != request.tried_endpoints.end()) {
             continue;
         }
@@ -500,9 +500,13 @@
         return name_of(*request.last_refusal);
     }
     const bool any_limited =
-        std::ranges::any_of(directory_.available(request.service),
+        std::ranges::any_of(directory_.available(request.service, loop_.now()),
                             [&](const endpoint* each) { return is_limited(request, *each); });
-    return any_limited ? "limited" : request.tried_endpoints.empty() ? "no_endpoint" : "all_refused";
+    const bool any_paused = directory_.pause_left(request.service, loop_.now()).has_value();
+    return any_limited                       ? "limited"
+           : any_paused                      ? "endpoints_paused"
+           : request.tried_endpoints.empty() ? "no_endpoint"
+                                             : "all_refused";
 }
 
 template <request_binding Binding, typename Store>
@@ -714,6 +718,17 @@
                    {"requests_per_s", head.requests_per_s.value_or(0)},
                    {"own_part", limits_.part_of(request->endpoint, head.requests_per_s.value_or(0))}});
     }
+    if (head.is_leaving && directory_.note_leaving(request->endpoint, now)) {
+        log_event(log_level::info, "endpoint_says_it_leaves",
+                  {{"request", request->caller.attempt_id}, {"endpoint", request->endpoint}});
+    }
+    if (head.pause) {
+        directory_.note_pause(request->endpoint, now + *head.pause);
+        log_event(log_level::info, "endpoint_paused",
+                  {{"request", request->caller.attempt_id},
+                   {"endpoint", request->endpoint},
+                   {"pause_ms", milliseconds_in(*head.pause)}});
+    }
     if (head.misdirected) {
         choice_.forget_adapter(request->endpoint, request->caller.adapter);
     }
@@ -1107,8 +1122,11 @@
     } else if (request.may_have_run) {
         refuse(request, 502, std::nullopt, cause);
     } else {
-        refuse(request, 503, request.is_engine ? limits::retry_after_when_full : limits::default_retry_after,
-               cause);
+        const duration usual =
+            request.is_engine ? limits::retry_after_when_full : limits::default_retry_after;
+        const bool is_any_free = !directory_.available(request.service, loop_.now()).empty();
+        const auto pause = directory_.pause_left(request.service, loop_.now());
+        refuse(request, 503, is_any_free ? usual : std::max(usual, pause.value_or(usual)), cause);
     }
 }
 
--- a/include/samphiretray/gateway/model.h
+++ b/include/samphiretray/gateway/model.h
@@ -189,6 +189,10 @@
     std::optional<std::uint32_t> waiting;
     /// Requests a second that the endpoint takes from all processes together, if it names a limit.
     std::optional<double> requests_per_s;
+    /// The endpoint is about to shut down.
+    bool is_leaving = false;
+    /// The endpoint has turned the request away and wants none from this process for this long.
+    std::optional<duration> pause;
 };
 
 /// The status that an engine reports.
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -37,6 +37,7 @@
         removed_at_.try_emplace(id, now);
         return;
     }
+    told_.erase(id);
     departed_[id] = {known->second.started_at, known->second.sequence, now};
     removed_at_.erase(id);
     endpoints_.erase(known);
@@ -65,10 +66,61 @@
     return found == endpoints_.end() ? nullptr : &found->second;
 }
 
-std::vector<const endpoint*> endpoint_directory::available(std::string_view service) const {
+endpoint_directory::told_state* endpoint_directory::told_by(const std::string& id) {
+    const endpoint* known = find(id);
+    if (known == nullptr) {
+        return nullptr;
+    }
+    told_state& told = told_[id];
+    if (told.started_at != known->started_at) {
+        told = {known->started_at, std::nullopt, {}};
+    }
+    return &told;
+}
+
+bool endpoint_directory::note_leaving(const std::string& id, time_point now) {
+    told_state* told = told_by(id);
+    const bool is_new = told != nullptr && !is_leaving(*find(id), now);
+    if (told != nullptr) {
+        told->leaving_since = now;
+    }
+    return is_new;
+}
+
+void endpoint_directory::note_pause(const std::string& id, time_point until) {
+    if (told_state* told = told_by(id)) {
+        told->paused_until = until;
+    }
+}
+
+bool endpoint_directory::is_leaving(const endpoint& value, time_point now) const {
+    const auto told = told_.find(value.id);
+    const bool is_told = told != told_.end() && told->second.started_at == value.started_at;
+    return value.draining ||
+           (is_told && told->second.leaving_since && now - *told->second.leaving_since < leaving_memory);
+}
+
+duration endpoint_directory::pause_left(const endpoint& value, time_point now) const {
+    const auto told = told_.find(value.id);
+    const bool is_told = told != told_.end() && told->second.started_at == value.started_at;
+    return is_told ? std::max<duration>(told->second.paused_until - now, 0ms) : duration::zero();
+}
+
+std::optional<duration> endpoint_directory::pause_left(std::string_view service, time_point now) const {
+    std::optional<duration> shortest;
+    for (const endpoint& each : endpoints_ | std::views::values) {
+        const duration left = pause_left(each, now);
+        if (each.service == service && !is_leaving(each, now) && left > duration::zero()) {
+            shortest = std::min(shortest.value_or(left), left);
+        }
+    }
+    return shortest;
+}
+
+std::vector<const endpoint*> endpoint_directory::available(std::string_view service, time_point now) const {
     std::vector<const endpoint*> found;
     for (const endpoint& each : endpoints_ | std::views::values) {
-        if (each.service == service && !each.draining) {
+        if (each.service == service && !is_leaving(each, now) && pause_left(each, now) <= duration::zero()) {
             found.push_back(&each);
         }
     }
--- a/tests/gateway/endpoint_directory_test.cpp
+++ b/tests/gateway/endpoint_directory_test.cpp
@@ -26,8 +26,8 @@
     draining_endpoint.draining = true;
     directory.update(draining_endpoint);
     directory.update(make_endpoint("e2"));
-    REQUIRE(directory.available("engines").size() == 1);
-    CHECK(directory.available("engines").front()->id == "e2");
+    REQUIRE(directory.available("engines", start).size() == 1);
+    CHECK(directory.available("engines", start).front()->id == "e2");
     CHECK(directory.find("e1") != nullptr);
 }
 
@@ -43,15 +43,15 @@
     directory.update(make_endpoint("e1"));
     directory.remove("e1", true, start);
     CHECK(directory.expire(start + 1900ms).empty());
-    CHECK(directory.available("engines").size() == 1);
+    CHECK(directory.available("engines", start).size() == 1);
     SECTION("the record is written again") {
         directory.update(make_endpoint("e1"));
         CHECK(directory.expire(start + 10s).empty());
-        CHECK(directory.available("engines").size() == 1);
+        CHECK(directory.available("engines", start).size() == 1);
     }
     SECTION("the record is not written again") {
         CHECK(directory.expire(start + 2s) == std::vector<std::string>{"e1"});
-        CHECK(directory.available("engines").empty());
+        CHECK(directory.available("engines", start).empty());
     }
 }
 
@@ -59,7 +59,7 @@
     endpoint_directory directory;
     directory.update(make_endpoint("e1"));
     directory.remove("e1", false, start);
-    CHECK(directory.available("engines").empty());
+    CHECK(directory.available("engines", start).empty());
     CHECK(directory.ids().empty());
 }
 
@@ -93,3 +93,31 @@
     directory.remove("e1", true, start);
     CHECK_FALSE(directory.is_outdated(make_endpoint("e1", 5), start + 1s));
 }
+
+TEST_CASE(
+    "an endpoint that says that it leaves gets no new requests, until it restarts or that is long ago") {
+    endpoint_directory directory;
+    directory.update(make_endpoint("e1", 5));
+    CHECK(directory.note_leaving("e1", start));
+    CHECK_FALSE(directory.note_leaving("e1", start));
+    CHECK_FALSE(directory.note_leaving("unknown", start));
+    directory.update(make_endpoint("e1", 5));
+    CHECK(directory.available("engines", start + 10s).empty());
+    CHECK(directory.available("engines", start + endpoint_directory::leaving_memory).size() == 1);
+    directory.update(make_endpoint("e1", 6));
+    CHECK(directory.available("engines", start + 10s).size() == 1);
+}
+
+TEST_CASE("an endpoint that asks for a pause gets no requests until its end") {
+    endpoint_directory directory;
+    directory.update(make_endpoint("e1", 5));
+    directory.update(make_endpoint("e2", 5));
+    CHECK_FALSE(directory.pause_left("engines", start));
+    directory.note_pause("e1", start + 3s);
+    directory.note_pause("e2", start + 5s);
+    CHECK(directory.available("engines", start + 2s).empty());
+    CHECK(directory.pause_left("engines", start + 2s) == 1s);
+    CHECK(directory.available("engines", start + 3s).size() == 1);
+    directory.update(make_endpoint("e2", 6));
+    CHECK(directory.available("engines", start + 3s).size() == 2);
+}
--- a/tests/platform/engine_agent_test.cpp
+++ b/tests/platform/engine_agent_test.cpp
@@ -425,3 +425,37 @@
     CHECK(std::ranges::all_of(fixture.answers | std::views::drop(41),
                               [](const auto& answer) { return answer && answer->status == 200; }));
 }
+
+// Guards against requests to an engine that has said that it leaves (DRAIN), or wants none for a while
+// (BUDGET).
+TEST_CASE("an engine that says that it leaves, or wants no requests for a while, gets none from its agent") {
+    const bool leaves = GENERATE(true, false);
+    agent_fixture fixture;
+    fixture.engine.on_request = [leaves](const net::http_request& request,
+                                         const std::shared_ptr<net::http_response>& response) {
+        const net::http_header attempt{
+            "x-samphiretray-attempt-id",
+            std::string{net::find_header(request.headers, "x-samphiretray-attempt-id")}};
+        if (leaves) {
+            response->send(200, {attempt, {"x-samphiretray-server-seal", "seal"}, {"server-leaving", "1"}},
+                           "id: 1\n\n");
+        } else {
+            response->send(503, {attempt, {"x-samphiretray-not-executed", "1"}, {"retry-after", "30"}}, "");
+        }
+    };
+    fixture.start();
+    fixture.send_request("first", "");
+    fixture.wait_for_answers(1);
+    fixture.run_for(100ms);
+    for (int i = 0; i < 5; ++i) {
+        fixture.send_request("later-" + std::to_string(i), "", "", 5s, [](net::http_headers& headers) {
+            gateway::add_waiting_budget(headers, {1s, 1s, 4s});
+        });
+    }
+    fixture.wait_for_answers(6);
+    CHECK(fixture.engine.requests.size() == 1);
+    const auto expected = leaves ? gateway::agent_refusal::draining : gateway::agent_refusal::limited;
+    CHECK(std::ranges::all_of(fixture.answers | std::views::drop(1), [expected](const auto& answer) {
+        return answer && gateway::read_refusal(answer->headers) == expected;
+    }));
+}
--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -752,3 +752,53 @@
     CHECK_FALSE(net::find_header(fixture.outcome->value().headers, "retry-after").empty());
     CHECK(fixture.received_count() == 2);
 }
+
+// Guards against requests that reach a server after the entry has passed on that the server leaves (DRAIN).
+TEST_CASE("a server that says in an answer that it leaves gets no new requests") {
+    entry_with_servers fixture;
+    fixture.register_all();
+    fixture.responders[0] = [](const auto& request, const auto& response) {
+        net::http_headers headers = signed_headers(request);
+        headers.push_back({"server-leaving", "1"});
+        response->send(200, headers, "whole");
+    };
+    for (int i = 0; i < 20; ++i) {
+        CHECK(status_of(fixture.send_and_wait("/u/1")) == 200);
+        fixture.register_server(0);
+    }
+    CHECK(fixture.received[0].size() <= 1);
+}
+
+// Guards against requests to a server that has asked for none for a while (BUDGET).
+TEST_CASE("a server that turns a request away with retry-after gets none before that time is over") {
+    entry_with_servers fixture;
+    fixture.register_all();
+    fixture.responders[0] = [](const auto& request, const auto& response) {
+        response->send(
+            503, {attempt_header(request), {"x-samphiretray-not-executed", "1"}, {"retry-after", "0.4"}}, "");
+    };
+    for (int i = 0; i < 20; ++i) {
+        CHECK(status_of(fixture.send_and_wait("/u/1")) == 200);
+    }
+    CHECK(fixture.received[0].size() == 1);
+    fixture.events.run_until([] { return false; }, 450ms);
+    for (int i = 0; i < 20; ++i) {
+        CHECK(status_of(fixture.send_and_wait("/u/1")) == 200);
+    }
+    CHECK(fixture.received[0].size() == 2);
+}
+
+TEST_CASE("while all servers of a service want no requests, callers are told at once when to come back") {
+    entry_with_servers fixture;
+    fixture.register_all();
+    fixture.responders[0] = fixture.responders[1] = [](const auto& request, const auto& response) {
+        response->send(
+            503, {attempt_header(request), {"x-samphiretray-not-executed", "1"}, {"retry-after", "7"}}, "");
+    };
+    CHECK(status_of(fixture.send_and_wait("/u/1")) == 503);
+    CHECK(status_of(fixture.send_and_wait("/u/1")) == 503);
+    CHECK(fixture.received_count() == 2);
+    const auto wait = parse_number<double>(net::find_header(fixture.outcome->value().headers, "retry-after"));
+    REQUIRE(wait);
+    CHECK(*wait > 6);
+}
--- a/tests/platform/request_binding_test.cpp
+++ b/tests/platform/request_binding_test.cpp
@@ -135,3 +135,17 @@
     CHECK(decoded->caller.adapter == "m0/a7");
     CHECK(decoded->caller.api_key.empty());
 }
+
+TEST_CASE("an answer tells that its server leaves, and for how long it wants no requests") {
+    const auto decoded = [](int status, net::http_headers headers) {
+        return request_binding::decode_answer(status, headers);
+    };
+    CHECK(decoded(200, {{"Server-Leaving", "1"}}).is_leaving);
+    CHECK_FALSE(decoded(200, {}).is_leaving);
+    CHECK(decoded(503, {{"Retry-After", "2.5"}}).pause == 2500ms);
+    CHECK(decoded(503, {{"Retry-After", "1e9"}}).pause == 300s);
+    CHECK_FALSE(decoded(200, {{"Retry-After", "2"}}).pause);
+    for (const char* text : {"", "-1", "soon", "nan", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        CHECK_FALSE(decoded(503, {{"Retry-After", text}}).pause);
+    }
+}
