--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -49,6 +49,7 @@
 constexpr std::size_t crashing_one_in = 20;
 /// Most crashes on it in the phase without faults, as the operators allow once it has crashed five engines.
 constexpr std::size_t max_late_prompt_crashes = 3;
+constexpr duration store_copy_interval = 1500ms;
 /// Processes must exit this soon after SIGTERM.
 constexpr duration stop_timeout = 9s;
 constexpr duration call_timeout = 2s;
@@ -93,6 +94,7 @@
     void write_settings(process& target, json settings);
     void start(process& target);
     void write_configuration();
+    void write_release(const std::string& key, const std::string& release);
     void register_servers();
     void check_processes();
     void send_random_request(const std::string& key, const std::string& organisation);
@@ -101,6 +103,9 @@
     void inject_fault();
     void run_after(duration delay, std::function<void()> action);
     void inject_process_fault(process& target);
+    void inject_store_fault();
+    /// Brings the store back from its copy; the operator and the servers write what they have written again.
+    void restore_store();
     /// `may_repeat`: the responses on the link are small enough for a copy to be a whole response.
     void inject_link_fault(fault_proxy& link, bool may_repeat = false);
     void clear_faults();
@@ -119,6 +124,8 @@
     std::vector<std::unique_ptr<platform_server>> servers_;
     std::vector<std::unique_ptr<fault_proxy>> server_links_;
     std::map<std::string, std::string> registrations_;
+    /// What the operator has announced, by key.
+    std::map<std::string, std::string> releases_;
     std::vector<net::timer_handle> timers_;
     std::map<std::uint64_t, std::unique_ptr<net::http_exchange>> open_calls_;
     std::uint64_t next_call_number_ = 0;
@@ -391,10 +398,39 @@
     run_after(random_time(200, 2500), [&link] { link.set_fault(link_fault::none); });
 }
 
+void soak_run::inject_store_fault() {
+    print_fault("store fault");
+    constexpr auto faults =
+        std::to_array({store_fault::refusing, store_fault::silent, store_fault::lost_replies});
+    store_.set_fault(faults[random_below(faults.size())]);
+    run_after(random_time(200, 3000), [this] { store_.set_fault(store_fault::none); });
+    if (random_below(3) == 0) {
+        store_.compact();
+    }
+}
+
+void soak_run::restore_store() {
+    print_fault("the store comes back from an older copy");
+    store_.restore();
+    write_configuration();
+    for (const auto& [key, release] : releases_) {
+        store_.write(key, release);
+    }
+    registrations_.clear();
+    for (const std::string& key : store_.keys("servers/")) {
+        registrations_[key] = "";
+    }
+}
+
+void soak_run::write_release(const std::string& key, const std::string& release) {
+    releases_[key] = release;
+    store_.write(key, release);
+}
+
 void soak_run::inject_fault() {
     process& target = *processes_[random_below(processes_.size())];
     platform_server& server = *servers_[random_below(servers_.size())];
-    switch (random_below(9)) {
+    switch (random_below(10)) {
     case 0:
     case 1:
         inject_process_fault(target);
@@ -414,22 +450,17 @@
         inject_link_fault(*server_links_[random_below(server_links_.size())], true);
         break;
     }
-    case 5: {
-        print_fault("store fault");
-        constexpr auto faults =
-            std::to_array({store_fault::refusing, store_fault::silent, store_fault::lost_replies});
-        store_.set_fault(faults[random_below(faults.size())]);
-        run_after(random_time(200, 3000), [this] { store_.set_fault(store_fault::none); });
-        if (random_below(3) == 0) {
-            store_.compact();
-        }
+    case 5:
+        inject_store_fault();
         break;
-    }
     case 6:
+        restore_store();
+        break;
+    case 7:
         print_fault("crash of " + server.id());
         server.crash(random_time(100, 1500));
         break;
-    case 7:
+    case 8:
         print_fault("response faults, refusals or delayed orders at " + server.id());
         switch (random_below(3)) {
         case 0:
@@ -451,8 +482,8 @@
     default:
         print_fault("configuration change");
         write_configuration();
-        store_.write("op/version/m0.a" + std::to_string(random_below(3)),
-                     json{{"model", "m0"}, {"adapter", "a0"}, {"version", version_}}.dump());
+        write_release("op/version/m0.a" + std::to_string(random_below(3)),
+                      json{{"model", "m0"}, {"adapter", "a0"}, {"version", version_}}.dump());
         break;
     }
     run_after(random_time(50, 900), [this] {
@@ -483,6 +514,7 @@
 
 int soak_run::run() {
     const net::timer_handle servers = loop_.every(100ms, [this] { register_servers(); });
+    const net::timer_handle copied = loop_.every(store_copy_interval, [this] { store_.take_copy(); });
     const net::timer_handle checked = loop_.every(50ms, [this] { check_processes(); });
     const net::timer_handle large = loop_.every(9ms, [this] { send_random_request(key_, "large"); });
     // Far more tokens than the organisation may spend, so that only refusals keep it within its limit.
--- a/soak/platform_store.h
+++ b/soak/platform_store.h
@@ -32,11 +32,16 @@
     void set_fault(store_fault fault) noexcept { fault_ = fault; }
     /// Drops the change history; a watch from an earlier revision is answered with 410.
     void compact();
+    /// Keeps a copy of all keys, leases and revisions.
+    void take_copy() { copy_ = content_; }
+    /// Comes back from the copy: what was written since is gone, and revisions are given out again.
+    void restore();
+    [[nodiscard]] std::vector<std::string> keys(const std::string& prefix) const;
     /// Writes a key on behalf of the operator or a server, without a request.
     void write(const std::string& key, const std::string& value);
     /// Removes a key and records the removal as a change.
     void remove(const std::string& key);
-    [[nodiscard]] bool contains(const std::string& key) const { return items_.contains(key); }
+    [[nodiscard]] bool contains(const std::string& key) const { return content_.items.contains(key); }
 
 private:
     struct item {
@@ -59,6 +64,19 @@
         time_point deadline;
     };
 
+    /// What a copy of the store holds.
+    struct content {
+        std::map<std::string, item> items;
+        /// Time to live and expiry time by lease number.
+        std::map<std::uint64_t, std::pair<duration, time_point>> leases;
+        std::deque<change> history;
+        std::uint64_t revision = 1;
+        /// Changes up to this revision are no longer in the history.
+        std::uint64_t compacted_revision = 0;
+        std::uint64_t next_lease_id = 1;
+    };
+
+    void reply(net::http_response& response, int status, const std::string& body) const;
     void handle_request(const net::http_request& request,
                         const std::shared_ptr<net::http_response>& response);
     void list(const net::http_request& request, net::http_response& response);
@@ -74,14 +92,9 @@
 
     net::loop& loop_;
     std::unique_ptr<net::http_server> server_;
-    std::map<std::string, item> items_;
-    /// Time to live and expiry time by lease number.
-    std::map<std::uint64_t, std::pair<duration, time_point>> leases_;
-    std::deque<change> history_;
-    std::uint64_t revision_ = 1;
-    /// Changes up to this revision are no longer in the history.
-    std::uint64_t compacted_revision_ = 0;
-    std::uint64_t next_lease_id_ = 1;
+    content content_;
+    content copy_;
+    std::uint64_t era_ = 1;
     store_fault fault_ = store_fault::none;
     std::vector<pending_watch> watches_;
     /// Requests received while the store was silent.
