Send a refused attempt again to the same address only on a fresh connection

Callers were told "not run" for orders that a server had run (REFUSED); a caller that believes it and comes back makes the order run twice (TWICE).

Cause: while a server's old and new records are both listed, with one address, an attempt that the server refused under its old id (421) is sent again under the new id, on the same kept connection. A late copy of the refusal names this very attempt, so the check of the attempt's id, which keeps other answers apart, does not help: the copy was taken for the answer of the second sending, which the server was running.

Now an entry opens a connection of its own for an attempt that this address has refused before, and an agent does for one that its engine has refused before (the last 256). A copy can arrive only where the refusal came from; there nothing waits for it, and the connection is closed.

The two new cases of test_platform fail on the code before. Ruled out by reading: refusals of agents after forwarding, wrong `may_have_been_sent`, retries after an unknown outcome.

--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -33,6 +33,8 @@
 inline constexpr std::uint64_t fencing_numbers_per_agent = 1U << 16U;
 /// A graceful shutdown ends this long before the process would be killed.
 inline constexpr duration agent_stop_margin = 400ms;
+/// Refused attempts that an agent remembers; an entry sends one again within milliseconds, if at all.
+inline constexpr std::size_t max_refused_attempts = 256;
 /// An engine that has said in an answer that it leaves counts as draining for this long.
 inline constexpr duration leaving_memory = endpoint_directory::leaving_memory;
 /// The engine runs on the same machine, so connecting is fast.
@@ -281,6 +283,19 @@
     }
 }
 
+template <request_binding Binding, engine_control Engine>
+bool engine_agent<Binding, Engine>::has_been_refused(const agent_request& request) const {
+    return std::ranges::find(refused_attempts_, request.shared.id) != refused_attempts_.end();
+}
+
+template <request_binding Binding, engine_control Engine>
+void engine_agent<Binding, Engine>::note_engine_refusal(const agent_request& request) {
+    refused_attempts_.push_back(request.shared.id);
+    if (refused_attempts_.size() > limits::max_refused_attempts) {
+        refused_attempts_.pop_front();
+    }
+}
+
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::enqueue(const request_pointer& request,
                                             const agent::admission_request& admission) {
@@ -375,6 +390,7 @@
     call.timeout = fields.time_left + 1s;
     call.connect_timeout = limits::engine_connect_timeout;
     call.max_idle = 2s;
+    call.fresh_connection = has_been_refused(*request);
     const caller_request& caller = request->forwarded.caller;
     prefixes_.insert(caller.adapter.empty() ? caller.model : caller.adapter, request->prompt);
     const std::weak_ptr<agent_request> weak = request;
@@ -410,6 +426,9 @@
         return;
     }
     request->answer_began_at = loop_.now();
+    if (head.not_run) {
+        note_engine_refusal(*request);
+    }
     note_limit(head.requests_per_s);
     note_answer(head);
     if (head.misdirected && request->pin) {
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -21,6 +21,7 @@
 #include "samphiretray/routing/prefix_cache_model.h"
 
 #include <concepts>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -113,6 +114,10 @@
     void execute(std::vector<agent::slot_command> commands);
     /// Entries know the id of the engine's incarnation, which its reports do not tell.
     void learn_engine_id(const agent_request& request);
+    /// Whether the engine has refused the same attempt, so that a late copy of its refusal could be taken for
+    /// the answer on a connection that is used again.
+    [[nodiscard]] bool has_been_refused(const agent_request& request) const;
+    void note_engine_refusal(const agent_request& request);
     void on_load_ended(const agent::slot_command& command, duration elapsed,
                        const result<std::string>& outcome);
     void on_unload_ended(const agent::slot_command& command, const result<std::string>& outcome);
@@ -160,6 +165,8 @@
     agent::load_pacing pacing_;
     /// The limit that the engine names, all of which this agent may use: it is the engine's only sender.
     rate::named_limit limit_;
+    /// Ids (hashes) of the attempts that the engine has refused last.
+    std::deque<std::uint64_t> refused_attempts_;
     /// The engine has asked for no requests until then.
     time_point paused_until_;
     /// When the engine said last in an answer that it is leaving.
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -613,6 +613,9 @@
 
     net::http_call call;
     call.peer = via_agent ? net::address{to->address.host, settings_.agent_port} : to->address;
+    // Two records can have one address. A late copy of the first refusal names this attempt too.
+    call.fresh_connection = std::ranges::find(request->refused_by, call.peer) != request->refused_by.end();
+    request->sent_to = call.peer;
     call.method = request->http.method;
     call.target = request->http.target;
     call.headers = Binding::forward_headers(request->http.headers, fields);
@@ -877,6 +880,7 @@
     if (request->state == answer_state::endpoint_refused && !failure) {
         ejection_.abandoned(request->endpoint, now);
         ++request->failed_sends;
+        request->refused_by.push_back(request->sent_to);
         retry_or_give_up(request, false, "endpoint_refused");
         return;
     }
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -118,6 +118,8 @@
         /// Identifies the request, and the parts of its prompt that others may share, in evidence of crashes.
         routing::prompt_request shared;
         std::vector<std::string> tried_endpoints;
+        /// Addresses of the endpoints that have refused the request themselves.
+        std::vector<net::address> refused_by;
         /// Failed attempts that reached or may have reached an endpoint.
         std::uint32_t failed_sends = 0;
         bool may_have_run = false;
@@ -127,6 +129,7 @@
 
         std::uint64_t attempt = 0;
         std::string endpoint;
+        net::address sent_to;
         std::string agent_host;
         std::string adapter_version;
         std::unique_ptr<net::http_exchange> exchange;
--- a/include/samphiretray/net/http_client.h
+++ b/include/samphiretray/net/http_client.h
@@ -26,6 +26,8 @@
     duration connect_timeout = 0s;
     /// A pooled connection that has been idle for longer is not used for this call.
     duration max_idle = 1h;
+    /// Opens a connection of its own, on which no answer to an earlier call can arrive.
+    bool fresh_connection = false;
 };
 
 /// Callbacks of one call, run from the event loop.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -118,7 +118,7 @@
         return;
     }
     request_head_ = format_request_head(call_);
-    socket_ = pool_->take(call_.peer, call_.max_idle);
+    socket_ = call_.fresh_connection ? nullptr : pool_->take(call_.peer, call_.max_idle);
     if (socket_ != nullptr) {
         socket_->data = this;
         write_request();
--- a/tests/platform/engine_agent_test.cpp
+++ b/tests/platform/engine_agent_test.cpp
@@ -459,3 +459,26 @@
         return answer && gateway::read_refusal(answer->headers) == expected;
     }));
 }
+
+// Guards against "not run" for a request that has run (REFUSED), by a late copy of the engine's first
+// refusal.
+TEST_CASE("an attempt that the engine has refused is passed on again only on a fresh connection") {
+    agent_fixture fixture;
+    fixture.engine.on_request = [](const net::http_request& request,
+                                   const std::shared_ptr<net::http_response>& response) {
+        response->send(503,
+                       {{"x-samphiretray-attempt-id",
+                         std::string{net::find_header(request.headers, "x-samphiretray-attempt-id")}},
+                        {"x-samphiretray-not-executed", "1"}},
+                       "");
+    };
+    fixture.start();
+    const auto connections_after = [&fixture](const char* attempt, std::size_t answers) {
+        fixture.send_request(attempt, "");
+        fixture.wait_for_answers(answers);
+        return fixture.engine.server->open_connections();
+    };
+    const std::size_t after_one = connections_after("one", 1);
+    CHECK(connections_after("two", 2) == after_one);
+    CHECK(connections_after("one", 3) == after_one + 1);
+}
--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -401,6 +401,31 @@
     CHECK(fixture.received_count() == 0);
 }
 
+// Guards against "not run" for a request that has run (REFUSED): the server's old and new records have the
+// same address, and a late copy of the refusal for the old one arrived while the new one was running the
+// request.
+TEST_CASE("a request that a server has refused is sent again to its address only on a fresh connection") {
+    entry_with_servers fixture;
+    net::testing::raw_listener server;
+    fixture.entry->apply(entry_with_servers::make_state(3));
+    for (const char* id : {"i-before", "i-now"}) {
+        fixture.entry->update_endpoint({id, "orders", server.local_address(), "north-a", 6, false, 1, {}});
+    }
+    fixture.entry->set_endpoints_complete();
+    const std::string refusal = "HTTP/1.1 421 Misdirected\r\nX-Samphiretray-Attempt-Id: a1\r\n"
+                                "Content-Length: 0\r\n\r\n";
+    fixture.send_request("/u/1", {}, "key", "one", "a1");
+    auto first = server.accept(fixture.events);
+    REQUIRE(first.receive_until(fixture.events, "one"));
+    first.send(fixture.events, refusal);
+    auto second = server.accept(fixture.events);
+    REQUIRE(second.receive_until(fixture.events, "one"));
+    first.send(fixture.events, refusal);
+    fixture.events.run_until([] { return false; }, 20ms);
+    second.send(fixture.events, answer_bytes("a1", "answer one"));
+    CHECK(fixture.wait_for_outcome()->body == "answer one");
+}
+
 TEST_CASE("an endless answer is aborted at the size limit, and other requests are served meanwhile") {
     // A faulty server may send body bytes until its caller closes the connection.
     entry_with_servers fixture;
