--- a/src/node/rendezvous.cpp
+++ b/src/node/rendezvous.cpp
@@ -1,6 +1,7 @@
 #include "samphiretray/node/rendezvous.h"
 
 #include "samphiretray/base/hash.h"
+#include "samphiretray/base/rendezvous.h"
 
 #include <algorithm>
 #include <ranges>
@@ -11,9 +12,8 @@
                                                       std::span<const ports::vm* const> candidates) {
     const std::uint64_t seed = hash64(duty);
     std::vector<const ports::vm*> ranked(candidates.begin(), candidates.end());
-    std::ranges::sort(ranked, std::ranges::greater{}, [seed](const ports::vm* vm) {
-        return std::pair{hash64(vm->name, seed), vm->name};
-    });
+    std::ranges::sort(ranked, std::ranges::greater{},
+                      [seed](const ports::vm* vm) { return rendezvous_weight(vm->name, seed); });
     return ranked;
 }
 
--- a/src/rate/named_limit.cpp
+++ b/src/rate/named_limit.cpp
@@ -1,6 +1,7 @@
 #include "samphiretray/rate/named_limit.h"
 
 #include "samphiretray/base/hash.h"
+#include "samphiretray/base/rendezvous.h"
 
 #include <algorithm>
 #include <chrono>
@@ -72,11 +73,8 @@
     const auto most = static_cast<double>(std::max<std::size_t>(members_.size(), 1));
     const auto senders =
         static_cast<std::size_t>(std::clamp(requests_per_s / settings_.min_share, 1.0, most));
-    const auto weight = [&endpoint](const std::string& name) { return hash64(name, hash64(endpoint)); };
-    const auto before = std::ranges::count_if(members_, [&](const std::string& name) {
-        return name != own_name_ && weight(name) > weight(own_name_);
-    });
-    return std::cmp_less(before, senders) ? requests_per_s / static_cast<double>(senders) : 0;
+    const std::size_t rank = rendezvous_rank(own_name_, members_, hash64(endpoint));
+    return rank < senders ? requests_per_s / static_cast<double>(senders) : 0;
 }
 
 void endpoint_limits::apply(const std::string& endpoint, std::optional<double> requests_per_s,
--- a/src/routing/crash_quarantine.cpp
+++ b/src/routing/crash_quarantine.cpp
@@ -1,6 +1,6 @@
 #include "samphiretray/routing/crash_quarantine.h"
 
-#include "samphiretray/base/hash.h"
+#include "samphiretray/base/rendezvous.h"
 
 #include <algorithm>
 #include <iterator>
@@ -358,9 +358,7 @@
 
 /// One process at a time may probe. All agree on it as far as they agree on the members.
 bool crash_quarantine::may_probe(part_key part, std::uint32_t slot) const {
-    const auto weight = [&](const std::string& name) { return hash64(name, part + slot); };
-    const auto chosen = std::ranges::max_element(members_, {}, weight);
-    return chosen != members_.end() && *chosen == own_name_;
+    return !members_.empty() && rendezvous_rank(own_name_, members_, part + slot) == 0;
 }
 
 std::optional<quarantine_match> crash_quarantine::check(const prompt_request& request, time_point now) {
