Work announcements of quarantined parts out once for all agents

A round encoded the same message and grouped all peers by region again for each agent: at 330 entries and 860 agents some 280,000 copies of names every 5 s on the event loop (worked out). Both are done once a round now. Inquiries and announcements share the call that they build, and entry and agent share which refusals leave the outcome open.

--- a/include/samphiretray/gateway/agent_protocol.h
+++ b/include/samphiretray/gateway/agent_protocol.h
@@ -34,6 +34,11 @@
     withdrawn,
 };
 
+/// Whether the refused request may have run.
+[[nodiscard]] constexpr bool is_outcome_unknown(agent_refusal reason) noexcept {
+    return reason == agent_refusal::outcome_unknown || reason == agent_refusal::withdrawn;
+}
+
 /// At-most-once requests reuse only connections that have been idle for at most this long. The peer may be
 /// closing an older one, which would leave the outcome of the request unknown. During a shutdown an agent
 /// keeps idle connections open for longer than this.
--- a/include/samphiretray/gateway/crash_exchange.h
+++ b/include/samphiretray/gateway/crash_exchange.h
@@ -40,8 +40,8 @@
     void on_interrupted(const std::string& host, std::optional<cut_answer> cut);
     /// The agent on `host` holds back a part that this entry does not.
     void on_held_back_by(const std::string& host);
-    /// Tells the agent on `host` which parts are quarantined.
-    void announce(const std::string& host);
+    /// Tells the agents on `hosts` which parts are quarantined.
+    void announce(const std::vector<std::string>& hosts);
 
 private:
     struct inquiry {
@@ -59,7 +59,10 @@
     /// agent that was restarted since does not know what its engine was running, and one that does not answer
     /// cannot say.
     void report_own(const inquiry& ended, std::optional<std::uint64_t> engine_started_at);
+    /// What this entry knows, as sent to agents.
     [[nodiscard]] std::string message_text() const;
+    [[nodiscard]] net::http_call make_call(const std::string& host, std::string_view path,
+                                           std::string body) const;
 
     net::loop& loop_;
     net::http_client& http_;
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -35,8 +35,6 @@
 inline constexpr duration agent_stop_margin = 400ms;
 /// Refused attempts that an agent remembers; an entry sends one again within milliseconds, if at all.
 inline constexpr std::size_t max_refused_attempts = 256;
-/// An engine that has said in an answer that it leaves counts as draining for this long.
-inline constexpr duration leaving_memory = endpoint_directory::leaving_memory;
 /// The engine runs on the same machine, so connecting is fast.
 inline constexpr duration engine_connect_timeout = 150ms;
 /// Longer than the idle timeout of the entries' HTTP clients, so that always the entry closes an idle
@@ -517,7 +515,8 @@
 
 template <request_binding Binding, engine_control Engine>
 bool engine_agent<Binding, Engine>::is_engine_leaving() const {
-    const bool has_said = said_leaving_at_ && loop_.now() - *said_leaving_at_ < limits::leaving_memory;
+    const bool has_said =
+        said_leaving_at_ && loop_.now() - *said_leaving_at_ < endpoint_directory::leaving_memory;
     return (report_ && report_->draining) || has_said;
 }
 
@@ -570,8 +569,7 @@
     if (report_) {
         add_engine_load(headers, current_load());
     }
-    const bool may_have_run = reason == agent_refusal::outcome_unknown || reason == agent_refusal::withdrawn;
-    request->response->send(may_have_run ? 502 : 503, headers, "");
+    request->response->send(is_outcome_unknown(reason) ? 502 : 503, headers, "");
     finish(request, detail.empty() ? name_of(reason) : detail);
 }
 
@@ -844,19 +842,17 @@
 
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::withdraw_held() {
-    std::vector<request_pointer> held;
-    std::ranges::copy_if(
-        requests_ | std::views::values, std::back_inserter(held), [this](const request_pointer& each) {
-            return !each->answer_began_at && held_parts_.check(each->shared.parts, loop_.now());
-        });
-    for (const request_pointer& each : held) {
-        if (each->forwarded_at) {
-            each->exchange.reset();
-            refuse(each, agent_refusal::withdrawn, "");
-        } else {
-            refuse(each, agent_refusal::quarantined, "",
-                   held_parts_.check(each->shared.parts, loop_.now())->retry_after);
+    std::vector<request_pointer> not_begun;
+    std::ranges::copy_if(requests_ | std::views::values, std::back_inserter(not_begun),
+                         [](const request_pointer& each) { return !each->answer_began_at; });
+    for (const request_pointer& each : not_begun) {
+        const auto held = held_parts_.check(each->shared.parts, loop_.now());
+        if (!held) {
+            continue;
         }
+        each->exchange.reset();
+        refuse(each, each->forwarded_at ? agent_refusal::withdrawn : agent_refusal::quarantined, "",
+               held->retry_after);
     }
     process_queue();
 }
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -559,7 +559,7 @@
 void entry_gateway<Binding, Store>::on_held_back_by_agent(const request_pointer& request) {
     ejection_.abandoned(request->endpoint, loop_.now());
     crash_exchange_.on_held_back_by(request->agent_host);
-    request->may_have_run = request->may_have_run || request->last_refusal == agent_refusal::withdrawn;
+    request->may_have_run = request->may_have_run || is_outcome_unknown(*request->last_refusal);
     hold_back(*request, {0, request->refusal_wait.value_or(limits::retry_after_when_full)});
 }
 
@@ -853,9 +853,8 @@
         on_held_back_by_agent(request);
         return;
     }
-    const bool refused = request->state == answer_state::agent_refused &&
-                         request->last_refusal != agent_refusal::outcome_unknown &&
-                         request->last_refusal != agent_refusal::withdrawn;
+    const bool refused =
+        request->state == answer_state::agent_refused && !is_outcome_unknown(*request->last_refusal);
     const bool is_cut = failure && failure->code == errc::connection_closed;
     if (request->is_engine && (is_cut || (request->state == answer_state::agent_refused && !refused))) {
         on_interrupted(*request);
@@ -981,29 +980,43 @@
     }
 }
 
-/// Each agent is informed by two entries of its region, as far as there are any.
+/// The data centre itself if its region is not configured.
 template <request_binding Binding, typename Store>
-bool entry_gateway<Binding, Store>::informs_agent_of(const endpoint& engine) const {
-    const auto region_of = [this](const std::string& data_centre) {
-        const auto found = settings_.regions.find(data_centre);
-        return found == settings_.regions.end() ? data_centre : found->second;
-    };
-    const std::string region = region_of(engine.data_centre);
-    std::vector<std::string> others;
+std::string entry_gateway<Binding, Store>::region_of(const std::string& data_centre) const {
+    const auto found = settings_.regions.find(data_centre);
+    return found == settings_.regions.end() ? data_centre : found->second;
+}
+
+/// Each agent is informed by two entries of its region, or by two of all entries if its region has none.
+template <request_binding Binding, typename Store>
+std::vector<std::string> entry_gateway<Binding, Store>::informed_agents() const {
+    std::vector<std::string> all_peers;
+    std::map<std::string, std::vector<std::string>> peers_of_region;
     for (const peer_entry& each : peers_) {
-        if (region_of(each.data_centre) == region) {
-            others.push_back(each.vm);
+        all_peers.push_back(each.vm);
+        peers_of_region[region_of(each.data_centre)].push_back(each.vm);
+    }
+    const std::string own_region = region_of(settings_.node.data_centre);
+    const auto informs = [&](const endpoint& engine) {
+        const std::string region = region_of(engine.data_centre);
+        const bool is_local = region == own_region;
+        if (!is_local && peers_of_region.contains(region)) {
+            return false;
+        }
+        const auto& others = is_local ? peers_of_region[region] : all_peers;
+        return rendezvous_rank(settings_.node.vm, others, hash64(engine.address.host)) <
+               limits::entries_informing_an_agent;
+    };
+    std::vector<std::string> hosts;
+    for (const std::string& id : directory_.ids()) {
+        const endpoint* known = directory_.find(id);
+        const service* configured = table_ ? table_->find_service(known->service) : nullptr;
+        const bool is_engine = configured != nullptr && configured->engine.has_value();
+        if (is_engine && informs(*known)) {
+            hosts.push_back(known->address.host);
         }
     }
-    const bool is_local = region_of(settings_.node.data_centre) == region;
-    if (!is_local && !others.empty()) {
-        return false;
-    }
-    if (!is_local) {
-        std::ranges::transform(peers_, std::back_inserter(others), &peer_entry::vm);
-    }
-    return rendezvous_rank(settings_.node.vm, others, hash64(engine.address.host)) <
-           limits::entries_informing_an_agent;
+    return hosts;
 }
 
 template <request_binding Binding, typename Store>
@@ -1013,14 +1026,7 @@
         return;
     }
     quarantine_announced_at_ = loop_.now();
-    for (const std::string& id : directory_.ids()) {
-        const endpoint* known = directory_.find(id);
-        const service* configured = table_ ? table_->find_service(known->service) : nullptr;
-        const bool is_engine = configured != nullptr && configured->engine.has_value();
-        if (is_engine && informs_agent_of(*known)) {
-            crash_exchange_.announce(known->address.host);
-        }
-    }
+    crash_exchange_.announce(informed_agents());
 }
 
 template <request_binding Binding, typename Store>
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -189,7 +189,9 @@
     void report_quarantine_changes();
     /// Announces the quarantined parts to the agents that this entry informs.
     void announce_quarantine();
-    [[nodiscard]] bool informs_agent_of(const endpoint& engine) const;
+    /// The hosts of those agents.
+    [[nodiscard]] std::vector<std::string> informed_agents() const;
+    [[nodiscard]] std::string region_of(const std::string& data_centre) const;
     /// The engine has survived the start of the answer.
     void note_harmless(active_request& request);
     void note_harmless_prompts();
--- a/src/gateway/crash_exchange.cpp
+++ b/src/gateway/crash_exchange.cpp
@@ -26,8 +26,7 @@
     if (port_ == 0) {
         return;
     }
-    const bool is_new = !inquiries_.contains(host);
-    if (is_new) {
+    if (!inquiries_.contains(host)) {
         ask_later(host, first_inquiry_delay);
         inquiries_[host].began_at = loop_.now();
     }
@@ -54,17 +53,22 @@
     return encode(crash_message{quarantine_.supporting_evidence(now), quarantine_.announcement(now)});
 }
 
-void crash_exchange::ask(const std::string& host) {
-    inquiry& current = inquiries_[host];
-    ++current.attempts;
+net::http_call crash_exchange::make_call(const std::string& host, std::string_view path,
+                                         std::string body) const {
     net::http_call call;
     call.peer = {host, port_};
     call.method = "POST";
-    call.target = crashes_path;
-    call.body = message_text();
+    call.target = path;
+    call.body = std::move(body);
     call.timeout = message_timeout;
+    return call;
+}
+
+void crash_exchange::ask(const std::string& host) {
+    inquiry& current = inquiries_[host];
+    ++current.attempts;
     current.exchange =
-        http_.fetch(std::move(call),
+        http_.fetch(make_call(host, crashes_path, message_text()),
                     [this, host](const result<net::fetched_response>& answer) { on_answer(host, answer); });
 }
 
@@ -116,24 +120,25 @@
     }
 }
 
-void crash_exchange::announce(const std::string& host) {
-    if (port_ == 0 || announcements_.contains(host)) {
+void crash_exchange::announce(const std::vector<std::string>& hosts) {
+    if (port_ == 0 || hosts.empty()) {
         return;
     }
-    net::http_call call;
-    call.peer = {host, port_};
-    call.method = "POST";
-    call.target = announcements_path;
-    call.body = message_text();
-    call.timeout = message_timeout;
-    announcements_[host] =
-        http_.fetch(std::move(call), [this, host](const result<net::fetched_response>& answer) {
-            if (!answer) {
-                log_event(log_level::debug, "quarantine_not_announced",
-                          {{"at", host}, {"failure", to_string(answer.error())}});
-            }
-            loop_.post([this, host] { announcements_.erase(host); });
-        });
+    const std::string text = message_text();
+    for (const std::string& host : hosts) {
+        if (announcements_.contains(host)) {
+            continue;
+        }
+        announcements_[host] =
+            http_.fetch(make_call(host, announcements_path, text),
+                        [this, host](const result<net::fetched_response>& answer) {
+                            if (!answer) {
+                                log_event(log_level::debug, "quarantine_not_announced",
+                                          {{"at", host}, {"failure", to_string(answer.error())}});
+                            }
+                            loop_.post([this, host] { announcements_.erase(host); });
+                        });
+    }
 }
 
 } // namespace samphiretray::gateway
