Look up what an endpoint has said in one place; shorten the follower and three tests

No behaviour changes: the incarnation is compared in one function, the follower forgets its revision with its era instead of choosing at the end, and the tests that play a server themselves share how it is registered.

--- a/include/samphiretray/gateway/endpoint_directory.h
+++ b/include/samphiretray/gateway/endpoint_directory.h
@@ -64,6 +64,8 @@
     void expire_departed(time_point now);
     /// Null if the endpoint is not known.
     [[nodiscard]] told_state* told_by(const std::string& id);
+    /// Null if this incarnation has said nothing.
+    [[nodiscard]] const told_state* find_told(const endpoint& value) const;
     [[nodiscard]] bool is_leaving(const endpoint& value, time_point now) const;
     [[nodiscard]] duration pause_left(const endpoint& value, time_point now) const;
 
--- a/include/samphiretray/node/prefix_follower-inl.h
+++ b/include/samphiretray/node/prefix_follower-inl.h
@@ -81,8 +81,8 @@
                    {"revision_before", revision_}});
         // Keys that the copy lacks are written again, like those that expire during an outage.
         outage_ended_at_ = loop_.now();
+        revision_ = 0;
     }
-    const bool is_same_history = listing.era == era_;
     era_ = listing.era;
     std::set<std::string> present;
     for (const ports::stored_item& item : listing.items) {
@@ -94,7 +94,7 @@
     for (const std::string& key : missing) {
         report({key, std::nullopt, listing.revision});
     }
-    revision_ = is_same_history ? std::max(revision_, listing.revision) : listing.revision;
+    revision_ = std::max(revision_, listing.revision);
     if (!std::exchange(synchronized_, true)) {
         log_event(log_level::info, "store_prefix_read",
                   {{"prefix", settings_.prefix}, {"keys", known_keys_.size()}, {"revision", revision_}});
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -78,6 +78,11 @@
     return &told;
 }
 
+const endpoint_directory::told_state* endpoint_directory::find_told(const endpoint& value) const {
+    const auto found = told_.find(value.id);
+    return found != told_.end() && found->second.started_at == value.started_at ? &found->second : nullptr;
+}
+
 bool endpoint_directory::note_leaving(const std::string& id, time_point now) {
     told_state* told = told_by(id);
     const bool is_new = told != nullptr && !is_leaving(*find(id), now);
@@ -94,16 +99,14 @@
 }
 
 bool endpoint_directory::is_leaving(const endpoint& value, time_point now) const {
-    const auto told = told_.find(value.id);
-    const bool is_told = told != told_.end() && told->second.started_at == value.started_at;
+    const told_state* told = find_told(value);
     return value.draining ||
-           (is_told && told->second.leaving_since && now - *told->second.leaving_since < leaving_memory);
+           (told != nullptr && told->leaving_since && now - *told->leaving_since < leaving_memory);
 }
 
 duration endpoint_directory::pause_left(const endpoint& value, time_point now) const {
-    const auto told = told_.find(value.id);
-    const bool is_told = told != told_.end() && told->second.started_at == value.started_at;
-    return is_told ? std::max<duration>(told->second.paused_until - now, 0ms) : duration::zero();
+    const told_state* told = find_told(value);
+    return told != nullptr ? std::max<duration>(told->paused_until - now, 0ms) : duration::zero();
 }
 
 std::optional<duration> endpoint_directory::pause_left(std::string_view service, time_point now) const {
--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -127,6 +127,15 @@
         return state;
     }
 
+    /// Registers a server that the test plays itself, under each of these ids, in place of the others.
+    void register_only(const net::testing::raw_listener& server, const std::vector<std::string>& ids) {
+        entry->apply(make_state(3));
+        for (const std::string& id : ids) {
+            entry->update_endpoint({id, "orders", server.local_address(), "north-a", 6, false, 1, {}});
+        }
+        entry->set_endpoints_complete();
+    }
+
     void register_server(std::size_t i, bool draining = false) {
         gateway::endpoint server;
         server.id = "i-" + std::to_string(i);
@@ -359,9 +368,7 @@
     // A server answers twice, and the duplicate arrives while the connection serves the next request.
     entry_with_servers fixture;
     net::testing::raw_listener server;
-    fixture.entry->apply(entry_with_servers::make_state(3));
-    fixture.entry->update_endpoint({"i-raw", "orders", server.local_address(), "north-a", 6, false, 1, {}});
-    fixture.entry->set_endpoints_complete();
+    fixture.register_only(server, {"i-raw"});
     fixture.send_request("/u/1", {}, "key", "one", "a1");
     auto first = server.accept(fixture.events);
     REQUIRE(first.receive_until(fixture.events, "one"));
@@ -383,9 +390,7 @@
 TEST_CASE("a duplicate of an earlier refusal is not taken as a refusal of the next request") {
     entry_with_servers fixture;
     net::testing::raw_listener server;
-    fixture.entry->apply(entry_with_servers::make_state(3));
-    fixture.entry->update_endpoint({"i-raw", "orders", server.local_address(), "north-a", 6, false, 1, {}});
-    fixture.entry->set_endpoints_complete();
+    fixture.register_only(server, {"i-raw"});
     const std::string refusal = "HTTP/1.1 503 Busy\r\nX-Samphiretray-Attempt-Id: a1\r\n"
                                 "X-Samphiretray-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
     fixture.send_request("/u/1", {}, "key", "one", "a1");
@@ -407,11 +412,7 @@
 TEST_CASE("a request that a server has refused is sent again to its address only on a fresh connection") {
     entry_with_servers fixture;
     net::testing::raw_listener server;
-    fixture.entry->apply(entry_with_servers::make_state(3));
-    for (const char* id : {"i-before", "i-now"}) {
-        fixture.entry->update_endpoint({id, "orders", server.local_address(), "north-a", 6, false, 1, {}});
-    }
-    fixture.entry->set_endpoints_complete();
+    fixture.register_only(server, {"i-before", "i-now"});
     const std::string refusal = "HTTP/1.1 421 Misdirected\r\nX-Samphiretray-Attempt-Id: a1\r\n"
                                 "Content-Length: 0\r\n\r\n";
     fixture.send_request("/u/1", {}, "key", "one", "a1");
