Let the test of waiting requests wait until the part is quarantined

The test let the held-up loads through 0.9 s after the last crash, and took for granted that the part was quarantined by then. The log of a failed run has the crash found at 20.128 s and the part quarantined at 20.449 s, after the loads had ended at 19.98 s: the requests began before anything was known, which the operators' rule allows for 4 s after the fifth crash. The test now waits until both entries say that they hold a part back, at most those 4 s; what it checks afterwards is the same. The other cases wait for it as well.

--- a/tests/fleet/crashing_part_test.cpp
+++ b/tests/fleet/crashing_part_test.cpp
@@ -62,6 +62,32 @@
         }
         run_for(1s);
         REQUIRE(crash_count >= 3);
+        await_quarantine();
+    }
+
+    /// Waits until both entries hold a part back.
+    void await_quarantine() {
+        constexpr duration step = 20ms;
+        for (duration waited{0}; !is_quarantining(0) || !is_quarantining(1); waited += step) {
+            REQUIRE(waited < contact);
+            run_for(step);
+        }
+    }
+
+    bool is_quarantining(std::size_t entry) {
+        net::http_call call;
+        call.peer = control_address(entry);
+        call.target = "/status";
+        call.timeout = contact;
+        std::optional<result<net::fetched_response>> answer;
+        const auto exchange = client->fetch(std::move(call), [&answer](result<net::fetched_response> each) {
+            answer.emplace(std::move(each));
+        });
+        REQUIRE(events.run_until([&] { return answer.has_value(); }, platform::testing::hang_limit));
+        REQUIRE((*answer && (*answer)->status == 200));
+        const std::string& body = (*answer)->body;
+        REQUIRE(body.find("\"quarantined_parts\":") != std::string::npos);
+        return body.find("\"quarantined_parts\":0") == std::string::npos;
     }
 
     std::size_t crash_count = 0;
@@ -152,7 +178,8 @@
         (void)fleet.ask(i % 2, "first:20,dead:40," + own_part(i));
         fleet.run_for(20ms);
     }
-    fleet.run_for(900ms);
+    fleet.await_quarantine();
+    fleet.run_for(300ms);
     const std::size_t before = fleet.crash_count;
     for (auto& each : fleet.engines) {
         each->engine.order_fates.clear();
--- a/tests/fleet/small_fleet.h
+++ b/tests/fleet/small_fleet.h
@@ -127,7 +127,7 @@
         settings.node.data_centre = "north-a";
         settings.listen = any_port;
         settings.ready_listen = any_port;
-        settings.control_listen = {"127.0.0." + std::to_string(101 + index), entry_control_port};
+        settings.control_listen = control_address(index);
         settings.agent_port = agent_port;
         settings.agent_control_port = agent_control_port;
         entries.resize(std::max(entries.size(), index + 1));
@@ -151,6 +151,10 @@
         }
     }
 
+    static net::address control_address(std::size_t entry) {
+        return {"127.0.0." + std::to_string(101 + entry), entry_control_port};
+    }
+
     static gateway::routing_state state() {
         gateway::routing_state made;
         made.version = 1;
