Keep the evidence of quarantined prompt parts in the store

Cause: only the memory of our processes held a quarantine. When all are new, three crashes and what is under way meanwhile teach it again, each time. Where few requests have the part this takes place long after the restart.

Ruled out: a lost or refused announcement. No process was left that could send one.

Two entries, chosen by rendezvous hashing, now keep the evidence in the store, under a lease, at each change and every 10 s while something is quarantined; a starting entry reads it, draws the same conclusion and tells the agents. Ages go on by the time of day, so a record holds nothing back longer than the crashes in it do, and evidence of peers that a part is harmless clears it as before.

The agents of the test's fleet get a client of their own, since one that is restarted must not receive the answer to a call of its predecessor.

--- a/include/samphiretray/gateway/crash_report.h
+++ b/include/samphiretray/gateway/crash_report.h
@@ -58,4 +58,15 @@
 /// Fails with `protocol_error` if `text` is not a message about crashes.
 [[nodiscard]] result<crash_message> decode_crash_message(std::string_view text, std::string_view peer);
 
+/// The time of day in Unix milliseconds, for ages that outlive processes and VMs.
+[[nodiscard]] std::uint64_t wall_clock_milliseconds();
+
+/// Evidence as an entry keeps it in the store, with the time of day of the write.
+[[nodiscard]] std::string encode_recorded_evidence(const routing::crash_evidence& evidence,
+                                                   std::uint64_t written_at_ms);
+/// Adds the time since the write to the ages; a write in the future counts as one at `now_ms`. Fails with
+/// `protocol_error` if `text` is not recorded evidence.
+[[nodiscard]] result<routing::crash_evidence>
+decode_recorded_evidence(std::string_view text, std::string_view key, std::uint64_t now_ms);
+
 } // namespace samphiretray::gateway
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -5,6 +5,7 @@
 #include "samphiretray/base/text.h"
 #include "samphiretray/gateway/crash_report.h"
 #include "samphiretray/gateway/entry_gateway.h"
+#include "samphiretray/gateway/quarantine_record-inl.h"
 #include "samphiretray/gateway/usage_exchange-inl.h"
 
 #include <algorithm>
@@ -46,7 +47,10 @@
 /// While prompt parts are quarantined, agents are told again after this time, since they may have been
 /// restarted.
 inline constexpr duration quarantine_announcement_interval = 5s;
+/// The record in the store is written again after this time, since the store may lose it.
+inline constexpr duration quarantine_record_interval = 10s;
 inline constexpr std::size_t entries_informing_an_agent = 2;
+inline constexpr std::size_t entries_recording_the_quarantine = 2;
 /// Most endpoints tried for one request, whatever the route allows; those whose agents refused count.
 inline constexpr std::size_t max_tried_endpoints = 5;
 /// The urgency of a request ranges from 0, the most urgent, to this value.
@@ -121,6 +125,7 @@
                        .listen = settings_.control_listen},
                       usage_, quarantine_, limits_),
       crash_exchange_(events, *http_, quarantine_, settings_.agent_control_port),
+      quarantine_record_(events, store, settings_.node.vm, quarantine_),
       ended_requests_(metrics_.counter(
           {"samphiretray_requests_total", "Requests by kind and outcome", {"kind", "outcome"}})),
       retry_counter_(
@@ -151,6 +156,7 @@
         }
     });
     usage_exchange_.start();
+    quarantine_record_.read();
     tick_timer_ = loop_.every(limits::tick_interval, [this] { on_tick(); });
     log_event(log_level::info, "entry_started",
               {{"vm", settings_.node.vm},
@@ -967,6 +973,11 @@
     if (!changes.empty() || is_due) {
         announce_quarantine();
     }
+    const bool is_record_due = quarantine_recorded_at_ &&
+                               loop_.now() - *quarantine_recorded_at_ >= limits::quarantine_record_interval;
+    if (!changes.empty() || is_record_due) {
+        record_quarantine();
+    }
     for (const routing::quarantine_change& each : changes) {
         const std::string_view phase = each.phase ? name_of(*each.phase) : "harmless";
         quarantine_counter_.add({phase});
@@ -1029,6 +1040,19 @@
     crash_exchange_.announce(informed_agents());
 }
 
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::record_quarantine() {
+    quarantine_recorded_at_.reset();
+    if (quarantine_.quarantined_count(loop_.now()) > 0) {
+        quarantine_recorded_at_ = loop_.now();
+    }
+    const auto others = peers_ | std::views::transform(&peer_entry::vm);
+    const std::size_t rank = rendezvous_rank(settings_.node.vm, others, hash64("quarantine record"));
+    if (rank < limits::entries_recording_the_quarantine) {
+        quarantine_record_.write();
+    }
+}
+
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::on_no_answer(const request_pointer& request,
                                                  const std::optional<error>& failure) {
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -6,6 +6,7 @@
 #include "samphiretray/gateway/crash_exchange.h"
 #include "samphiretray/gateway/endpoint_directory.h"
 #include "samphiretray/gateway/event_stream_parser.h"
+#include "samphiretray/gateway/quarantine_record.h"
 #include "samphiretray/gateway/relay.h"
 #include "samphiretray/gateway/routing_table.h"
 #include "samphiretray/gateway/settings.h"
@@ -189,6 +190,8 @@
     void report_quarantine_changes();
     /// Announces the quarantined parts to the agents that this entry informs.
     void announce_quarantine();
+    /// Writes the evidence into the store if this entry is one of those that do.
+    void record_quarantine();
     /// The hosts of those agents.
     [[nodiscard]] std::vector<std::string> informed_agents() const;
     [[nodiscard]] std::string region_of(const std::string& data_centre) const;
@@ -247,8 +250,10 @@
     rate::endpoint_limits limits_;
     usage_exchange<Store> usage_exchange_;
     crash_exchange crash_exchange_;
+    quarantine_record<Store> quarantine_record_;
     std::vector<peer_entry> peers_;
     std::optional<time_point> quarantine_announced_at_;
+    std::optional<time_point> quarantine_recorded_at_;
     std::function<void(const std::vector<peer_entry>&)> on_peers_;
     std::map<std::string, net::http_handler> peer_handlers_;
     /// Hosts of agents that could not be connected to.
--- a/src/gateway/crash_report.cpp
+++ b/src/gateway/crash_report.cpp
@@ -143,4 +143,30 @@
     return message;
 }
 
+std::uint64_t wall_clock_milliseconds() {
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
+}
+
+std::string encode_recorded_evidence(const routing::crash_evidence& evidence, std::uint64_t written_at_ms) {
+    json body = to_json(evidence);
+    body["written_at_ms"] = written_at_ms;
+    return body.dump();
+}
+
+result<routing::crash_evidence> decode_recorded_evidence(std::string_view text, std::string_view key,
+                                                         std::uint64_t now_ms) {
+    const json parsed = json::parse(text, nullptr, false);
+    auto evidence = crash_evidence_from(parsed, key);
+    const auto written_at_ms = evidence ? unsigned_field(parsed, "written_at_ms") : std::nullopt;
+    if (!written_at_ms) {
+        return malformed(key);
+    }
+    const duration since = age_from(now_ms - std::min(now_ms, *written_at_ms));
+    std::ranges::for_each(evidence->crashes, [since](routing::engine_crash& each) { each.age += since; });
+    std::ranges::for_each(evidence->harmless, [since](routing::harmless_part& each) { each.age += since; });
+    return evidence;
+}
+
 } // namespace samphiretray::gateway
--- a/tests/fleet/crashing_part_test.cpp
+++ b/tests/fleet/crashing_part_test.cpp
@@ -90,6 +90,18 @@
         return body.find("\"quarantined_parts\":0") == std::string::npos;
     }
 
+    /// Whatever entries and agents knew is gone; the store goes on.
+    void restart_all() {
+        entries.clear();
+        for (auto& each : engines) {
+            start_agent(*each);
+        }
+        start_entry(0);
+        start_entry(1);
+        run_for(300ms);
+        await_quarantine();
+    }
+
     std::size_t crash_count = 0;
     /// Answers that fall silent after the first event, as if their link had been cut.
     std::vector<std::shared_ptr<net::http_response>> hanging;
@@ -161,6 +173,23 @@
     CHECK(fleet.crash_count - before <= max_reached);
 }
 
+// Guards against a quarantine that is forgotten if all entries and agents are killed at one moment (BUDGET):
+// only their memory held it, so that each time more engines had to crash before it was known again.
+TEST_CASE("a quarantine outlives entries and agents that are all restarted at one moment") {
+    fleet_with_crashing_part fleet;
+    fleet.quarantine();
+    const std::size_t before = fleet.crash_count;
+    for (std::uint64_t i = 0; i < 4; ++i) {
+        fleet.restart_all();
+        (void)fleet.ask(0, "first:20,dead:40," + own_part(10 + i));
+        (void)fleet.ask(1, "first:20,dead:40," + own_part(20 + i));
+        fleet.recover();
+    }
+    CHECK(fleet.crash_count == before);
+    const auto sound = fleet.ask(0, "first:20," + own_part(100));
+    CHECK((sound && sound->status == 200));
+}
+
 // Guards against requests that reach engines long after their part has been quarantined, since they were
 // waiting at an agent at that moment (BUDGET).
 TEST_CASE("requests that wait at an agent do not begin once their part is quarantined") {
--- a/tests/fleet/small_fleet.h
+++ b/tests/fleet/small_fleet.h
@@ -79,18 +79,13 @@
 
     struct engine_vm {
         engine_vm(small_fleet& fleet, std::size_t index)
-            : host("127.0.0." + std::to_string(11 + index)), engine(fleet.events, host),
-              client(fleet.events, *fleet.client,
-                     {.engine = engine.address(),
-                      .owner = host,
-                      .order_timeout = 30ms,
-                      .recheck_interval = 2ms}) {
+            : host("127.0.0." + std::to_string(11 + index)), engine(fleet.events, host) {
             engine.id = "i-" + std::to_string(index);
         }
 
         std::string host;
         fake_engine engine;
-        engine_client client;
+        std::unique_ptr<engine_client> client;
         std::unique_ptr<agent_type> agent;
     };
 
@@ -115,7 +110,13 @@
         settings.engine = vm.engine.address();
         settings.service = "engines";
         settings.poll_interval = 20ms;
-        vm.agent = std::make_unique<agent_type>(events, settings, vm.client);
+        vm.agent.reset();
+        vm.client = std::make_unique<engine_client>(events, *client,
+                                                    engine_client_options{.engine = vm.engine.address(),
+                                                                          .owner = vm.host,
+                                                                          .order_timeout = 30ms,
+                                                                          .recheck_interval = 2ms});
+        vm.agent = std::make_unique<agent_type>(events, settings, *vm.client);
         REQUIRE(vm.agent->start());
         vm.agent->apply(state());
         vm.agent->set_fencing_number(5);
--- a/tests/gateway/crash_message_test.cpp
+++ b/tests/gateway/crash_message_test.cpp
@@ -34,3 +34,28 @@
     CHECK_FALSE(decode_crash_message("", "peer"));
     CHECK_FALSE(decode_crash_message("[]", "peer"));
 }
+
+TEST_CASE("recorded evidence is older by the time since it was written") {
+    routing::crash_evidence evidence;
+    evidence.crashes = {{"10.0.0.1:80#7", 1500ms, {{11, {21, 22}}}}};
+    const std::string text = encode_recorded_evidence(evidence, 100'000);
+    const auto later = decode_recorded_evidence(text, "key", 102'000);
+    REQUIRE(later);
+    CHECK(later->crashes.front().age == 3500ms);
+    CHECK(later->crashes.front().requests.front().parts == std::vector<routing::part_key>{21, 22});
+    // A reader whose clock is behind.
+    const auto earlier = decode_recorded_evidence(text, "key", 99'000);
+    REQUIRE(earlier);
+    CHECK(earlier->crashes.front().age == 1500ms);
+}
+
+TEST_CASE("recorded evidence that is malformed is refused") {
+    const std::string valid = R"({"revision":1,"crashes":[],"harmless":[],"written_at_ms":)";
+    CHECK(decode_recorded_evidence(valid + "5}", "key", 7));
+    CHECK(decode_recorded_evidence(valid + "18446744073709551615}", "key", 7));
+    for (const char* text : {"", "[]", "{}", R"({"revision":1,"crashes":[],"harmless":[]})",
+                             R"({"written_at_ms":5,"crashes":7,"harmless":[],"revision":1})"}) {
+        CHECK_FALSE(decode_recorded_evidence(text, "key", 7));
+    }
+    CHECK_FALSE(decode_recorded_evidence(valid + "-5}", "key", 7));
+}
