Keep the longest of the pauses that an endpoint asks for

An endpoint that refuses with 503 and Retry-After wants nothing for that long. Found by reading. The pause now ends with the longest that was asked for; it is still bounded by five minutes and ends with the incarnation. Both new cases fail without this (test_gateway; test_platform: 3 requests at the engine, 2 allowed).

--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -507,7 +507,7 @@
         check_engine_draining();
     }
     if (head.pause) {
-        paused_until_ = loop_.now() + *head.pause;
+        paused_until_ = std::max(paused_until_, loop_.now() + *head.pause);
         log_event(log_level::info, "engine_paused",
                   {{"pause_ms", milliseconds_in(*head.pause)}, {"waiting", admission_.waiting_count()}});
     }
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -94,7 +94,7 @@
 
 void endpoint_directory::note_pause(const std::string& id, time_point until) {
     if (told_state* told = told_by(id)) {
-        told->paused_until = until;
+        told->paused_until = std::max(told->paused_until, until);
     }
 }
 
--- a/tests/gateway/endpoint_directory_test.cpp
+++ b/tests/gateway/endpoint_directory_test.cpp
@@ -108,6 +108,16 @@
     CHECK(directory.available("engines", start + 10s).size() == 1);
 }
 
+// Guards against a pause that is cut short by another refusal of the same endpoint (BUDGET).
+TEST_CASE("a pause does not end earlier because a later answer asks for a shorter one") {
+    endpoint_directory directory;
+    directory.update(make_endpoint("e1", 5));
+    directory.note_pause("e1", start + 5s);
+    directory.note_pause("e1", start + 1s);
+    CHECK(directory.available("engines", start + 4s).empty());
+    CHECK(directory.available("engines", start + 5s).size() == 1);
+}
+
 TEST_CASE("an endpoint that asks for a pause gets no requests until its end") {
     endpoint_directory directory;
     directory.update(make_endpoint("e1", 5));
--- a/tests/platform/engine_agent_test.cpp
+++ b/tests/platform/engine_agent_test.cpp
@@ -460,6 +460,35 @@
     }));
 }
 
+// Guards against requests to an engine within the longer of two pauses that it has asked for (BUDGET).
+TEST_CASE("an engine's later refusal with a shorter pause does not end a longer one") {
+    agent_fixture fixture;
+    std::vector<std::pair<std::string, std::shared_ptr<net::http_response>>> pending;
+    fixture.engine.on_request = [&pending](const net::http_request& request,
+                                           const std::shared_ptr<net::http_response>& response) {
+        pending.emplace_back(net::find_header(request.headers, "x-samphiretray-attempt-id"), response);
+    };
+    fixture.start();
+    fixture.send_request("first", "");
+    fixture.send_request("second", "");
+    REQUIRE(fixture.events.run_until([&] { return pending.size() == 2; }, platform::testing::hang_limit));
+    for (const std::string_view pause : {"30", "0.1"}) {
+        const auto [attempt, response] = pending.front();
+        pending.erase(pending.begin());
+        response->send(503,
+                       {{"x-samphiretray-attempt-id", attempt},
+                        {"x-samphiretray-not-executed", "1"},
+                        {"retry-after", std::string{pause}}},
+                       "");
+        fixture.run_for(100ms);
+    }
+    fixture.wait_for_answers(2);
+    fixture.run_for(200ms);
+    fixture.send_request("later", "");
+    fixture.wait_for_answers(3);
+    CHECK(fixture.engine.requests.size() == 2);
+}
+
 // Guards against "not run" for a request that has run (REFUSED), by a late copy of the engine's first
 // refusal.
 TEST_CASE("an attempt that the engine has refused is passed on again only on a fresh connection") {
