Limit the receive buffers of connections to endpoints and agents

While an answer is paused because its caller reads slowly, the kernel goes on taking bytes from the endpoint, up to the system's maximum for a connection (32 MB here, a tenth of an entry VM's memory). It is reached when the answer has been fast before.

Traced: the bytes in the entry are bounded by the relay; what differs is the size that the kernel has chosen for the buffer, which follows how fast the entry read the first bytes.

The buffer is set to 512 KiB once connected, which ends its growth. At 30 ms one way this still allows 8 MB a second on one connection.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,14 +1,18 @@
 #include "samphiretray/net/http_client.h"
 
+#include "samphiretray/base/log.h"
+
 #include "connection_pool.h"
 #include "response_parser.h"
 #include "socket_address.h"
 #include "socket_polling.h"
 
 #include <h2o.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <utility>
 
 namespace samphiretray::net {
@@ -54,6 +58,19 @@
     return head;
 }
 
+/// Bytes of an answer that the kernel keeps while reading is paused; it doubles this for its own needs.
+/// Without a limit it lets the buffer of a fast answer grow to the system's maximum, often 32 MB a
+/// connection.
+constexpr int receive_buffer_size = 512 << 10;
+
+void limit_receive_buffer(h2o_socket_t& socket) {
+    const int failed = ::setsockopt(h2o_socket_get_fd(&socket), SOL_SOCKET, SO_RCVBUF, &receive_buffer_size,
+                                    sizeof(receive_buffer_size));
+    if (failed != 0) {
+        log_event(log_level::debug, "receive_buffer_not_limited", {{"errno", errno}});
+    }
+}
+
 /// Limit of interim (1xx) responses before the final one; servers normally send one or two.
 constexpr std::uint32_t max_interim_responses = 16;
 
@@ -157,6 +174,7 @@
         return;
     }
     self->connect_timer_.reset();
+    limit_receive_buffer(*socket);
     self->write_request();
 }
 
--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -597,6 +597,36 @@
     CHECK(written < 24U << 20U);
 }
 
+// Guards against kernel memory of a small VM that fills with the rest of a stream: the receive buffer of the
+// endpoint's connection had grown to 32 MB while the caller read fast.
+TEST_CASE("backpressure: a caller that stops reading a fast stream slows it down within the same bound") {
+    entry_with_servers fixture;
+    fixture.register_all();
+    std::size_t written = 0;
+    net::timer_handle writer;
+    fixture.responders[0] = [&](const auto& request, const auto& response) {
+        response->start(200, signed_headers(request));
+        writer = fixture.events.every(1ms, [&written, response] {
+            while (response->is_open() && response->buffered_bytes() < (1U << 20U)) {
+                response->write("id: 1\ndata: " + std::string(10'000, 'x') + "\n\n");
+                written += 10'000;
+            }
+        });
+    };
+    // Its own receive buffer does not count, so it is a small one.
+    auto caller = net::testing::raw_socket::connect(fixture.listen, 1 << 20);
+    caller.send(fixture.events, "POST /e/1 HTTP/1.1\r\nHost: a.example\r\nX-Samphiretray-Attempt-Id: a\r\n"
+                                "X-Samphiretray-Credential: key\r\nContent-Length: 0\r\n\r\n");
+    const auto reads_until = fixture.events.now() + 1s;
+    while (fixture.events.now() < reads_until) {
+        caller.received.clear();
+        REQUIRE(caller.receive_until(fixture.events, "x"));
+    }
+    written = 0;
+    fixture.events.run_until([] { return false; }, 1s);
+    CHECK(written < 24U << 20U);
+}
+
 TEST_CASE(
     "callers that still wait at the end of a graceful shutdown get a final answer, not a closed connection") {
     entry_with_servers fixture;
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -43,10 +43,12 @@
 raw_socket::raw_socket(raw_socket&& other) noexcept
     : received(std::move(other.received)), descriptor_(std::exchange(other.descriptor_, -1)) {}
 
-raw_socket raw_socket::connect(const address& peer) {
+raw_socket raw_socket::connect(const address& peer, int receive_buffer) {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const auto target = to_socket_address(peer);
-    if (descriptor < 0 || ::connect(descriptor, target->get(), target->length) != 0) {
+    const bool is_limited = receive_buffer == 0 || ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF,
+                                                                &receive_buffer, sizeof(receive_buffer)) == 0;
+    if (descriptor < 0 || !is_limited || ::connect(descriptor, target->get(), target->length) != 0) {
         throw std::runtime_error("cannot connect to " + to_string(peer));
     }
     return raw_socket{descriptor};
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -19,8 +19,9 @@
     raw_socket(raw_socket&& other) noexcept;
     raw_socket& operator=(raw_socket&&) = delete;
 
-    /// Connects to a listening loopback address; throws `std::runtime_error` if that fails.
-    static raw_socket connect(const address& peer);
+    /// Connects to a listening loopback address; throws `std::runtime_error` if that fails. `receive_buffer`
+    /// is in bytes; 0 lets the kernel choose.
+    static raw_socket connect(const address& peer, int receive_buffer = 0);
 
     /// Writes all of `text` while `events` runs.
     void send(loop& events, std::string_view text);
