--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -573,28 +573,40 @@
     CHECK(fixture.events.run_until([&] { return disconnected; }, hang_limit));
 }
 
+namespace {
+
+/// The first endpoint answers with a stream that goes on as fast as it is read.
+struct fast_stream {
+    explicit fast_stream(entry_with_servers& fixture) {
+        fixture.responders[0] = [this, &fixture](const auto& request, const auto& response) {
+            response->start(200, signed_headers(request));
+            writer = fixture.events.every(1ms, [this, response] {
+                while (response->is_open() && response->buffered_bytes() < (1U << 20U)) {
+                    response->write("id: 1\ndata: " + std::string(10'000, 'x') + "\n\n");
+                    written += 10'000;
+                }
+            });
+        };
+    }
+
+    std::size_t written = 0;
+    net::timer_handle writer;
+};
+
+} // namespace
+
 TEST_CASE(
     "backpressure: a caller that reads slowly slows its stream down, so the entry's memory is bounded") {
     entry_with_servers fixture;
     fixture.register_all();
-    std::size_t written = 0;
-    net::timer_handle writer;
-    fixture.responders[0] = [&](const auto& request, const auto& response) {
-        response->start(200, signed_headers(request));
-        writer = fixture.events.every(1ms, [&written, response] {
-            while (response->is_open() && response->buffered_bytes() < (1U << 20U)) {
-                response->write("id: 1\ndata: " + std::string(10'000, 'x') + "\n\n");
-                written += 10'000;
-            }
-        });
-    };
+    fast_stream stream{fixture};
     auto caller = net::testing::raw_socket::connect(fixture.listen);
     caller.send(fixture.events, "POST /e/1 HTTP/1.1\r\nHost: a.example\r\nX-Samphiretray-Attempt-Id: a\r\n"
                                 "X-Samphiretray-Credential: key\r\nContent-Length: 0\r\n\r\n");
     fixture.events.run_until([] { return false; }, 1s);
-    CHECK(written > 0);
+    CHECK(stream.written > 0);
     // The kernel's buffers of two loopback connections, and the megabyte that the server buffers.
-    CHECK(written < 24U << 20U);
+    CHECK(stream.written < 24U << 20U);
 }
 
 // Guards against kernel memory of a small VM that fills with the rest of a stream: the receive buffer of the
@@ -602,17 +614,7 @@
 TEST_CASE("backpressure: a caller that stops reading a fast stream slows it down within the same bound") {
     entry_with_servers fixture;
     fixture.register_all();
-    std::size_t written = 0;
-    net::timer_handle writer;
-    fixture.responders[0] = [&](const auto& request, const auto& response) {
-        response->start(200, signed_headers(request));
-        writer = fixture.events.every(1ms, [&written, response] {
-            while (response->is_open() && response->buffered_bytes() < (1U << 20U)) {
-                response->write("id: 1\ndata: " + std::string(10'000, 'x') + "\n\n");
-                written += 10'000;
-            }
-        });
-    };
+    fast_stream stream{fixture};
     // Its own receive buffer does not count, so it is a small one.
     auto caller = net::testing::raw_socket::connect(fixture.listen, 1 << 20);
     caller.send(fixture.events, "POST /e/1 HTTP/1.1\r\nHost: a.example\r\nX-Samphiretray-Attempt-Id: a\r\n"
@@ -622,9 +624,9 @@
         caller.received.clear();
         REQUIRE(caller.receive_until(fixture.events, "x"));
     }
-    written = 0;
+    stream.written = 0;
     fixture.events.run_until([] { return false; }, 1s);
-    CHECK(written < 24U << 20U);
+    CHECK(stream.written < 24U << 20U);
 }
 
 TEST_CASE(
