--- /dev/null
+++ b/tests/support/scripted_server.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "samphiretray/net/address.h"
+#include "samphiretray/net/http.h"
+#include "samphiretray/net/loop.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace samphiretray::net::testing {
+
+/// How an answer tells where its body ends.
+enum class answer_framing { length, chunks, until_close };
+
+/// What a server does with the connection once the bytes of an answer have been written.
+enum class answer_ending { keep_open, close, reset };
+
+/// The bytes of an answer, which need not be a valid one.
+struct scripted_answer {
+    std::string bytes;
+    answer_ending ending = answer_ending::keep_open;
+    /// The bytes are given this time to arrive before a reset.
+    duration pause_before_ending{20ms};
+};
+
+/// A head with this status and these headers, followed by the whole of `body` in this framing.
+[[nodiscard]] std::string format_answer(answer_framing framing, const http_headers& headers,
+                                        std::string_view body, int status = 200);
+
+/// An HTTP/1.1 server that sends the bytes which a test chooses, so that answers may break any rule. The
+/// requests on a connection are answered one after the other.
+class scripted_server {
+public:
+    using handler = std::function<scripted_answer(const http_request& request)>;
+
+    scripted_server(loop& events, handler answer);
+    ~scripted_server();
+    scripted_server(const scripted_server&) = delete;
+    scripted_server& operator=(const scripted_server&) = delete;
+
+    [[nodiscard]] address local_address() const;
+
+    /// Answers a request as soon as its head has come, and never reads its body.
+    bool ignores_bodies = false;
+
+private:
+    struct connection;
+    void poll();
+    void read(connection& from);
+    void begin_answer(connection& to);
+    void write(connection& to);
+    void finish_answer(connection& to);
+
+    loop& events_;
+    handler answer_;
+    int descriptor_;
+    std::vector<std::unique_ptr<connection>> connections_;
+    timer_handle poll_timer_;
+};
+
+} // namespace samphiretray::net::testing
