Break off streams that end inside their first event

Cause: the entry looked for an incomplete event at the end of a stream only once an event with an id had been completed. Before that, incomplete bytes were passed on as the rest of a whole answer, since bodies that are no event streams came the same way. Now the content type tells these apart, and an event has begun with the first line that is no comment.

Ruled out: the parser kept the bytes; the HTTP client ends an answer without a length at a clean close, as it should; the framing does not matter (length and chunks that are complete inside the first event passed too).

Two older cases answered on streaming routes with a body that is no event; their servers send an event now, the checks are the same.

--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -704,6 +704,7 @@
     }
     request->status = code;
     request->state = classify(*request, head, headers);
+    request->is_event_stream = is_event_stream(request->matched_route->kind, code, headers);
     if (request->state == answer_state::agent_refused) {
         request->last_refusal = read_refusal(headers);
         request->refusal_wait = read_refusal_wait(headers);
@@ -748,7 +749,7 @@
     }
     if (request->state == answer_state::relayed && !request->response->is_started()) {
         request->response->start(code, request->headers);
-    } else if (request->state == answer_state::relayed && !is_event_stream(*request)) {
+    } else if (request->state == answer_state::relayed && !request->is_event_stream) {
         cancel_attempt(*request);
         on_broken_answer(request, "the run that was to continue the stream failed");
     }
@@ -771,7 +772,7 @@
 
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::on_stream_data(const request_pointer& request, std::string_view bytes) {
-    if (!is_event_stream(*request)) {
+    if (!request->is_event_stream) {
         relay(*request->response, *request->exchange, bytes);
         return;
     }
@@ -837,12 +838,6 @@
     return request.matched_route->kind == call_kind::safe || is_resumable(request);
 }
 
-template <request_binding Binding, typename Store>
-bool entry_gateway<Binding, Store>::is_event_stream(const active_request& request) {
-    return request.matched_route->kind == call_kind::streaming && request.status >= 200 &&
-           request.status < 300;
-}
-
 template <request_binding Binding, typename Store>
 bool entry_gateway<Binding, Store>::may_have_run(const active_request& request) {
     return request.may_have_run || (request.exchange && request.exchange->may_have_been_sent());
@@ -861,7 +856,9 @@
     }
     const bool refused =
         request->state == answer_state::agent_refused && !is_outcome_unknown(*request->last_refusal);
-    const bool is_cut = failure && failure->code == errc::connection_closed;
+    const bool ends_inside_event = !failure && request->state == answer_state::relayed &&
+                                   request->is_event_stream && request->events.is_inside_event();
+    const bool is_cut = ends_inside_event || (failure && failure->code == errc::connection_closed);
     if (request->is_engine && (is_cut || (request->state == answer_state::agent_refused && !refused))) {
         on_interrupted(*request);
     }
@@ -894,17 +891,16 @@
         return;
     }
     if (request->state == answer_state::relayed) {
-        const std::string_view incomplete = request->events.incomplete_event();
-        const bool ends_inside_event = !incomplete.empty() && request->events.last_event_id();
         if (failure || ends_inside_event) {
             on_broken_answer(request, failure ? to_string(*failure) : "the stream ended inside an event");
             return;
         }
         ejection_.succeeded(request->endpoint, now);
-        if (is_event_stream(*request) && request->body_started) {
+        if (request->is_event_stream && request->body_started) {
             note_harmless(*request);
         }
-        request->response->write(incomplete);
+        // Only comments are left.
+        request->response->write(request->events.incomplete_event());
         request->response->finish();
         end(*request, request->status < 400 ? request_outcome::answered : request_outcome::endpoint_failed,
             request->status, "");
@@ -955,7 +951,7 @@
     const time_point now = loop_.now();
     for (const request_pointer& each : active_requests_ | std::views::values) {
         const bool is_answered =
-            each->state == answer_state::relayed && each->body_started && is_event_stream(*each);
+            each->state == answer_state::relayed && each->body_started && each->is_event_stream;
         // An answer that has only fallen silent may have been cut by a crash that is not known here yet.
         const bool has_gone_on = is_answered && each->events.last_progress_at() - each->answer_began_at >=
                                                     limits::max_suspect_answer_age;
@@ -1287,7 +1283,7 @@
     const time_point now = loop_.now();
     for (const request_pointer& each : active_requests_ | std::views::values) {
         const bool is_stream =
-            each->state == answer_state::relayed && each->exchange && is_event_stream(*each);
+            each->state == answer_state::relayed && each->exchange && each->is_event_stream;
         if (!is_stream || each->response->buffered_bytes() > 0) {
             continue;
         }
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -145,6 +145,8 @@
         std::optional<time_point> first_byte_at;
         answer_state state = answer_state::awaiting_head;
         int status = 0;
+        /// The body of the current attempt's answer consists of events.
+        bool is_event_stream = false;
         net::http_headers headers;
         /// The received part of a buffered answer.
         std::string body;
@@ -205,7 +207,6 @@
     void retry_or_give_up(const request_pointer& request, bool forwarded, std::string_view cause);
     [[nodiscard]] static bool is_resumable(const active_request& request);
     [[nodiscard]] static bool is_retryable(const active_request& request);
-    [[nodiscard]] static bool is_event_stream(const active_request& request);
     /// False only if it is certain that no endpoint is running or has run the request.
     [[nodiscard]] static bool may_have_run(const active_request& request);
     void check_stalled_streams();
--- a/include/samphiretray/gateway/event_stream_parser.h
+++ b/include/samphiretray/gateway/event_stream_parser.h
@@ -28,7 +28,10 @@
     [[nodiscard]] bool is_event_too_large() const noexcept { return buffer_.size() > max_event_bytes; }
     /// Id of the last complete event that had one; empty before the first.
     [[nodiscard]] const std::optional<std::string>& last_event_id() const noexcept { return last_event_id_; }
-    /// The bytes of the incomplete event.
+    /// True if an event has begun that no empty line has ended, so that a stream which ends here has been
+    /// broken off. Comments are not a part of an event.
+    [[nodiscard]] bool is_inside_event() const;
+    /// The bytes of the incomplete event, and comments beside it.
     [[nodiscard]] std::string_view incomplete_event() const noexcept { return buffer_; }
     /// When the last event was completed or the attempt began, whichever is later.
     [[nodiscard]] time_point last_progress_at() const noexcept { return last_progress_at_; }
--- a/src/gateway/answer_classification.cpp
+++ b/src/gateway/answer_classification.cpp
@@ -1,5 +1,7 @@
 #include "samphiretray/gateway/answer_classification.h"
 
+#include "samphiretray/base/text.h"
+
 namespace samphiretray::gateway {
 
 answer_class classify_answer(const answer_summary& answer, std::string_view attempt_id) {
@@ -12,4 +14,11 @@
     return answer.is_signed ? answer_class::matching : answer_class::mismatched;
 }
 
+bool is_event_stream(call_kind kind, int status, const net::http_headers& headers) {
+    const std::string_view named = net::find_header(headers, "content-type");
+    const std::string_view media_type = trim(named.substr(0, named.find(';')));
+    const bool may_be_events = media_type.empty() || net::equals_ignore_case(media_type, "text/event-stream");
+    return kind == call_kind::streaming && status >= 200 && status < 300 && may_be_events;
+}
+
 } // namespace samphiretray::gateway
--- a/src/gateway/event_stream_parser.cpp
+++ b/src/gateway/event_stream_parser.cpp
@@ -43,6 +43,12 @@
     }
 }
 
+bool event_stream_parser::is_inside_event() const {
+    return std::ranges::any_of(split(buffer_, '\n'), [](std::string_view line) {
+        return !line.empty() && line != "\r" && !line.starts_with(':');
+    });
+}
+
 void event_stream_parser::resume(time_point now) {
     buffer_.clear();
     line_start_ = 0;
--- a/tests/gateway/answer_classification_test.cpp
+++ b/tests/gateway/answer_classification_test.cpp
@@ -32,3 +32,15 @@
     }));
     CHECK(classify_answer(each.head, "a1") == each.expected);
 }
+
+TEST_CASE(
+    "a successful answer on a streaming route is an event stream unless it names another content type") {
+    const net::http_headers none;
+    const net::http_headers events{{"Content-Type", "Text/Event-Stream; charset=utf-8"}};
+    const net::http_headers text{{"content-type", "text/plain"}};
+    CHECK(is_event_stream(call_kind::streaming, 200, none));
+    CHECK(is_event_stream(call_kind::streaming, 200, events));
+    CHECK_FALSE(is_event_stream(call_kind::streaming, 200, text));
+    CHECK_FALSE(is_event_stream(call_kind::streaming, 500, events));
+    CHECK_FALSE(is_event_stream(call_kind::safe, 200, events));
+}
--- a/tests/gateway/event_stream_parser_test.cpp
+++ b/tests/gateway/event_stream_parser_test.cpp
@@ -22,6 +22,27 @@
     CHECK(stream.incomplete_event().empty());
 }
 
+// Guards against a stream that was broken off inside its first event and passed on as a whole one.
+TEST_CASE(
+    "a stream is inside an event from its first byte to the empty line behind it, and not in a comment") {
+    const auto [bytes, is_inside] = GENERATE(table<std::string, bool>({
+        {"", false},
+        {"i", true},
+        {"event: x\n", true},
+        {"id: 1\ndata: a\n", true},
+        {"id: 1\ndata: a\n\n", false},
+        {"id: 1\r\ndata: a\r\n\r", true},
+        {"id: 1\r\ndata: a\r\n\r\n", false},
+        {"id: 1\n\nid: 2\nda", true},
+        {"id: 1\n\n: alive", false},
+        {": alive\nid: 2\n", true},
+    }));
+    INFO(bytes);
+    event_stream_parser stream;
+    (void)stream.append(bytes, start);
+    CHECK(stream.is_inside_event() == is_inside);
+}
+
 TEST_CASE("bytes that complete no event do not count as progress") {
     // A stalled engine may still send single bytes or comments.
     event_stream_parser stream;
--- /dev/null
+++ b/tests/platform/answer_end_test.cpp
@@ -0,0 +1,84 @@
+#include "tests/platform/entry_with_servers.h"
+#include "tests/support/scripted_server.h"
+
+using namespace samphiretray;
+using namespace samphiretray::platform::testing;
+using net::testing::answer_ending;
+using net::testing::answer_framing;
+using net::testing::format_answer;
+using net::testing::scripted_answer;
+using net::testing::scripted_server;
+
+namespace {
+
+net::http_headers stream_headers(const net::http_request& request) {
+    auto headers = signed_headers(request);
+    headers.push_back({"content-type", "text/event-stream"});
+    return headers;
+}
+
+/// An entry before one server, registered as two endpoints, whose answers are scripted.
+struct entry_with_scripted_server {
+    explicit entry_with_scripted_server(scripted_server::handler answer)
+        : server(entry.events, [this, answer = std::move(answer)](const net::http_request& request) {
+              requests.push_back(request);
+              return answer(request);
+          }) {
+        entry.register_only(server.local_address(), {"i-0", "i-1"});
+    }
+
+    entry_with_servers entry;
+    std::vector<net::http_request> requests;
+    scripted_server server;
+};
+
+} // namespace
+
+// Guards against a stream that its server broke off inside its first event, of which the caller was told that
+// it was whole: only events that had been completed counted.
+TEST_CASE(
+    "a stream that ends inside an event is broken off, whichever event it is and however it is framed") {
+    const auto framing =
+        GENERATE(answer_framing::length, answer_framing::chunks, answer_framing::until_close);
+    const std::string body =
+        GENERATE(as<std::string>{}, "i", "id: 1\ndata: a", "id: 1\ndata: a\n", "event: x\n", "data",
+                 "id: 1\r\ndata: a\r\n\r", "id: 1\ndata: a\n\nid: 2\ndata: b", ":\n\nid: 1\nda");
+    INFO(static_cast<int>(framing) << " " << body);
+    entry_with_scripted_server fixture{[&](const net::http_request& request) {
+        return scripted_answer{format_answer(framing, stream_headers(request), body), answer_ending::close};
+    }};
+    CHECK_FALSE(fixture.entry.send_and_wait("/e/1"));
+    CHECK(fixture.requests.size() == 1);
+}
+
+TEST_CASE("a stream that ends between events is whole, also with a comment behind the last one") {
+    const auto framing =
+        GENERATE(answer_framing::length, answer_framing::chunks, answer_framing::until_close);
+    const std::string body = GENERATE(as<std::string>{}, "id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\n",
+                                      "id: 1\ndata: a\n\n: done", "id: 1\ndata: a\n\n\n");
+    INFO(static_cast<int>(framing) << " " << body);
+    entry_with_scripted_server fixture{[&](const net::http_request& request) {
+        return scripted_answer{format_answer(framing, stream_headers(request), body), answer_ending::close};
+    }};
+    const auto& answer = fixture.entry.send_and_wait("/e/1");
+    REQUIRE(answer);
+    CHECK(answer->body == body);
+}
+
+// Guards against the same answer on a route whose streams may be resumed: it was not resumed.
+TEST_CASE("a resumable stream that ends inside its first event is started again at another endpoint") {
+    const auto framing = GENERATE(answer_framing::chunks, answer_framing::until_close);
+    INFO(static_cast<int>(framing));
+    std::size_t answers = 0;
+    entry_with_scripted_server fixture{[&](const net::http_request& request) {
+        const std::string_view body = ++answers == 1 ? "id: 1\ndata: a" : "id: 1\ndata: b\n\n";
+        return scripted_answer{format_answer(framing, stream_headers(request), body),
+                               framing == answer_framing::chunks ? answer_ending::keep_open
+                                                                 : answer_ending::close};
+    }};
+    const auto& answer = fixture.entry.send_and_wait("/r/1");
+    REQUIRE(answer);
+    CHECK(answer->body == "id: 1\ndata: b\n\n");
+    REQUIRE(fixture.requests.size() == 2);
+    CHECK(net::find_header(fixture.requests[1].headers, "last-event-id").empty());
+}
--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -447,6 +447,9 @@
     entry_with_servers fixture;
     fixture.register_all();
     fixture.responders[0] = [](const auto&, const auto& response) { response->abort(); };
+    fixture.responders[1] = [](const auto& request, const auto& response) {
+        send_signed(request, response, 200, "id: 1\n\n");
+    };
     CHECK(status_of(fixture.send_and_wait("/r/1")) == 200);
     CHECK(fixture.received_count() == 2);
     CHECK(status_of(fixture.send_and_wait("/e/1")) == 502);
@@ -482,7 +485,7 @@
             response->send(503, headers, "");
             return;
         }
-        send_signed(request, response);
+        send_signed(request, response, 200, "id: 1\n\n");
     };
     CHECK(status_of(fixture.send_and_wait("/e/1")) == 200);
     CHECK(fixture.received[0].size() == 8);
