Treat an answer as broken off if its connection was reset during the write of its request

Cause: the failed write takes the error of the reset from the socket, so the read reports the end of the input, and h2o calls the read callback before that of the failed write. The client took this for a normal close.

Now the end of the input is judged after the callbacks of the same round of the loop.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -74,6 +74,8 @@
 /// Limit of interim (1xx) responses before the final one; servers normally send one or two.
 constexpr std::uint32_t max_interim_responses = 16;
 
+enum class write_progress { not_started, in_progress, done, failed };
+
 /// One call: connects or takes a pooled connection, writes the request and reads the response.
 class client_call final : public std::enable_shared_from_this<client_call> {
 public:
@@ -87,7 +89,9 @@
     void start();
     void cancel();
     void set_read_enabled(bool wanted);
-    [[nodiscard]] bool may_have_been_sent() const noexcept { return send_started_; }
+    [[nodiscard]] bool may_have_been_sent() const noexcept {
+        return request_writing_ != write_progress::not_started;
+    }
 
 private:
     static client_call& from_socket(h2o_socket_t* socket) { return *static_cast<client_call*>(socket->data); }
@@ -100,6 +104,8 @@
     void write_request();
     void read_head();
     void read_body();
+    /// The peer has ended its side of the connection, or has reset it while a write was in progress.
+    void on_end_of_input();
     void on_peer_closed(bool clean);
     void complete();
     void fail(errc code, step at, std::string detail);
@@ -122,8 +128,7 @@
     std::uint32_t interim_responses_ = 0;
     bool read_enabled_ = true;
     bool connected_ = false;
-    bool send_started_ = false;
-    bool writing_ = false;
+    write_progress request_writing_ = write_progress::not_started;
     bool head_received_ = false;
     bool ended_ = false;
 };
@@ -180,8 +185,7 @@
 
 void client_call::write_request() {
     connected_ = true;
-    send_started_ = true;
-    writing_ = true;
+    request_writing_ = write_progress::in_progress;
     std::array<h2o_iovec_t, 2> parts{h2o_iovec_init(request_head_.data(), request_head_.size()),
                                      h2o_iovec_init(call_.body.data(), call_.body.size())};
     h2o_socket_write(socket_, parts.data(), call_.body.empty() ? 1 : 2, on_written);
@@ -190,12 +194,12 @@
 
 void client_call::on_written(h2o_socket_t* socket, const char* failure) {
     // After a failed write a response of the peer may still be unread, so only the read side ends the call.
-    from_socket(socket).writing_ = failure != nullptr;
+    from_socket(socket).request_writing_ = failure == nullptr ? write_progress::done : write_progress::failed;
     update_polled_events(socket);
 }
 
 void client_call::set_read_enabled(bool wanted) {
-    if (std::exchange(read_enabled_, wanted) == wanted || !is_active() || !send_started_) {
+    if (std::exchange(read_enabled_, wanted) == wanted || !is_active() || !may_have_been_sent()) {
         return;
     }
     if (wanted) {
@@ -207,8 +211,12 @@
 
 void client_call::on_read(h2o_socket_t* socket, const char* failure) {
     const auto self = from_socket(socket).shared_from_this();
+    if (failure == h2o_socket_error_closed) {
+        self->on_end_of_input();
+        return;
+    }
     if (failure != nullptr) {
-        self->on_peer_closed(failure == h2o_socket_error_closed);
+        self->on_peer_closed(false);
         return;
     }
     if (!self->head_received_) {
@@ -265,6 +273,18 @@
     }
 }
 
+void client_call::on_end_of_input() {
+    // A write that fails because of a reset consumes the socket's error, and the next read reports the end of
+    // the input. The failure of the write is reported after that of the read.
+    h2o_socket_read_stop(socket_);
+    events_.post([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->is_active()) {
+            self->on_peer_closed(self->request_writing_ != write_progress::failed);
+        }
+    });
+}
+
 void client_call::on_peer_closed(bool clean) {
     if (head_received_ && clean && decoder_.may_end_at_close()) {
         complete();
@@ -276,7 +296,8 @@
 }
 
 void client_call::complete() {
-    const bool reusable = response_head_.keep_alive && !writing_ && socket_->input->size == 0;
+    const bool reusable =
+        response_head_.keep_alive && request_writing_ == write_progress::done && socket_->input->size == 0;
     if (reusable) {
         h2o_socket_read_stop(socket_);
         pool_->put(call_.peer, std::exchange(socket_, nullptr), response_head_.keep_alive_timeout);
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -137,6 +137,58 @@
     fixture.expect_failure(call, errc::connection_closed);
 }
 
+namespace {
+
+/// A request with a larger body than the buffers of a loopback connection hold, so that a peer that does not
+/// read blocks its writer.
+http_call large_upload() {
+    http_call call;
+    call.method = "POST";
+    call.body.assign(32U << 20U, 'b');
+    call.timeout = hang_limit;
+    return call;
+}
+
+} // namespace
+
+// Guards against an answer that was reset while its request was still being written and that looked complete:
+// the write consumes the socket's error, and the read behind it returns end of file.
+TEST_CASE(
+    "a close-delimited body is an error if the connection is reset while the request is being written") {
+    client_fixture fixture;
+    recorded_call call;
+    fixture.start(call, large_upload());
+    auto peer = fixture.listener.accept(fixture.events);
+    REQUIRE(peer.receive_until(fixture.events, "\r\n\r\n"));
+    peer.send(fixture.events, "HTTP/1.1 200 OK\r\n\r\nhello");
+    REQUIRE(fixture.wait([&] { return call.body == "hello"; }));
+    SECTION("by a reset") {
+        peer.reset();
+    }
+    // A connection that is closed with unread bytes is reset too.
+    SECTION("by a close") {
+        peer.close();
+    }
+    fixture.expect_failure(call, errc::connection_closed);
+    CHECK(call.body == "hello");
+}
+
+TEST_CASE("a response that ends before its request has been written is complete if its end is certain") {
+    const std::string response =
+        GENERATE("HTTP/1.1 200 OK\r\n\r\nhello", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+    INFO(response);
+    client_fixture fixture;
+    recorded_call call;
+    fixture.start(call, large_upload());
+    auto peer = fixture.listener.accept(fixture.events);
+    REQUIRE(peer.receive_until(fixture.events, "\r\n\r\n"));
+    peer.send(fixture.events, response);
+    peer.finish_sending();
+    fixture.expect_end(call);
+    CHECK_FALSE(call.failure);
+    CHECK(call.body == "hello");
+}
+
 TEST_CASE("malformed responses are protocol errors") {
     const std::string response =
         GENERATE("nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
--- a/tests/platform/answer_end_test.cpp
+++ b/tests/platform/answer_end_test.cpp
@@ -82,3 +82,37 @@
     REQUIRE(fixture.requests.size() == 2);
     CHECK(net::find_header(fixture.requests[1].headers, "last-event-id").empty());
 }
+
+// Guards against an answer that was reset while its request was still being written and that looked complete.
+TEST_CASE("an answer without a length that is reset while its request is being written is not whole") {
+    struct row {
+        std::string path;
+        std::string part;
+        /// The body that the caller gets in the end; nothing if it is told that there is no whole answer.
+        std::optional<std::string> body;
+    };
+    const row each = GENERATE(values<row>({{"/s/1", "par", "whole"},
+                                           {"/u/1", "par", std::nullopt},
+                                           {"/e/1", "id: 1\n\n", std::nullopt},
+                                           {"/r/1", "id: 1\n\n", "id: 1\n\nid: 2\n\n"}}));
+    INFO(each.path);
+    std::size_t answers = 0;
+    entry_with_scripted_server fixture{[&](const net::http_request& request) {
+        const bool is_stream = each.part.starts_with("id");
+        const auto headers = is_stream ? stream_headers(request) : signed_headers(request);
+        if (++answers == 1) {
+            return scripted_answer{format_answer(answer_framing::until_close, headers, each.part),
+                                   answer_ending::reset};
+        }
+        return scripted_answer{
+            format_answer(answer_framing::chunks, headers, is_stream ? "id: 2\n\n" : "whole")};
+    }};
+    fixture.server.ignore_bodies();
+    const auto& answer = fixture.entry.send_and_wait(each.path, {}, "key", std::string(4'000'000, 'b'));
+    const bool is_whole = answer && answer->status == 200;
+    CHECK(is_whole == each.body.has_value());
+    if (is_whole && each.body) {
+        CHECK(answer->body == *each.body);
+    }
+    CHECK(fixture.requests.size() == (each.body ? 2 : 1));
+}
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -101,6 +101,10 @@
     }
 }
 
+void raw_socket::finish_sending() {
+    ::shutdown(descriptor_, SHUT_WR);
+}
+
 void raw_socket::reset() {
     const linger reset_on_close{1, 0};
     ::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &reset_on_close, sizeof(reset_on_close));
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -30,6 +30,8 @@
     /// Appends to `received` until the connection ends; returns false if the peer reset it.
     bool receive_all(loop& events);
     void close();
+    /// Ends the direction towards the peer, and keeps the other one open.
+    void finish_sending();
     /// Closes the connection with a TCP reset.
     void reset();
 
--- a/tests/support/scripted_server.cpp
+++ b/tests/support/scripted_server.cpp
@@ -100,6 +100,12 @@
     return from_socket_address(local.get());
 }
 
+void scripted_server::ignore_bodies() {
+    constexpr int receive_buffer_size = 4096;
+    ignores_bodies_ = true;
+    ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &receive_buffer_size, sizeof(receive_buffer_size));
+}
+
 void scripted_server::poll() {
     for (int accepted = 0; accepted >= 0;) {
         accepted = ::accept4(descriptor_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
@@ -120,14 +126,14 @@
 }
 
 void scripted_server::read(connection& from) {
-    if (from.answer && ignores_bodies) {
+    if (from.answer && ignores_bodies_) {
         return;
     }
     // Reads no more than the head at once, so that an ignored body stays in the kernel.
     std::array<char, 4096> buffer{};
-    const std::size_t limit = ignores_bodies ? 1 : buffer.size();
+    const std::size_t limit = ignores_bodies_ ? 1 : buffer.size();
     for (ssize_t count = 1; count > 0;) {
-        if (ignores_bodies && from.input.ends_with(end_of_head)) {
+        if (ignores_bodies_ && from.input.ends_with(end_of_head)) {
             return;
         }
         count = ::recv(from.descriptor, buffer.data(), limit, 0);
@@ -145,7 +151,7 @@
     }
     http_request request = parse_head(std::string_view{to.input}.substr(0, head_size));
     const auto length = parse_number<std::size_t>(find_header(request.headers, "content-length"));
-    const std::size_t body_size = ignores_bodies ? 0 : length.value_or(0);
+    const std::size_t body_size = ignores_bodies_ ? 0 : length.value_or(0);
     const std::size_t body_start = head_size + end_of_head.size();
     if (to.input.size() < body_start + body_size) {
         return;
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -43,8 +43,9 @@
 
     [[nodiscard]] address local_address() const;
 
-    /// Answers a request as soon as its head has come, and never reads its body.
-    bool ignores_bodies = false;
+    /// From now on answers a request as soon as its head has come, and never reads its body. The small window
+    /// of new connections blocks the writer of a large one.
+    void ignore_bodies();
 
 private:
     struct connection;
@@ -56,6 +57,7 @@
 
     loop& events_;
     handler answer_;
+    bool ignores_bodies_ = false;
     int descriptor_;
     std::vector<std::unique_ptr<connection>> connections_;
     timer_handle poll_timer_;
