Judge streams without a length at the agent too

The entry notices if it knows the answer for an event stream; the agent does not depend on that now.

Only answers without a length whose content type is that of event streams are parsed, so nothing is spent on others.

--- a/include/samphiretray/gateway/answer_classification.h
+++ b/include/samphiretray/gateway/answer_classification.h
@@ -25,6 +25,9 @@
 /// the request has not run.
 [[nodiscard]] answer_class classify_answer(const answer_summary& answer, std::string_view attempt_id);
 
+/// True if the headers name the content type of event streams.
+[[nodiscard]] bool names_event_stream(const net::http_headers& headers);
+
 /// True if the body of an answer with this status and these headers is an event stream: any successful answer
 /// on a streaming route, unless it names another content type.
 [[nodiscard]] bool is_event_stream(call_kind kind, int status, const net::http_headers& headers);
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -433,6 +433,9 @@
         slots_->unpin(*std::exchange(request->pin, std::nullopt), loop_.now());
         slots_->on_not_loaded(request->adapter);
     }
+    if (request->exchange->ends_at_close() && names_event_stream(headers)) {
+        request->events.emplace();
+    }
     net::http_headers response_headers = headers;
     remove_agent_headers(response_headers);
     add_engine_load(response_headers, current_load());
@@ -464,6 +467,15 @@
         request->first_byte_at = loop_.now();
     }
     relay(*request->response, *request->exchange, bytes);
+    if (request->events) {
+        (void)request->events->append(bytes, loop_.now());
+        if (request->events->is_event_too_large()) {
+            request->exchange.reset();
+            request->response->abort();
+            finish(request, "event_too_large");
+            process_queue();
+        }
+    }
 }
 
 template <request_binding Binding, engine_control Engine>
@@ -472,6 +484,12 @@
     if (request->ended) {
         return;
     }
+    if (!failure && request->events && request->events->is_inside_event()) {
+        // The end of the response to the entry is marked, so the entry could not tell that the engine's was
+        // not.
+        on_interrupted_answer(request, "ended_inside_event");
+        return;
+    }
     if (!failure) {
         if (request->first_byte_at) {
             known_crashes_.on_answered(request->shared.parts, *request->first_byte_at, loop_.now());
@@ -480,15 +498,20 @@
         finish(request, "answered");
         return;
     }
+    on_interrupted_answer(request, to_string(*failure));
+}
+
+template <request_binding Binding, engine_control Engine>
+void engine_agent<Binding, Engine>::on_interrupted_answer(const request_pointer& request,
+                                                          std::string_view cause) {
     note_interruption(*request);
     if (request->response->is_started()) {
         request->response->abort();
-        finish(request, to_string(*failure));
+        finish(request, cause);
         return;
     }
     const bool never_sent = !request->exchange->may_have_been_sent();
-    refuse(request, never_sent ? agent_refusal::engine_down : agent_refusal::outcome_unknown,
-           to_string(*failure));
+    refuse(request, never_sent ? agent_refusal::engine_down : agent_refusal::outcome_unknown, cause);
 }
 
 template <request_binding Binding, engine_control Engine>
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -8,6 +8,7 @@
 #include "samphiretray/gateway/agent_protocol.h"
 #include "samphiretray/gateway/answer_classification.h"
 #include "samphiretray/gateway/binding.h"
+#include "samphiretray/gateway/event_stream_parser.h"
 #include "samphiretray/gateway/model.h"
 #include "samphiretray/gateway/relay.h"
 #include "samphiretray/gateway/settings.h"
@@ -89,6 +90,8 @@
         std::optional<time_point> forwarded_at;
         std::optional<time_point> answer_began_at;
         std::optional<time_point> first_byte_at;
+        /// Set for an event stream that ends with its connection: only its events tell whether it is whole.
+        std::optional<event_stream_parser> events;
         std::optional<agent::slot_pin> pin;
         std::unique_ptr<net::http_exchange> exchange;
     };
@@ -126,6 +129,8 @@
     void on_mismatched_response(const request_pointer& request, int code, const answer_summary& head);
     void on_data(const request_pointer& request, std::string_view bytes);
     void on_end(const request_pointer& request, const std::optional<error>& failure);
+    /// Ends a response after the engine has broken off its answer, or has sent none.
+    void on_interrupted_answer(const request_pointer& request, std::string_view cause);
     void refuse(const request_pointer& request, agent_refusal reason, std::string_view detail,
                 std::optional<duration> retry_after = std::nullopt);
     void finish(const request_pointer& request, std::string_view outcome);
--- a/include/samphiretray/net/http_client.h
+++ b/include/samphiretray/net/http_client.h
@@ -47,6 +47,9 @@
     virtual ~http_exchange() = default;
     /// False only while it is certain that no byte of the request has been written to the peer.
     [[nodiscard]] virtual bool may_have_been_sent() const noexcept = 0;
+    /// True once the head of a response has come whose body ends with the connection. A close by the peer
+    /// then does not prove that the body is complete.
+    [[nodiscard]] virtual bool ends_at_close() const noexcept = 0;
     /// Pauses or resumes reading the response. While reading is paused, TCP flow control slows the peer down,
     /// a close by the peer is not detected, and the timeout of the call keeps running.
     virtual void set_read_enabled(bool wanted) = 0;
--- a/src/gateway/answer_classification.cpp
+++ b/src/gateway/answer_classification.cpp
@@ -4,6 +4,16 @@
 
 namespace samphiretray::gateway {
 
+namespace {
+
+/// The content type without its parameters; empty if none is named.
+std::string_view media_type_of(const net::http_headers& headers) {
+    const std::string_view named = net::find_header(headers, "content-type");
+    return trim(named.substr(0, named.find(';')));
+}
+
+} // namespace
+
 answer_class classify_answer(const answer_summary& answer, std::string_view attempt_id) {
     if (answer.attempt_id != attempt_id || answer.has_content_encoding) {
         return answer_class::mismatched;
@@ -14,10 +24,12 @@
     return answer.is_signed ? answer_class::matching : answer_class::mismatched;
 }
 
+bool names_event_stream(const net::http_headers& headers) {
+    return net::equals_ignore_case(media_type_of(headers), "text/event-stream");
+}
+
 bool is_event_stream(call_kind kind, int status, const net::http_headers& headers) {
-    const std::string_view named = net::find_header(headers, "content-type");
-    const std::string_view media_type = trim(named.substr(0, named.find(';')));
-    const bool may_be_events = media_type.empty() || net::equals_ignore_case(media_type, "text/event-stream");
+    const bool may_be_events = media_type_of(headers).empty() || names_event_stream(headers);
     return kind == call_kind::streaming && status >= 200 && status < 300 && may_be_events;
 }
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -88,6 +88,9 @@
 
     void start();
     void cancel();
+    [[nodiscard]] bool ends_at_close() const noexcept {
+        return head_received_ && decoder_.may_end_at_close();
+    }
     void set_read_enabled(bool wanted);
     [[nodiscard]] bool may_have_been_sent() const noexcept {
         return request_writing_ != write_progress::not_started;
@@ -286,7 +289,7 @@
 }
 
 void client_call::on_peer_closed(bool clean) {
-    if (head_received_ && clean && decoder_.may_end_at_close()) {
+    if (clean && ends_at_close()) {
         complete();
         return;
     }
@@ -350,6 +353,7 @@
     exchange_handle& operator=(const exchange_handle&) = delete;
 
     [[nodiscard]] bool may_have_been_sent() const noexcept override { return call_->may_have_been_sent(); }
+    [[nodiscard]] bool ends_at_close() const noexcept override { return call_->ends_at_close(); }
     void set_read_enabled(bool wanted) override { call_->set_read_enabled(wanted); }
 
 private:
@@ -387,6 +391,9 @@
     [[nodiscard]] bool may_have_been_sent() const noexcept override {
         return inner == nullptr || inner->may_have_been_sent();
     }
+    [[nodiscard]] bool ends_at_close() const noexcept override {
+        return inner != nullptr && inner->ends_at_close();
+    }
     void set_read_enabled(bool wanted) override {
         if (inner != nullptr) {
             inner->set_read_enabled(wanted);
--- a/tests/platform/engine_agent_test.cpp
+++ b/tests/platform/engine_agent_test.cpp
@@ -4,6 +4,7 @@
 #include "platform/request_binding.h"
 #include "tests/platform/fake_engine.h"
 #include "tests/support/raw_socket.h"
+#include "tests/support/scripted_server.h"
 
 #include <algorithm>
 #include <functional>
@@ -18,11 +19,17 @@
 
 namespace {
 
-/// An agent and a fake engine in one process, with an HTTP client in the role of the entry.
+/// An agent and a fake engine in one process, with an HTTP client in the role of the entry. If answers are
+/// scripted, the engine's reports and orders stay those of the fake engine.
 struct agent_fixture {
+    explicit agent_fixture(net::testing::scripted_server::handler answer = {})
+        : scripted(answer ? std::make_unique<net::testing::scripted_server>(events, std::move(answer))
+                          : nullptr) {}
+
     net::loop events;
     net::address listen;
     fake_engine engine{events};
+    std::unique_ptr<net::testing::scripted_server> scripted;
     std::unique_ptr<net::http_client> client = net::http_client::create(events);
     engine_client engine_api{
         events,
@@ -37,7 +44,7 @@
         values.node.vm = "side-1";
         values.listen = any_port;
         values.control_listen = any_port;
-        values.engine = engine.address();
+        values.engine = scripted ? scripted->local_address() : engine.address();
         values.service = "engines";
         values.poll_interval = 10ms;
         return values;
@@ -273,6 +280,29 @@
     CHECK(gateway::read_refusal(fixture.answers[0]->headers) == gateway::agent_refusal::outcome_unknown);
 }
 
+// Guards against an agent that marks the end of an answer which its engine has broken off: the entry cannot
+// tell the two apart if it does not know the answer for an event stream.
+TEST_CASE("a stream without a length that ends inside an event is not ended properly towards the entry") {
+    const auto [body, is_whole] = GENERATE(table<std::string, bool>(
+        {{"id: 1\ndata: a\n\n", true}, {"id: 1\ndata: a\n", false}, {"id: 1\n\nid: 2\nda", false}}));
+    INFO(body);
+    agent_fixture fixture{[&](const net::http_request& request) {
+        using namespace net::testing;
+        return scripted_answer{
+            format_answer(answer_framing::until_close,
+                          {{"x-samphiretray-attempt-id",
+                            std::string{net::find_header(request.headers, "x-samphiretray-attempt-id")}},
+                           {"x-samphiretray-server-seal", "s"},
+                           {"content-type", "text/event-stream"}},
+                          body),
+            answer_ending::close};
+    }};
+    fixture.start();
+    fixture.send_request("1", "");
+    fixture.wait_for_answers(1);
+    CHECK(fixture.answers[0].has_value() == is_whole);
+}
+
 TEST_CASE("during a shutdown the agent refuses new requests as not run and completes running ones") {
     agent_fixture fixture;
     std::shared_ptr<net::http_response> running;
