Show that requests late in a planned stop are refused and not passed on

An operator of a similar system saw requests that came late in the grace passed on and cut at its end.

--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -428,6 +428,26 @@
     CHECK(status_of(*fixture.outcome) == 502);
 }
 
+// Guards against what operators of similar systems have seen: requests that came late in a planned stop were
+// passed on, and cut at its end.
+TEST_CASE("a request that comes late in a graceful shutdown is refused as not run and not passed on") {
+    entry_with_servers fixture;
+    fixture.register_all();
+    gateway::gateway_settings settings;
+    settings.node.drain_limit = 5s;
+    settings.drain_notice = 50ms;
+    fixture.entry->reload(settings);
+    const std::string path = GENERATE(as<std::string>{}, "/s/1", "/u/1", "/e/1", "/r/1");
+    // The second request comes on the connection of the first one.
+    CHECK(status_of(fixture.send_and_wait("/s/1")) == 200);
+    fixture.entry->drain();
+    fixture.events.run_until([] { return false; }, 100ms);
+    const auto& answer = fixture.send_and_wait(path);
+    CHECK(status_of(answer) == 503);
+    CHECK_FALSE(net::find_header(answer->headers, "retry-after").empty());
+    CHECK(fixture.received_count() == 1);
+}
+
 TEST_CASE("a stream that is cut short does not end as if complete") {
     entry_with_servers fixture;
     fixture.register_all();
