Abort a response that has begun instead of writing a refusal into it

Report of other operators: the text of an error in the middle of a stream that had broken off. From outside it does not happen here (48 combinations of the first run's framing and the second server's reply pass on the code before), but only because each caller of http_response::send looks whether the response has begun. send itself wrote its body into the running answer and ended it properly: the new case of test_net failed in two checks before. Now it aborts the response.

--- a/include/samphiretray/net/http_server.h
+++ b/include/samphiretray/net/http_server.h
@@ -38,7 +38,8 @@
     /// Calls `action` each time all written bytes have been handed to the operating system.
     virtual void on_drained(std::function<void()> action) = 0;
 
-    /// `start`, `write` and `finish` in one call, with Content-Length.
+    /// `start`, `write` and `finish` in one call, with Content-Length. A response that has been started is
+    /// aborted instead, since `body` would become a part of it.
     void send(int status, const http_headers& headers, std::string_view body);
 };
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -42,6 +42,10 @@
 } // namespace
 
 void http_response::send(int status, const http_headers& headers, std::string_view body) {
+    if (is_started()) {
+        abort();
+        return;
+    }
     http_headers with_length = headers;
     with_length.push_back({"content-length", std::to_string(body.size())});
     start(status, with_length);
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -106,6 +106,24 @@
     CHECK(fixture.wait([&] { return fixture.server->open_connections() == 0; }));
 }
 
+// Guards against the text of a refusal in the middle of a stream that had begun, which then looked complete.
+TEST_CASE(
+    "a whole response that is sent after another one has begun aborts the latter and adds nothing to it") {
+    server_fixture fixture;
+    fixture.respond = [](http_response& response) {
+        response.start(200, {});
+        response.write("begun");
+        response.send(503, {{"x-late", "1"}}, "refused");
+    };
+    auto client = fixture.connect();
+    client.send(fixture.events, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    (void)client.receive_all(fixture.events);
+    CHECK(client.received.find("begun") != std::string::npos);
+    CHECK(client.received.find("refused") == std::string::npos);
+    CHECK(client.received.find("x-late") == std::string::npos);
+    CHECK_FALSE(client.received.ends_with("0\r\n\r\n"));
+}
+
 TEST_CASE("an aborted HTTP/1.0 response ends with a connection reset, because a close would complete it") {
     server_fixture fixture;
     auto client = fixture.connect();
--- a/tests/platform/answer_end_test.cpp
+++ b/tests/platform/answer_end_test.cpp
@@ -116,3 +116,55 @@
     }
     CHECK(fixture.requests.size() == (each.body ? 2 : 1));
 }
+
+// Guards against what operators of similar systems have seen: the text of an error, or its whole head, in the
+// middle of a stream that had begun, or the stream ended as if it were complete.
+TEST_CASE(
+    "whatever answers instead of the rest of a stream, its caller gets nothing of that and no proper end") {
+    const auto framing = GENERATE(answer_framing::chunks, answer_framing::until_close);
+    const auto next = GENERATE(answer_framing::length, answer_framing::chunks, answer_framing::until_close);
+    const std::string_view reply = GENERATE(as<std::string_view>{}, "error", "unsigned error", "refusal",
+                                            "foreign answer", "text", "no answer", "half a head", "no bytes");
+    INFO(static_cast<int>(framing) << " " << static_cast<int>(next) << " " << reply);
+    std::size_t answers = 0;
+    entry_with_scripted_server fixture{[&](const net::http_request& request) {
+        if (++answers == 1) {
+            const std::string begun = format_answer(framing, stream_headers(request), "id: 1\n\nid: 2\nda");
+            return scripted_answer{begun.substr(0, begun.find("da") + 2), answer_ending::close};
+        }
+        net::http_headers headers = signed_headers(request);
+        int status = 500;
+        if (reply == "unsigned error") {
+            headers = {attempt_header(request)};
+        } else if (reply == "refusal") {
+            headers = {attempt_header(request), {"x-samphiretray-not-executed", "1"}};
+            status = 503;
+        } else if (reply == "foreign answer") {
+            headers = {{"x-samphiretray-attempt-id", "other"}, {"x-samphiretray-server-seal", "seal"}};
+            status = 200;
+        } else if (reply == "text") {
+            headers.push_back({"content-type", "text/plain"});
+            status = 200;
+        }
+        std::string bytes = format_answer(next, headers, "error-text", status);
+        if (reply == "no answer") {
+            bytes = "error-text without a head\r\n\r\n";
+        } else if (reply == "half a head") {
+            bytes.resize(bytes.find("\r\n\r\n"));
+        } else if (reply == "no bytes") {
+            bytes.clear();
+        }
+        return scripted_answer{bytes, answer_ending::close};
+    }};
+    net::loop& events = fixture.entry.events;
+    auto caller = net::testing::raw_socket::connect(fixture.entry.listen);
+    caller.send(events, "POST /r/1 HTTP/1.1\r\nHost: a.example\r\nX-Samphiretray-Attempt-Id: attempt-1\r\n"
+                        "X-Samphiretray-Credential: key\r\nContent-Length: 0\r\n\r\n");
+    (void)caller.receive_all(events);
+    CHECK(caller.received.find("id: 1\n\n") != std::string::npos);
+    CHECK(caller.received.find("id: 2") == std::string::npos);
+    CHECK(caller.received.find("error-text") == std::string::npos);
+    CHECK(caller.received.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK_FALSE(caller.received.ends_with("0\r\n\r\n"));
+    CHECK(answers == 2);
+}
