Send resumable streams in chunks, whatever the length of their first run

Cause: the first run's Content-Length was passed on, though the answer may be made of several runs. Ruled out: the resumption itself, and runs in chunks or until the close.

--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -538,6 +538,12 @@
     send(request, candidates.front(), candidates.size() > 1);
 }
 
+inline void remove_content_length(net::http_headers& headers) {
+    std::erase_if(headers, [](const net::http_header& header) {
+        return net::equals_ignore_case(header.name, "content-length");
+    });
+}
+
 /// The id of the part with this hash, as the caller sent it.
 [[nodiscard]] inline std::string part_name(const caller_request& caller, routing::part_key key) {
     const auto found = std::ranges::find_if(
@@ -748,6 +754,10 @@
         remove_agent_headers(request->headers);
     }
     if (request->state == answer_state::relayed && !request->response->is_started()) {
+        if (request->is_event_stream && is_resumable(*request)) {
+            // A run that continues the stream may be longer or shorter than the one that has begun it.
+            remove_content_length(request->headers);
+        }
         request->response->start(code, request->headers);
     } else if (request->state == answer_state::relayed && !request->is_event_stream) {
         cancel_attempt(*request);
@@ -1107,9 +1117,7 @@
     } else {
         ejection_.succeeded(request->endpoint, now);
     }
-    std::erase_if(request->headers, [](const net::http_header& header) {
-        return net::equals_ignore_case(header.name, "content-length");
-    });
+    remove_content_length(request->headers);
     request->response->send(request->status, request->headers, request->body);
     end(*request, failed ? request_outcome::endpoint_failed : request_outcome::answered, request->status, "");
 }
--- a/tests/platform/answer_end_test.cpp
+++ b/tests/platform/answer_end_test.cpp
@@ -67,14 +67,15 @@
 
 // Guards against the same answer on a route whose streams may be resumed: it was not resumed.
 TEST_CASE("a resumable stream that ends inside its first event is started again at another endpoint") {
-    const auto framing = GENERATE(answer_framing::chunks, answer_framing::until_close);
+    const auto framing =
+        GENERATE(answer_framing::length, answer_framing::chunks, answer_framing::until_close);
     INFO(static_cast<int>(framing));
     std::size_t answers = 0;
     entry_with_scripted_server fixture{[&](const net::http_request& request) {
         const std::string_view body = ++answers == 1 ? "id: 1\ndata: a" : "id: 1\ndata: b\n\n";
         return scripted_answer{format_answer(framing, stream_headers(request), body),
-                               framing == answer_framing::chunks ? answer_ending::keep_open
-                                                                 : answer_ending::close};
+                               framing == answer_framing::until_close ? answer_ending::close
+                                                                      : answer_ending::keep_open};
     }};
     const auto& answer = fixture.entry.send_and_wait("/r/1");
     REQUIRE(answer);
@@ -83,6 +84,32 @@
     CHECK(net::find_header(fixture.requests[1].headers, "last-event-id").empty());
 }
 
+// Guards against a resumed stream that was cut off, as if it were whole, at the Content-Length of the run
+// that had begun it.
+TEST_CASE("a resumed stream reaches its caller whole, however long each run is and however it is framed") {
+    const auto first = GENERATE(answer_framing::length, answer_framing::chunks, answer_framing::until_close);
+    const auto second = GENERATE(answer_framing::length, answer_framing::chunks, answer_framing::until_close);
+    const std::string rest = GENERATE(as<std::string>{}, "id: 2\ndata: b\n\n", "id: 2\n\n",
+                                      "id: 2\ndata: longer than the first run\n\nid: 3\n\n");
+    INFO(static_cast<int>(first) << " " << static_cast<int>(second) << " " << rest);
+    std::size_t answers = 0;
+    entry_with_scripted_server fixture{[&](const net::http_request& request) {
+        if (++answers > 1) {
+            return scripted_answer{format_answer(second, stream_headers(request), rest),
+                                   second == answer_framing::until_close ? answer_ending::close
+                                                                         : answer_ending::keep_open};
+        }
+        const std::string whole =
+            format_answer(first, stream_headers(request), "id: 1\n\nid: 2\ndata: a\n\n");
+        return scripted_answer{whole.substr(0, whole.find("a: a")), answer_ending::reset};
+    }};
+    const auto& answer = fixture.entry.send_and_wait("/r/1");
+    REQUIRE(answer);
+    CHECK(answer->body == "id: 1\n\n" + rest);
+    REQUIRE(fixture.requests.size() == 2);
+    CHECK(net::find_header(fixture.requests[1].headers, "last-event-id") == "1");
+}
+
 // Guards against an answer that was reset while its request was still being written and that looked complete.
 TEST_CASE("an answer without a length that is reset while its request is being written is not whole") {
     struct row {
