Admit nobody if a configuration lists no organisation

Cause: an empty list of organisations was taken for a configuration that has none, which needs no key. Now the decoded configuration says whether the list is there; one that is missing stays as PROTOCOL.md says. Ruled out: a change that was not in force.

--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -418,7 +418,7 @@
 
 template <request_binding Binding, typename Store>
 bool entry_gateway<Binding, Store>::authenticate(active_request& request) {
-    if (request.matched_route->is_public || !table_->has_organisations()) {
+    if (request.matched_route->is_public || !table_->requires_keys()) {
         return true;
     }
     request.owner = request.caller.api_key.empty()
--- a/include/samphiretray/gateway/model.h
+++ b/include/samphiretray/gateway/model.h
@@ -98,6 +98,9 @@
     std::vector<route> routes;
     std::vector<service> services;
     std::vector<organisation> organisations;
+    /// The configuration lists organisations, so routes that are not public need a key. An empty list admits
+    /// nobody to them.
+    bool lists_organisations = false;
     caller_limits limits;
 };
 
--- a/include/samphiretray/gateway/routing_table.h
+++ b/include/samphiretray/gateway/routing_table.h
@@ -23,7 +23,10 @@
 
     [[nodiscard]] const routing_state& state() const noexcept { return state_; }
     [[nodiscard]] std::uint64_t version() const noexcept { return state_.version; }
-    [[nodiscard]] bool has_organisations() const noexcept { return !state_.organisations.empty(); }
+    /// True if routes that are not public need the key of an organisation.
+    [[nodiscard]] bool requires_keys() const noexcept {
+        return state_.lists_organisations || !state_.organisations.empty();
+    }
 
 private:
     struct string_hash {
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -54,6 +54,14 @@
     CHECK(decode_configuration(configuration_text)->routes[2].kind == gateway::call_kind::at_most_once);
 }
 
+// Guards against a configuration without its last organisation that opened all routes to everybody.
+TEST_CASE("a configuration lists organisations if the field is there, even if it names none") {
+    CHECK(decode_configuration(configuration_text)->lists_organisations);
+    CHECK(decode_configuration(R"({"version":1,"tenants":[]})")->lists_organisations);
+    CHECK(decode_configuration(R"({"version":1,"tenants":null})")->lists_organisations);
+    CHECK_FALSE(decode_configuration(R"({"version":1})")->lists_organisations);
+}
+
 TEST_CASE("API keys are stored only as digests") {
     const auto state = decode_configuration(configuration_text);
     CHECK(state->organisations[0].key_digests == std::vector{sha256_hex("k1"), sha256_hex("k2")});
--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -51,6 +51,31 @@
     CHECK(status_of(fixture.send_and_wait("/u/1", {}, "new")) == 200);
 }
 
+TEST_CASE("without its last organisation a configuration admits no key, and public routes stay open") {
+    entry_with_servers fixture;
+    fixture.register_all();
+    CHECK(status_of(fixture.send_and_wait("/s/1")) == 200);
+    auto state = fixture.make_state(4);
+    state.organisations.clear();
+    state.lists_organisations = true;
+    fixture.entry->apply(state);
+    for (const std::string path : {"/s/1", "/u/1", "/e/1", "/r/1"}) {
+        CHECK(status_of(fixture.send_and_wait(path)) == 401);
+        CHECK(status_of(fixture.send_and_wait(path, {}, "unknown")) == 401);
+    }
+    CHECK(status_of(fixture.send_and_wait("/p/1")) == 200);
+    CHECK(fixture.received_count() == 2);
+}
+
+TEST_CASE("a configuration that lists no organisations at all needs no key") {
+    entry_with_servers fixture;
+    fixture.register_all();
+    auto state = fixture.make_state(4);
+    state.organisations.clear();
+    fixture.entry->apply(state);
+    CHECK(status_of(fixture.send_and_wait("/s/1", {}, "any")) == 200);
+}
+
 TEST_CASE("an older configuration does not replace a newer one") {
     entry_with_servers fixture;
     fixture.register_all();
