Refuse model and adapter names that are not UTF-8

Cause: the name goes into an order in JSON, whose encoder throws inside a callback of the event loop. Ruled out: the form of the name, the logs.

Now such a name is a malformed header: 400 with the header's name, at the entry and at the agent; an order with one fails without being sent; logs escape it.

--- a/include/samphiretray/base/text.h
+++ b/include/samphiretray/base/text.h
@@ -37,6 +37,9 @@
                                            : text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
+/// True if `text` is well-formed UTF-8 (RFC 3629): no overlong forms, surrogates or numbers above U+10FFFF.
+[[nodiscard]] bool is_utf8(std::string_view text) noexcept;
+
 /// Parses `text` as a decimal number. Returns nothing if it contains anything else or is out of range.
 template <typename Number>
     requires std::integral<Number> || std::floating_point<Number>
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,5 +1,6 @@
 #include "samphiretray/base/log.h"
 
+#include "samphiretray/base/text.h"
 #include "samphiretray/base/time.h"
 
 #include <easylogging++.h>
@@ -18,18 +19,19 @@
 namespace {
 
 bool needs_quotes(std::string_view value) {
-    return value.empty() || std::ranges::any_of(value, [](unsigned char c) {
+    return value.empty() || !is_utf8(value) || std::ranges::any_of(value, [](unsigned char c) {
                return c <= ' ' || c == '"' || c == '=' || c == '\\' || c == 0x7F;
            });
 }
 
 void append_escaped(std::string& line, std::string_view value) {
+    const bool is_text = is_utf8(value);
     for (const char c : value) {
         const auto byte = static_cast<unsigned char>(c);
         if (c == '"' || c == '\\') {
             line += '\\';
             line += c;
-        } else if (byte < ' ' || byte == 0x7F) {
+        } else if (byte < ' ' || byte == 0x7F || (byte > 0x7F && !is_text)) {
             std::array<char, 5> escaped{};
             std::snprintf(escaped.data(), escaped.size(), "\\x%02x", byte);
             line += escaped.data();
--- a/tests/platform/engine_client_test.cpp
+++ b/tests/platform/engine_client_test.cpp
@@ -68,6 +68,19 @@
     CHECK(fixture.engine.orders.size() == 3);
 }
 
+// Guards against an adapter's name from a request that ended the agent: JSON cannot hold it.
+TEST_CASE(
+    "an order for an adapter whose name is not UTF-8 fails without being sent, and later ones are sent") {
+    client_fixture fixture;
+    fixture.client.load(order_for("ni\xF1o7"), fixture.collect());
+    fixture.client.load(order_for("a1"), fixture.collect());
+    fixture.wait_for_outcomes(2);
+    REQUIRE_FALSE(fixture.outcomes[0]);
+    CHECK(fixture.outcomes[0].error().code == errc::invalid_argument);
+    CHECK(fixture.engine.adapters == std::vector<std::string>{"a1@1"});
+    CHECK(fixture.engine.orders.size() == 1);
+}
+
 TEST_CASE("an order that took effect is not sent again if its response is lost") {
     client_fixture fixture;
     fixture.engine.order_fates = {order_fate::answer_lost};
--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -84,6 +84,16 @@
     CHECK(status_of(fixture.send_and_wait("/u/1")) == 401);
 }
 
+TEST_CASE(
+    "a request for an adapter whose name is not UTF-8 is refused with a reason and reaches no endpoint") {
+    entry_with_servers fixture;
+    fixture.register_all();
+    const auto& answer = fixture.send_and_wait("/e/1", {{"x-samphiretray-model", "m0/ni\xF1o7"}});
+    CHECK(status_of(answer) == 400);
+    CHECK(answer->body.find("x-samphiretray-model") != std::string::npos);
+    CHECK(fixture.received_count() == 0);
+}
+
 TEST_CASE("an at-most-once call is not retried when its outcome is unknown") {
     entry_with_servers fixture;
     fixture.register_all();
--- a/tests/platform/request_binding_test.cpp
+++ b/tests/platform/request_binding_test.cpp
@@ -49,7 +49,9 @@
     for (const net::http_header& wrong : net::http_headers{{"x-samphiretray-deadline-ms", "soon"},
                                                            {"x-samphiretray-token-count", "1460"},
                                                            {"x-samphiretray-token-count", "1460,-1"},
-                                                           {"x-samphiretray-prompt-prefix", "5c1e"}}) {
+                                                           {"x-samphiretray-prompt-prefix", "5c1e"},
+                                                           {"x-samphiretray-model", "m0/ni\xF1o7"},
+                                                           {"x-samphiretray-model", "\x80"}}) {
         net::http_request request;
         request.headers = {wrong};
         CHECK_FALSE(request_binding::decode_request(request));
