Bound the incomplete events of all streams together

Report of other operators: bytes without end that fill the memory of the machine that had called. Here each kind is bounded by itself (heads, interim heads, chunk overhead, collected answers, one event, unread bytes), and collected answers together, but events that never end were bounded one by one only: 256 KB each, 500 MB for the 2,000 requests that an entry takes, before 160 MB of a small VM. Now they count for the limit of all kept answers. Answers of up to 16 KB are not aborted for it.

--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -67,6 +67,9 @@
 /// of the smallest entry VM. Answers of plain services have a few kilobytes.
 inline constexpr std::size_t max_buffered_answer_bytes = 4U << 20U;
 inline constexpr std::size_t max_total_buffered_bytes = 40U << 20U;
+/// Answers of which fewer bytes are kept are never aborted for the sake of that limit: a few large ones must
+/// not cost the others theirs.
+inline constexpr std::size_t small_buffered_answer_bytes = 16U << 10U;
 /// A resumable stream moves to another endpoint when no event has come for this fraction of the time after
 /// which its caller disconnects, so that the other endpoint has the rest of that time.
 inline constexpr double resume_silence_fraction = 0.5;
@@ -790,32 +793,41 @@
     if (!events.empty()) {
         relay(*request->response, *request->exchange, events);
     }
-    if (request->events.is_event_too_large()) {
+    const bool fits = count_buffered(*request, request->events.incomplete_event().size());
+    if (!fits || request->events.is_event_too_large()) {
         cancel_attempt(*request);
-        on_broken_answer(request, "an event without end");
+        discard_buffered(*request);
+        on_broken_answer(request, fits ? "an event without end" : "too many incomplete events");
     }
 }
 
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::buffer_answer(const request_pointer& request, std::string_view bytes) {
-    const bool is_too_large = request->body.size() + bytes.size() > limits::max_buffered_answer_bytes;
-    if (is_too_large || buffered_bytes_ + bytes.size() > limits::max_total_buffered_bytes) {
+    const std::size_t size = request->body.size() + bytes.size();
+    if (!count_buffered(*request, size) || size > limits::max_buffered_answer_bytes) {
         log_event(log_level::warning, "answer_too_large",
                   {{"request", request->caller.attempt_id},
                    {"endpoint", request->endpoint},
-                   {"bytes", request->body.size()},
+                   {"bytes", size},
                    {"bytes_of_all", buffered_bytes_}});
         request->state = answer_state::invalid;
         on_invalid_answer(request, "the answer is too large");
         return;
     }
     request->body += bytes;
-    buffered_bytes_ += bytes.size();
+}
+
+template <request_binding Binding, typename Store>
+bool entry_gateway<Binding, Store>::count_buffered(active_request& request, std::size_t bytes) {
+    buffered_bytes_ -= std::exchange(request.buffered_bytes, bytes);
+    buffered_bytes_ += bytes;
+    return buffered_bytes_ <= limits::max_total_buffered_bytes ||
+           bytes <= limits::small_buffered_answer_bytes;
 }
 
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::discard_buffered(active_request& request) {
-    buffered_bytes_ -= request.body.size();
+    buffered_bytes_ -= std::exchange(request.buffered_bytes, 0);
     request.body = {};
 }
 
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -150,6 +150,8 @@
         net::http_headers headers;
         /// The received part of a buffered answer.
         std::string body;
+        /// Bytes of the body, or of an incomplete event, that are counted for the limit of all requests.
+        std::size_t buffered_bytes = 0;
         /// Splits a relayed answer into events.
         event_stream_parser events;
     };
@@ -180,6 +182,9 @@
     void on_data(const request_pointer& request, std::string_view bytes);
     void on_stream_data(const request_pointer& request, std::string_view bytes);
     void buffer_answer(const request_pointer& request, std::string_view bytes);
+    /// Counts the bytes that are kept of the request's answer. Returns false if the answers of all requests
+    /// together exceed their limit and this one is not small.
+    [[nodiscard]] bool count_buffered(active_request& request, std::size_t bytes);
     void discard_buffered(active_request& request);
     /// Cancels the current attempt before its answer has ended.
     void cancel_attempt(active_request& request);
--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -269,6 +269,36 @@
     CHECK(fixture.events.run_until([&] { return answered == 20 && disconnected == 20; }, 1500ms));
 }
 
+// Guards against events without end that together fill the memory of an entry, though each is below its
+// limit.
+TEST_CASE(
+    "incomplete events of all streams are bounded together, and a small one is not aborted for others") {
+    constexpr std::size_t incomplete_bytes = 250'000;
+    constexpr std::size_t streams = 200;
+    constexpr std::size_t limit = 40U << 20U;
+    entry_with_servers fixture;
+    fixture.register_all_with_limits(20s, 20s);
+    std::vector<std::shared_ptr<net::http_response>> kept;
+    fixture.responders[0] = fixture.responders[1] = [&](const auto& request, const auto& response) {
+        response->start(200, signed_headers(request));
+        response->write("id: 1\n\nid: 2\ndata: ");
+        if (request.path == "/e/1") {
+            response->write(std::string(incomplete_bytes, 'x'));
+        }
+        kept.push_back(response);
+    };
+    std::size_t ended = 0;
+    fixture.send_requests(streams, "/e/1", [&](const result<net::fetched_response>&) { ++ended; });
+    CHECK(fixture.events.run_until([&] { return (streams - ended) * incomplete_bytes <= limit; }, 5s));
+    fixture.send_request("/e/2", {{"x-samphiretray-deadline-ms", "15000"}});
+    REQUIRE(fixture.events.run_until([&] { return kept.size() == streams + 1; }, hang_limit));
+    kept.back()->write("small\n\n");
+    kept.back()->finish();
+    const auto& answer = fixture.wait_for_outcome();
+    REQUIRE(answer);
+    CHECK(answer->body == "id: 1\n\nid: 2\ndata: small\n\n");
+}
+
 TEST_CASE("an interrupted resumable stream continues at another endpoint after its last complete event") {
     entry_with_servers fixture;
     fixture.register_all();
