Break off close-delimited streams that end before their first event

A generation has at least one event; a run that continues a stream may have none left. Entry and agent decide in one place now (classify_stream_end).

--- a/include/samphiretray/gateway/answer_classification.h
+++ b/include/samphiretray/gateway/answer_classification.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "samphiretray/base/name_table.h"
+#include "samphiretray/gateway/event_stream_parser.h"
 #include "samphiretray/gateway/model.h"
 #include "samphiretray/net/http.h"
 
@@ -32,6 +33,21 @@
 /// on a streaming route, unless it names another content type.
 [[nodiscard]] bool is_event_stream(call_kind kind, int status, const net::http_headers& headers);
 
+/// Where a stream stands when its body ends without an error.
+enum class stream_end {
+    whole,
+    /// Broken off: an event has begun that has no end.
+    inside_event,
+    /// Broken off: a stream that ends with its connection has at least one event, unless it continues one of
+    /// which the caller may have them all.
+    before_first_event,
+};
+
+/// `ends_at_close` tells that the body ends with its connection, `continues_stream` that the attempt was to
+/// go on behind an event that the caller has.
+[[nodiscard]] stream_end classify_stream_end(const event_stream_parser& events, bool ends_at_close,
+                                             bool continues_stream);
+
 } // namespace samphiretray::gateway
 
 namespace samphiretray {
@@ -44,4 +60,12 @@
         {gateway::answer_class::mismatched, "foreign"},
     });
 
+template <>
+inline constexpr auto name_table<gateway::stream_end> =
+    std::to_array<std::pair<gateway::stream_end, std::string_view>>({
+        {gateway::stream_end::whole, "whole"},
+        {gateway::stream_end::inside_event, "ended_inside_event"},
+        {gateway::stream_end::before_first_event, "ended_without_event"},
+    });
+
 } // namespace samphiretray
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -484,11 +484,15 @@
     if (request->ended) {
         return;
     }
-    if (!failure && request->events && request->events->is_inside_event()) {
-        // The end of the response to the entry is marked, so the entry could not tell that the engine's was
-        // not.
-        on_interrupted_answer(request, "ended_inside_event");
-        return;
+    if (!failure && request->events) {
+        const bool continues_stream = !net::find_header(request->http.headers, last_event_id_header).empty();
+        const stream_end end = classify_stream_end(*request->events, true, continues_stream);
+        if (end != stream_end::whole) {
+            // The end of the response to the entry is marked, so the entry could not tell that the engine's
+            // was not.
+            on_interrupted_answer(request, name_of(end));
+            return;
+        }
     }
     if (!failure) {
         if (request->first_byte_at) {
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -878,9 +878,9 @@
     }
     const bool refused =
         request->state == answer_state::agent_refused && !is_outcome_unknown(*request->last_refusal);
-    const bool ends_inside_event = !failure && request->state == answer_state::relayed &&
-                                   request->is_event_stream && request->events.is_inside_event();
-    const bool is_cut = ends_inside_event || (failure && failure->code == errc::connection_closed);
+    const stream_end end_of_stream = failure ? stream_end::whole : stream_end_of(*request);
+    const bool is_broken_off = end_of_stream != stream_end::whole;
+    const bool is_cut = is_broken_off || (failure && failure->code == errc::connection_closed);
     if (request->is_engine && (is_cut || (request->state == answer_state::agent_refused && !refused))) {
         on_interrupted(*request);
     }
@@ -913,8 +913,8 @@
         return;
     }
     if (request->state == answer_state::relayed) {
-        if (failure || ends_inside_event) {
-            on_broken_answer(request, failure ? to_string(*failure) : "the stream ended inside an event");
+        if (failure || is_broken_off) {
+            on_broken_answer(request, failure ? to_string(*failure) : std::string{name_of(end_of_stream)});
             return;
         }
         ejection_.succeeded(request->endpoint, now);
@@ -931,6 +931,16 @@
     on_no_answer(request, failure);
 }
 
+template <request_binding Binding, typename Store>
+stream_end entry_gateway<Binding, Store>::stream_end_of(const active_request& request) {
+    if (request.state != answer_state::relayed || !request.is_event_stream) {
+        return stream_end::whole;
+    }
+    const bool continues_stream = request.events.last_event_id() ||
+                                  !net::find_header(request.http.headers, last_event_id_header).empty();
+    return classify_stream_end(request.events, request.exchange->ends_at_close(), continues_stream);
+}
+
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::on_broken_answer(const request_pointer& request, std::string_view cause) {
     ejection_.failed(request->endpoint, loop_.now());
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -191,6 +191,8 @@
     /// Cancels the current attempt, whose answer cannot be used, and retries the request or gives it up.
     void on_invalid_answer(const request_pointer& request, std::string_view cause);
     void on_end(const request_pointer& request, std::optional<error> failure);
+    /// Where the stream stands at the end of an attempt that has not failed; `whole` for other answers.
+    [[nodiscard]] static stream_end stream_end_of(const active_request& request);
     void on_no_answer(const request_pointer& request, const std::optional<error>& failure);
     /// An engine, or its agent, has closed the connection of a request before the end of its answer.
     void on_interrupted(const active_request& request);
--- a/include/samphiretray/gateway/event_stream_parser.h
+++ b/include/samphiretray/gateway/event_stream_parser.h
@@ -26,6 +26,8 @@
 
     /// True once an event has grown beyond `max_event_bytes`.
     [[nodiscard]] bool is_event_too_large() const noexcept { return buffer_.size() > max_event_bytes; }
+    /// True once an event has been completed in the current attempt.
+    [[nodiscard]] bool has_events() const noexcept { return has_events_; }
     /// Id of the last complete event that had one; empty before the first.
     [[nodiscard]] const std::optional<std::string>& last_event_id() const noexcept { return last_event_id_; }
     /// True if an event has begun that no empty line has ended, so that a stream which ends here has been
@@ -43,6 +45,7 @@
     /// Offset in `buffer_` of the first line that is not complete.
     std::size_t line_start_ = 0;
     bool has_fields_ = false;
+    bool has_events_ = false;
     std::optional<std::string> pending_id_;
     std::optional<std::string> last_event_id_;
     time_point last_progress_at_;
--- a/include/samphiretray/gateway/model.h
+++ b/include/samphiretray/gateway/model.h
@@ -9,12 +9,16 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// The HTTP gateway: data types for the operator's configuration, for the state that endpoints report, and
 /// for the contents of requests.
 namespace samphiretray::gateway {
 
+/// The header by which a request continues an event stream (HTML standard, server-sent events).
+inline constexpr std::string_view last_event_id_header = "last-event-id";
+
 enum class call_kind {
     /// May be retried at any time, since it may run more than once.
     safe,
--- a/src/gateway/answer_classification.cpp
+++ b/src/gateway/answer_classification.cpp
@@ -33,4 +33,12 @@
     return kind == call_kind::streaming && status >= 200 && status < 300 && may_be_events;
 }
 
+stream_end classify_stream_end(const event_stream_parser& events, bool ends_at_close, bool continues_stream) {
+    if (events.is_inside_event()) {
+        return stream_end::inside_event;
+    }
+    const bool lacks_events = ends_at_close && !continues_stream && !events.has_events();
+    return lacks_events ? stream_end::before_first_event : stream_end::whole;
+}
+
 } // namespace samphiretray::gateway
--- a/src/gateway/event_stream_parser.cpp
+++ b/src/gateway/event_stream_parser.cpp
@@ -37,6 +37,7 @@
     }
     if (std::exchange(has_fields_, false)) {
         last_progress_at_ = now;
+        has_events_ = true;
     }
     if (pending_id_) {
         last_event_id_ = std::exchange(pending_id_, std::nullopt);
@@ -53,6 +54,7 @@
     buffer_.clear();
     line_start_ = 0;
     has_fields_ = false;
+    has_events_ = false;
     pending_id_.reset();
     last_progress_at_ = now;
 }
--- a/tests/gateway/event_stream_parser_test.cpp
+++ b/tests/gateway/event_stream_parser_test.cpp
@@ -43,6 +43,17 @@
     CHECK(stream.is_inside_event() == is_inside);
 }
 
+TEST_CASE("events are counted for the current attempt only, and comments are none") {
+    event_stream_parser stream;
+    CHECK_FALSE(stream.has_events());
+    (void)stream.append(":\n\nid: 1\n", start);
+    CHECK_FALSE(stream.has_events());
+    (void)stream.append("\n", start);
+    CHECK(stream.has_events());
+    stream.resume(start);
+    CHECK_FALSE(stream.has_events());
+}
+
 TEST_CASE("bytes that complete no event do not count as progress") {
     // A stalled engine may still send single bytes or comments.
     event_stream_parser stream;
--- a/tests/platform/answer_end_test.cpp
+++ b/tests/platform/answer_end_test.cpp
@@ -84,6 +84,31 @@
     CHECK(net::find_header(fixture.requests[1].headers, "last-event-id").empty());
 }
 
+// Guards against an empty answer for a stream that its server broke off before the first event.
+TEST_CASE(
+    "a stream that ends with its connection and has no event is broken off unless it continues another") {
+    const auto [body, last_event, is_whole] = GENERATE(table<std::string, std::string, bool>(
+        {{"", "", false}, {": alive\n\n", "", false}, {"", "7", true}, {"id: 1\n\n", "", true}}));
+    INFO(body << " " << last_event);
+    entry_with_scripted_server fixture{[&](const net::http_request& request) {
+        return scripted_answer{format_answer(answer_framing::until_close, stream_headers(request), body),
+                               answer_ending::close};
+    }};
+    net::http_headers more;
+    if (!last_event.empty()) {
+        more.push_back({"last-event-id", last_event});
+    }
+    CHECK(fixture.entry.send_and_wait("/e/1", more).has_value() == is_whole);
+}
+
+TEST_CASE("a stream whose framing says that it is empty is whole") {
+    const auto framing = GENERATE(answer_framing::length, answer_framing::chunks);
+    entry_with_scripted_server fixture{[&](const net::http_request& request) {
+        return scripted_answer{format_answer(framing, stream_headers(request), ""), answer_ending::keep_open};
+    }};
+    CHECK(fixture.entry.send_and_wait("/e/1"));
+}
+
 // Guards against a resumed stream that was cut off, as if it were whole, at the Content-Length of the run
 // that had begun it.
 TEST_CASE("a resumed stream reaches its caller whole, however long each run is and however it is framed") {
--- a/tests/platform/engine_agent_test.cpp
+++ b/tests/platform/engine_agent_test.cpp
@@ -282,9 +282,11 @@
 
 // Guards against an agent that marks the end of an answer which its engine has broken off: the entry cannot
 // tell the two apart if it does not know the answer for an event stream.
-TEST_CASE("a stream without a length that ends inside an event is not ended properly towards the entry") {
-    const auto [body, is_whole] = GENERATE(table<std::string, bool>(
-        {{"id: 1\ndata: a\n\n", true}, {"id: 1\ndata: a\n", false}, {"id: 1\n\nid: 2\nda", false}}));
+TEST_CASE("a stream without a length that is broken off is not ended properly towards the entry") {
+    const auto [body, is_whole] = GENERATE(table<std::string, bool>({{"id: 1\ndata: a\n\n", true},
+                                                                     {"", false},
+                                                                     {"id: 1\ndata: a\n", false},
+                                                                     {"id: 1\n\nid: 2\nda", false}}));
     INFO(body);
     agent_fixture fixture{[&](const net::http_request& request) {
         using namespace net::testing;
