End a request, a call or a link, and not the process, if its callback throws

The guard stands at the edge of the loop (net/guarded_call.h): handlers of requests, callbacks of calls, responses and peer links, timers, posted and signal actions. It logs kind, peer and reason.

--- a/src/base/text.cpp
+++ b/src/base/text.cpp
@@ -1,5 +1,6 @@
 #include "samphiretray/base/text.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 
@@ -53,6 +54,9 @@
 } // namespace
 
 bool is_utf8(std::string_view text) noexcept {
+    // Nearly all texts are ASCII.
+    const auto is_multibyte = [](char c) { return (static_cast<std::uint8_t>(c) & 0x80) != 0; };
+    text = text.substr(std::ranges::find_if(text, is_multibyte) - text.begin());
     while (!text.empty()) {
         const std::size_t length = sequence_length(text);
         if (length == 0) {
--- a/src/net/h2o_response.cpp
+++ b/src/net/h2o_response.cpp
@@ -1,5 +1,6 @@
 #include "h2o_response.h"
 
+#include "guarded_call.h"
 #include "http_reason.h"
 #include "socket_polling.h"
 
@@ -125,7 +126,7 @@
 void h2o_response::notify_closed() {
     on_drained_ = nullptr;
     if (const auto action = std::exchange(on_closed_, nullptr)) {
-        action();
+        (void)run_guarded("response_closed", action);
     }
 }
 
@@ -313,7 +314,7 @@
         update_polled_events(socket_);
     }
     if (is_open() && buffered_bytes() == 0 && on_drained_) {
-        on_drained_();
+        (void)run_guarded("response_drained", on_drained_);
     }
 }
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -3,6 +3,7 @@
 #include "samphiretray/base/log.h"
 
 #include "connection_pool.h"
+#include "guarded_call.h"
 #include "response_parser.h"
 #include "socket_address.h"
 #include "socket_polling.h"
@@ -111,6 +112,9 @@
     void on_end_of_input();
     void on_peer_closed(bool clean);
     void complete();
+    /// Runs a callback of the call's owner, and ends the call if it throws.
+    template <typename Action>
+    void notify(std::string_view callback, Action&& action);
     void fail(errc code, step at, std::string detail);
     void end(std::optional<error> failure);
     void on_timeout();
@@ -249,9 +253,11 @@
             head_received_ = true;
             response_head_ = std::move(parsed.head);
             decoder_ = body_decoder{response_head_.framing, response_head_.length};
-            if (handlers_.on_head) {
-                handlers_.on_head(response_head_.status, response_head_.headers);
-            }
+            notify("response_head", [this] {
+                if (handlers_.on_head) {
+                    handlers_.on_head(response_head_.status, response_head_.headers);
+                }
+            });
         } else if (++interim_responses_ > max_interim_responses) {
             fail(errc::protocol_error, step::receive, "the response has too many interim heads");
         }
@@ -265,7 +271,7 @@
         return;
     }
     if (!decoded.data.empty() && handlers_.on_data) {
-        handlers_.on_data(decoded.data);
+        notify("response_data", [&] { handlers_.on_data(decoded.data); });
     }
     if (!is_active()) {
         return;
@@ -319,7 +325,17 @@
     cancel();
     if (handlers_.on_end) {
         const auto action = std::move(handlers_.on_end);
-        action(std::move(failure));
+        (void)run_guarded(
+            "response_end", [this] { return to_string(call_.peer); }, [&] { action(std::move(failure)); });
+    }
+}
+
+template <typename Action>
+void client_call::notify(std::string_view callback, Action&& action) {
+    const bool succeeded = run_guarded(
+        callback, [this] { return to_string(call_.peer); }, std::forward<Action>(action));
+    if (!succeeded && is_active()) {
+        fail(errc::protocol_error, step::receive, "the response could not be processed");
     }
 }
 
--- a/src/net/http_server_core.cpp
+++ b/src/net/http_server_core.cpp
@@ -2,6 +2,7 @@
 
 #include "samphiretray/base/text.h"
 
+#include "guarded_call.h"
 #include "h2o_response.h"
 #include "lingering_close.h"
 #include "socket_address.h"
@@ -184,7 +185,12 @@
         return;
     }
     if (handler_) {
-        handler_(to_http_request(request), response);
+        const bool handled = run_guarded(
+            "request", [request] { return peer_host(request); },
+            [&] { handler_(to_http_request(request), response); });
+        if (!handled) {
+            response->send(500, {}, "internal error\n");
+        }
     } else {
         response->abort();
     }
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,5 +1,7 @@
 #include "samphiretray/net/loop.h"
 
+#include "guarded_call.h"
+
 #include <fcntl.h>
 #include <h2o.h>
 #include <unistd.h>
@@ -66,7 +68,7 @@
             const auto entry = entries_.begin()->second;
             entries_.erase(entry->position);
             entry->linked = false;
-            entry->action();
+            (void)run_guarded("timer", entry->action);
             if (entry->interval > duration::zero() && !entry->cancelled) {
                 link(now + entry->interval, entry);
             }
@@ -122,7 +124,7 @@
     void run_posted() {
         const auto actions = std::exchange(posted, {});
         for (const auto& action : actions) {
-            action();
+            (void)run_guarded("posted", action);
         }
         std::exchange(pending_disposal, {}).clear();
     }
@@ -158,7 +160,7 @@
         h2o_buffer_consume(&socket->input, socket->input->size);
         for (const int number : numbers) {
             if (const auto found = signal_actions.find(number); found != signal_actions.end()) {
-                found->second();
+                (void)run_guarded("signal", found->second);
             }
         }
     }
--- a/src/net/websocket_link.cpp
+++ b/src/net/websocket_link.cpp
@@ -1,5 +1,6 @@
 #include "websocket_link.h"
 
+#include "guarded_call.h"
 #include "socket_polling.h"
 
 #include <h2o.h>
@@ -50,8 +51,10 @@
 session_events websocket_link::handlers() {
     return {[this](std::string_view bytes) { enqueue(bytes); }, [this] { on_open(); },
             [this](std::string_view message) {
-                if (on_message_ && socket_ != nullptr) {
-                    on_message_(message);
+                if (on_message_ && socket_ != nullptr &&
+                    !run_guarded(
+                        "peer_message", [this] { return to_string(peer_); }, [&] { on_message_(message); })) {
+                    fail(errc::protocol_error, "a message could not be processed");
                 }
             },
             [this](session_end_reason reason, const std::string& detail) { on_end(reason, detail); }};
@@ -62,7 +65,8 @@
     timeout_timer_.reset();
     keepalive_timer_ = events_.every(options_.ping_interval, [this] { check_keepalive(); });
     if (const auto done = std::exchange(on_opened_, nullptr)) {
-        done(std::nullopt);
+        (void)run_guarded(
+            "peer_opened", [this] { return to_string(peer_); }, [&] { done(std::nullopt); });
     }
 }
 
--- a/tests/net/peer_link_test.cpp
+++ b/tests/net/peer_link_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <optional>
+#include <stdexcept>
 #include <vector>
 
 using namespace samphiretray;
@@ -244,3 +245,22 @@
     REQUIRE(fixture.wait([&] { return fixture.server.closed.has_value(); }));
     CHECK(fixture.server.closed->code == errc::protocol_error);
 }
+
+// Guards against a message from one peer that ends the process.
+TEST_CASE("a link whose message callback throws is closed, and other links go on") {
+    link_fixture fixture;
+    fixture.connect();
+    REQUIRE(fixture.wait([&] { return fixture.client.link && fixture.server.link; }));
+    fixture.server.link->on_message(
+        [](std::string_view) { throw std::runtime_error("thrown in a callback"); });
+    fixture.client.link->send("odd");
+    REQUIRE(fixture.wait([&] { return fixture.server.closed.has_value(); }));
+    CHECK(fixture.server.closed->code == errc::protocol_error);
+    REQUIRE(fixture.wait([&] { return fixture.client.closed.has_value(); }));
+    fixture.client = {};
+    fixture.server = {};
+    fixture.connect();
+    REQUIRE(fixture.wait([&] { return fixture.client.link && fixture.server.link; }));
+    fixture.client.link->send("sound");
+    CHECK(fixture.wait([&] { return fixture.server.messages.size() == 1; }));
+}
