--- a/src/net/http_server_core.cpp
+++ b/src/net/http_server_core.cpp
@@ -185,9 +185,11 @@
         return;
     }
     if (handler_) {
+        http_request converted = to_http_request(request);
+        // The request may be gone when its handler throws.
+        const std::string peer = converted.peer;
         const bool handled = run_guarded(
-            "request", [request] { return peer_host(request); },
-            [&] { handler_(to_http_request(request), response); });
+            "request", [&] { return peer; }, [&] { handler_(std::move(converted), response); });
         if (!handled) {
             response->send(500, {}, "internal error\n");
         }
