--- a/src/net/http_server_core.cpp
+++ b/src/net/http_server_core.cpp
@@ -189,7 +189,8 @@
         // The request may be gone when its handler throws.
         const std::string peer = converted.peer;
         const bool handled = run_guarded(
-            "request", [&] { return peer; }, [&] { handler_(std::move(converted), response); });
+            "request", [&peer] { return std::string_view{peer}; },
+            [&] { handler_(std::move(converted), response); });
         if (!handled) {
             response->send(500, {}, "internal error\n");
         }
