--- a/include/samphiretray/gateway/settings.h
+++ b/include/samphiretray/gateway/settings.h
@@ -23,6 +23,11 @@
     std::uint32_t log_lines_per_s = 400;
     /// Time between the signal for a graceful shutdown and the kill of the process.
     duration drain_limit = 8s;
+    /// Memory that the process may use, in megabytes (2^20 bytes). The bounds of what peers can make the
+    /// process hold are derived from it.
+    std::uint32_t memory_mb = 256;
+    /// File descriptors that the process may have open; the bound of connections is derived from it.
+    std::uint32_t max_descriptors = 4096;
 };
 
 struct gateway_settings {
@@ -68,6 +73,11 @@
     duration poll_interval = 200ms;
 };
 
+/// Connections that callers, or entries, may have open at a process that may have `max_descriptors`
+/// descriptors open. Each of their requests may need a connection to a server, and a part is kept for the
+/// links between processes, the store, health checks and files.
+[[nodiscard]] std::size_t max_caller_connections(std::uint32_t max_descriptors) noexcept;
+
 /// Parses settings from JSON with comments. Unknown fields are errors. Errors have the code
 /// `invalid_argument` and the step `settings`, and name `file`, the field, its value and the allowed values.
 [[nodiscard]] result<gateway_settings> parse_gateway_settings(std::string_view text, std::string_view file);
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -3,6 +3,7 @@
 #include "samphiretray/base/json_fields.h"
 #include "samphiretray/net/address_field.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace samphiretray::gateway {
@@ -19,6 +20,8 @@
     fields.read_enum("log", target.log);
     fields.read("log_lines_per_s", target.log_lines_per_s, 1, 1'000'000);
     fields.read("drain_limit", target.drain_limit, 0ms, 3600s);
+    fields.read("memory_mb", target.memory_mb, 32, 1'048'576);
+    fields.read("max_descriptors", target.max_descriptors, 64, 1'048'576);
 }
 
 void read_regions(json_fields& fields, gateway_settings& target) {
@@ -61,6 +64,14 @@
 
 } // namespace
 
+std::size_t max_caller_connections(std::uint32_t max_descriptors) noexcept {
+    // The platform sets 200 descriptors aside for files.
+    constexpr std::uint32_t file_descriptors = 200;
+    constexpr std::size_t caller_percent = 45;
+    const std::uint32_t sockets = max_descriptors - std::min(file_descriptors, max_descriptors / 2);
+    return sockets * caller_percent / 100;
+}
+
 result<gateway_settings> parse_gateway_settings(std::string_view text, std::string_view file) {
     return parse_object<gateway_settings>(text, file, step::settings, read_gateway);
 }
