Bound what all peers together can make a process hold

Callers saw connections reset and no answer when an entry ran out of memory: the limit of a body bounds one request, and nothing bounded the bodies, heads and unread answers of all connections together. net/buffer_budget counts them for a process and decides who is turned away: the connections that hold most and move least are closed (an unfinished request gets a true 503 first), a whole request that does not fit gets 503 at once, and requests that wait for their answers are never closed. Small requests have a reserve; a single large one is always served. Connections are bounded by the descriptors; a new one displaces the connection that has been idle for the longest time. Found on the way, by the tests: h2o keeps the input buffer of the largest request of a connection (363 MB on 64 idle connections), a response string kept its capacity while it drained, an upload could fill a kernel buffer of 6 MB, and glibc raises its mmap threshold so that freed bodies stay. 'Upgrade: h2c' is off: the bodies of HTTP/2 streams are not in the buffer that is charged; HTTP/2 over TLS stays.

--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -60,8 +60,9 @@
 
 template <request_binding Binding, engine_control Engine>
 engine_agent<Binding, Engine>::engine_agent(net::loop& events, engine_agent_settings settings, Engine& engine)
-    : loop_(events), settings_(std::move(settings)), engine_(engine), http_(net::http_client::create(events)),
-      admission_({}), pacing_({}), crashes_({}), known_crashes_({}),
+    : loop_(events), settings_(std::move(settings)), engine_(engine),
+      buffers_(std::make_shared<net::buffer_budget>(net::buffer_limits_of(settings_.node.memory_mb))),
+      http_(net::http_client::create(events)), admission_({}), pacing_({}), crashes_({}), known_crashes_({}),
       requests_total_(
           metrics_.counter({"samphiretray_agent_requests_total", "Requests by outcome", {"outcome"}})),
       orders_total_(metrics_.counter(
@@ -78,6 +79,9 @@
     options.listen = settings_.listen;
     options.idle_timeout = limits::entry_idle_timeout;
     options.shutdown_idle_timeout = limits::idle_before_close;
+    options.buffers = buffers_;
+    options.max_connections = max_caller_connections(settings_.node.max_descriptors);
+    add_refusal(options.overload_headers, agent_refusal::busy);
     auto server = net::http_server::create(
         loop_, options, [this](net::http_request http, std::shared_ptr<net::http_response> response) {
             on_request(std::move(http), std::move(response));
@@ -88,6 +92,7 @@
     server_ = std::move(*server);
     net::http_server_options control;
     control.listen = settings_.control_listen;
+    control.buffers = buffers_;
     auto admin = net::http_server::create(
         loop_, control,
         [this](const net::http_request& http, const std::shared_ptr<net::http_response>& response) {
@@ -1003,6 +1008,7 @@
     if (request.path == crashes_path || request.path == announcements_path) {
         on_crash_message(request, response);
     } else if (request.path == "/metrics") {
+        buffer_metrics_.update(*buffers_, *server_);
         response.send(200, {{"content-type", "text/plain; version=0.0.4"}}, metrics_.text());
     } else if (request.path == "/status") {
         response.send(200, {{"content-type", "application/json"}},
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -8,6 +8,7 @@
 #include "samphiretray/gateway/agent_protocol.h"
 #include "samphiretray/gateway/answer_classification.h"
 #include "samphiretray/gateway/binding.h"
+#include "samphiretray/gateway/buffer_metrics.h"
 #include "samphiretray/gateway/event_stream_parser.h"
 #include "samphiretray/gateway/model.h"
 #include "samphiretray/gateway/relay.h"
@@ -162,6 +163,7 @@
     net::loop& loop_;
     engine_agent_settings settings_;
     Engine& engine_;
+    std::shared_ptr<net::buffer_budget> buffers_;
     std::unique_ptr<net::http_client> http_;
     std::unique_ptr<net::http_server> server_;
     std::unique_ptr<net::http_server> control_;
@@ -204,6 +206,7 @@
     net::timer_handle poll_timer_;
     net::timer_handle tick_timer_;
     observe::metrics metrics_;
+    buffer_metrics buffer_metrics_{metrics_};
     observe::counter_family& requests_total_;
     observe::counter_family& orders_total_;
     observe::counter_family& crashes_total_;
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -73,9 +73,18 @@
 /// A resumable stream moves to another endpoint when no event has come for this fraction of the time after
 /// which its caller disconnects, so that the other endpoint has the rest of that time.
 inline constexpr double resume_silence_fraction = 0.5;
+/// Readiness checks have no body.
+inline constexpr std::size_t max_readiness_body_bytes = 16U << 10U;
 
 } // namespace limits
 
+/// Seconds with three decimals.
+[[nodiscard]] inline std::string retry_after_text(duration wait) {
+    const auto milliseconds = std::to_string(milliseconds_in(wait) % 1000);
+    return std::to_string(milliseconds_in(wait) / 1000) + "." + std::string(3 - milliseconds.size(), '0') +
+           milliseconds;
+}
+
 /// Failing endpoints are ejected after few requests, since services have few servers and each failure reaches
 /// a caller.
 inline constexpr routing::ejection_settings gateway_ejection{.consecutive_failures = 4,
@@ -120,13 +129,14 @@
 template <request_binding Binding, typename Store>
 entry_gateway<Binding, Store>::entry_gateway(net::loop& events, gateway_settings settings, Store& store)
     : loop_(events), settings_(std::move(settings)), incarnation_(random_hex(8)),
-      http_(net::http_client::create(events)), choice_({}), ejection_(gateway_ejection),
-      retries_(retry_settings_of(settings_, 0)), usage_({}), quarantine_({}), limits_({}),
-      usage_exchange_(events, *http_, store,
-                      {.vm = settings_.node.vm,
-                       .data_centre = settings_.node.data_centre,
-                       .listen = settings_.control_listen},
-                      usage_, quarantine_, limits_),
+      buffers_(std::make_shared<net::buffer_budget>(net::buffer_limits_of(settings_.node.memory_mb))),
+      buffered_answers_(buffers_, nullptr, events.now()), http_(net::http_client::create(events)),
+      choice_({}), ejection_(gateway_ejection), retries_(retry_settings_of(settings_, 0)), usage_({}),
+      quarantine_({}), limits_({}), usage_exchange_(events, *http_, store,
+                                                    {.vm = settings_.node.vm,
+                                                     .data_centre = settings_.node.data_centre,
+                                                     .listen = settings_.control_listen},
+                                                    usage_, quarantine_, limits_),
       crash_exchange_(events, *http_, quarantine_, settings_.agent_control_port),
       quarantine_record_(events, store, settings_.node.vm, quarantine_),
       ended_requests_(metrics_.counter(
@@ -173,6 +183,9 @@
     net::http_server_options front;
     front.listen = settings_.listen;
     front.idle_timeout = caller_limits{}.idle_timeout + limits::idle_timeout_margin;
+    front.buffers = buffers_;
+    front.max_connections = max_caller_connections(settings_.node.max_descriptors);
+    front.overload_headers = {{"retry-after", retry_after_text(limits::retry_after_elsewhere)}};
     auto callers = net::http_server::create(
         loop_, front, [this](net::http_request http, std::shared_ptr<net::http_response> response) {
             on_request(std::move(http), std::move(response));
@@ -183,6 +196,8 @@
     caller_server_ = std::move(*callers);
     net::http_server_options ready;
     ready.listen = settings_.ready_listen;
+    ready.buffers = buffers_;
+    ready.max_body_bytes = limits::max_readiness_body_bytes;
     auto readiness = net::http_server::create(
         loop_, ready, [this](const net::http_request&, const std::shared_ptr<net::http_response>& response) {
             response->send(is_ready() ? 200 : 503, {}, "");
@@ -193,6 +208,7 @@
     readiness_server_ = std::move(*readiness);
     net::http_server_options control;
     control.listen = settings_.control_listen;
+    control.buffers = buffers_;
     auto control_api = net::http_server::create(
         loop_, control,
         [this](const net::http_request& http, const std::shared_ptr<net::http_response>& response) {
@@ -821,13 +837,15 @@
 bool entry_gateway<Binding, Store>::count_buffered(active_request& request, std::size_t bytes) {
     buffered_bytes_ -= std::exchange(request.buffered_bytes, bytes);
     buffered_bytes_ += bytes;
-    return buffered_bytes_ <= limits::max_total_buffered_bytes ||
-           bytes <= limits::small_buffered_answer_bytes;
+    buffered_answers_.set(buffered_bytes_, net::buffer_use::receiving);
+    const bool fits = buffered_bytes_ <= limits::max_total_buffered_bytes && !buffers_->is_exceeded();
+    return fits || bytes <= limits::small_buffered_answer_bytes;
 }
 
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::discard_buffered(active_request& request) {
     buffered_bytes_ -= std::exchange(request.buffered_bytes, 0);
+    buffered_answers_.set(buffered_bytes_, net::buffer_use::receiving);
     request.body = {};
 }
 
@@ -1225,10 +1243,7 @@
                                            std::optional<duration> retry_after, std::string_view cause) {
     net::http_headers headers{{"content-type", "text/plain"}};
     if (retry_after) {
-        // Seconds with three decimals.
-        const auto milliseconds = std::to_string(milliseconds_in(*retry_after) % 1000);
-        headers.push_back({"retry-after", std::to_string(milliseconds_in(*retry_after) / 1000) + "." +
-                                              std::string(3 - milliseconds.size(), '0') + milliseconds});
+        headers.push_back({"retry-after", retry_after_text(*retry_after)});
     }
     const bool is_draining = drain_started_.has_value();
     if (is_draining || code == 400) {
@@ -1425,6 +1440,7 @@
     } else if (request.path == "/usage") {
         response->send(200, {{"content-type", "application/json"}}, encode(report_for(request)));
     } else if (request.path == "/metrics") {
+        buffer_metrics_.update(*buffers_, *caller_server_);
         response->send(200, {{"content-type", "text/plain; version=0.0.4"}}, metrics_.text());
     } else if (request.path == "/status") {
         response->send(200, {{"content-type", "application/json"}}, status_text());
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -3,6 +3,7 @@
 #include "samphiretray/gateway/agent_protocol.h"
 #include "samphiretray/gateway/answer_classification.h"
 #include "samphiretray/gateway/binding.h"
+#include "samphiretray/gateway/buffer_metrics.h"
 #include "samphiretray/gateway/crash_exchange.h"
 #include "samphiretray/gateway/endpoint_directory.h"
 #include "samphiretray/gateway/event_stream_parser.h"
@@ -240,6 +241,9 @@
     net::loop& loop_;
     gateway_settings settings_;
     std::string incarnation_;
+    std::shared_ptr<net::buffer_budget> buffers_;
+    /// What is kept of answers until they are whole.
+    net::buffer_account buffered_answers_;
     std::unique_ptr<net::http_client> http_;
     std::unique_ptr<net::http_server> caller_server_;
     std::unique_ptr<net::http_server> readiness_server_;
@@ -276,6 +280,7 @@
     bool final_answers_sent_ = false;
     net::timer_handle tick_timer_;
     observe::metrics metrics_;
+    buffer_metrics buffer_metrics_{metrics_};
     observe::counter_family& ended_requests_;
     observe::counter_family& retry_counter_;
     observe::counter_family& quarantine_counter_;
--- a/include/samphiretray/net/http_server.h
+++ b/include/samphiretray/net/http_server.h
@@ -2,6 +2,7 @@
 
 #include "samphiretray/base/error.h"
 #include "samphiretray/net/address.h"
+#include "samphiretray/net/buffer_budget.h"
 #include "samphiretray/net/http.h"
 #include "samphiretray/net/loop.h"
 
@@ -58,6 +59,14 @@
     /// client that uses its connection within this time learns of the shutdown from "Connection: close"; an
     /// immediate close could lose a request that is already on its way.
     duration shutdown_idle_timeout = 1s;
+    /// Bounds what the connections of this server hold together with everything else that shares the budget.
+    /// A server without one gets a budget of its own with the default limits.
+    std::shared_ptr<buffer_budget> buffers = {};
+    /// Open connections; 0 for any number. At the limit, a new one takes the place of the one that has been
+    /// idle for the longest time, or of the one with an incomplete request that has moved least.
+    std::size_t max_connections = 0;
+    /// Headers of the 503 for requests that have not run because the budget is used up.
+    http_headers overload_headers = {};
 };
 
 /// An HTTP/1.1 and HTTP/2 server on h2o.
@@ -83,6 +92,8 @@
     [[nodiscard]] virtual std::size_t open_connections() const noexcept = 0;
     /// Number of malformed and oversized requests that were rejected before the handler ran.
     [[nodiscard]] virtual std::uint64_t refused_requests() const noexcept = 0;
+    /// Number of connections that were closed because of `max_connections`.
+    [[nodiscard]] virtual std::uint64_t displaced_connections() const noexcept = 0;
 };
 
 } // namespace samphiretray::net
--- a/src/net/h2o_response.cpp
+++ b/src/net/h2o_response.cpp
@@ -21,6 +21,8 @@
 constexpr duration disconnect_check_interval = 200ms;
 // The connection of an aborted response is closed after this time if the client does not read what is left.
 constexpr duration abort_timeout = 2s;
+/// Largest part of a response that is passed to h2o at once, so that the progress of a slow reader is seen.
+constexpr std::size_t max_send_bytes = 256U << 10U;
 constexpr int http_1_1 = 0x101;
 constexpr int http_2 = 0x200;
 
@@ -28,6 +30,13 @@
     return h2o_lcstris(left.data(), left.size(), right.data(), right.size()) != 0;
 }
 
+/// Frees the memory that a string has kept from a larger content.
+void release_unused(std::string& text) {
+    if (text.capacity() > max_send_bytes && text.capacity() > 2 * text.size()) {
+        text.shrink_to_fit();
+    }
+}
+
 std::string to_lower_case(std::string text) {
     h2o_strtolower(text.data(), text.size());
     return text;
@@ -137,6 +146,10 @@
     connection_->current_response = nullptr;
     --connection_->active_requests;
     connection_->idle_since = core_->events().now();
+    connection_->unsent_bytes -= std::exchange(charged_unsent_, 0);
+    connection_->request_bytes -= std::exchange(charged_request_, 0);
+    connection_->update_account();
+    core_->meter_later(connection_);
     connection_ = nullptr;
     if (!ended_) {
         ended_ = true;
@@ -190,6 +203,7 @@
     body_bytes_written_ += bytes.size();
     if (!is_head_request_) {
         pending_ += bytes;
+        charge_unsent();
         schedule_flush();
     }
 }
@@ -229,6 +243,20 @@
     flush();
 }
 
+void h2o_response::charge_request(std::size_t bytes) {
+    charged_request_ += bytes;
+    connection_->request_bytes += bytes;
+    connection_->update_account();
+}
+
+void h2o_response::charge_unsent() {
+    const std::size_t unsent = pending_.size() + (in_flight_ || final_sent_ ? sending_.size() : 0);
+    connection_->unsent_bytes += unsent;
+    connection_->unsent_bytes -= std::exchange(charged_unsent_, unsent);
+    connection_->update_account();
+    core_->relieve_later();
+}
+
 std::size_t h2o_response::buffered_bytes() const noexcept {
     return pending_.size() + (in_flight_ ? sending_.size() : 0);
 }
@@ -276,11 +304,20 @@
     }
     const auto self = shared_from_this();
     begin_h2o_response();
+    const bool is_part = pending_.size() > max_send_bytes && end_state_ == H2O_SEND_STATE_FINAL;
+    const bool is_last = ended_ && !is_part;
     sending_.clear();
-    sending_.swap(pending_);
-    in_flight_ = !ended_;
-    final_sent_ = ended_;
-    send_buffers(ended_ ? end_state_ : H2O_SEND_STATE_IN_PROGRESS);
+    if (is_part) {
+        sending_.assign(pending_, 0, max_send_bytes);
+        pending_.erase(0, max_send_bytes);
+        release_unused(pending_);
+    } else {
+        release_unused(sending_);
+        sending_.swap(pending_);
+    }
+    in_flight_ = !is_last;
+    final_sent_ = is_last;
+    send_buffers(is_last ? end_state_ : H2O_SEND_STATE_IN_PROGRESS);
 }
 
 void h2o_response::send_buffers(h2o_send_state_t state) {
@@ -309,6 +346,10 @@
 void h2o_response::on_proceed() {
     const auto self = shared_from_this();
     in_flight_ = false;
+    if (connection_ != nullptr) {
+        connection_->account.note_moved(sending_.size(), core_->events().now());
+        charge_unsent();
+    }
     flush();
     if (socket_ != nullptr && is_open() && !in_flight_) {
         update_polled_events(socket_);
--- a/src/net/h2o_response.h
+++ b/src/net/h2o_response.h
@@ -26,6 +26,8 @@
     void terminate_connection();
     /// Passes the pending bytes to h2o.
     void flush();
+    /// Charges the connection with copies of the request's body until the request ends.
+    void charge_request(std::size_t bytes);
 
     void start(int status, const http_headers& headers) override;
     void write(std::string_view bytes) override;
@@ -55,6 +57,8 @@
     void send_buffers(h2o_send_state_t state);
     void end(h2o_send_state_t state);
     void schedule_flush();
+    /// Charges the connection with the bytes that have not been sent.
+    void charge_unsent();
 
     server_connection* connection_;
     std::shared_ptr<http_server_core> core_;
@@ -69,6 +73,8 @@
     timer_handle abort_timer_;
     std::string pending_;
     std::string sending_;
+    std::size_t charged_unsent_ = 0;
+    std::size_t charged_request_ = 0;
     std::uint64_t body_bytes_written_ = 0;
     std::optional<std::uint64_t> content_length_;
     /// The chunk-size line for the data in `sending_`.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -4,6 +4,7 @@
 
 #include "connection_pool.h"
 #include "guarded_call.h"
+#include "input_buffer.h"
 #include "response_parser.h"
 #include "socket_address.h"
 #include "socket_polling.h"
@@ -62,7 +63,7 @@
 /// Bytes of an answer that the kernel keeps while reading is paused; it doubles this for its own needs.
 /// Without a limit it lets the buffer of a fast answer grow to the system's maximum, often 32 MB a
 /// connection.
-constexpr int receive_buffer_size = 512 << 10;
+constexpr int receive_buffer_size = 64 << 10;
 
 void limit_receive_buffer(h2o_socket_t& socket) {
     const int failed = ::setsockopt(h2o_socket_get_fd(&socket), SOL_SOCKET, SO_RCVBUF, &receive_buffer_size,
@@ -277,6 +278,7 @@
         return;
     }
     h2o_buffer_consume(&socket_->input, decoded.consumed);
+    release_empty_input(socket_);
     if (decoded.progress == parse_progress::done) {
         complete();
     }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -33,6 +33,9 @@
     [[nodiscard]] std::uint64_t refused_requests() const noexcept override {
         return core_->refused_requests();
     }
+    [[nodiscard]] std::uint64_t displaced_connections() const noexcept override {
+        return core_->displaced_connections();
+    }
 
 private:
     std::shared_ptr<http_server_core> core_;
--- a/src/net/http_server_core.cpp
+++ b/src/net/http_server_core.cpp
@@ -1,9 +1,11 @@
 #include "http_server_core.h"
 
+#include "samphiretray/base/log.h"
 #include "samphiretray/base/text.h"
 
 #include "guarded_call.h"
 #include "h2o_response.h"
+#include "input_buffer.h"
 #include "lingering_close.h"
 #include "socket_address.h"
 
@@ -21,6 +23,9 @@
 namespace {
 
 constexpr int http_2 = 0x200;
+/// Copies of a body beside the one in h2o's buffer: that of the handler and that of the call that forwards
+/// it.
+constexpr std::size_t body_copies = 2;
 
 std::string to_text(h2o_iovec_t bytes) {
     return {bytes.base, bytes.len};
@@ -84,10 +89,29 @@
     return socket->input->size != 0 || ::poll(&state, 1, 0) > 0;
 }
 
+/// The response to a request that has not been read to its end.
+std::string overload_response(const http_headers& headers) {
+    std::string text = "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n";
+    for (const http_header& each : headers) {
+        text += each.name + ": " + each.value + "\r\n";
+    }
+    return text + "\r\n";
+}
+
 } // namespace
 
+void server_connection::update_account() noexcept {
+    const buffer_use use = unsent_bytes > account.limits().small_bytes ? buffer_use::sending
+                           : active_requests > 0                       ? buffer_use::waiting
+                                                                       : buffer_use::receiving;
+    account.set(socket->input->size + request_bytes + unsent_bytes, use);
+}
+
 http_server_core::http_server_core(loop& events, http_server_options options, http_handler handler)
     : events_(events), options_(std::move(options)), handler_(std::move(handler)) {
+    if (!options_.buffers) {
+        options_.buffers = std::make_shared<buffer_budget>(buffer_limits{});
+    }
     configure();
     h2o_context_init(&context_, events_.native(), &config_);
     accept_context_.ctx = &context_;
@@ -121,6 +145,8 @@
     h2o_config_init(&config_);
     config_.server_name = h2o_iovec_init(H2O_STRLIT("samphiretray"));
     config_.max_request_entity_size = options_.max_body_bytes;
+    // The bodies of HTTP/2 streams are not in the buffer of the socket, which is what is charged.
+    config_.http1.upgrade_to_http2 = 0;
     const auto idle =
         static_cast<std::uint64_t>(std::max<std::int64_t>(1, milliseconds_in(options_.idle_timeout)));
     config_.http1.req_timeout = idle;
@@ -156,7 +182,14 @@
 }
 
 void http_server_core::add_connection(h2o_socket_t* socket) {
-    auto* connection = new server_connection{shared_from_this(), socket, 0, nullptr, events_.now()};
+    if (options_.max_connections > 0 && connections_.size() >= options_.max_connections) {
+        ++displaced_connections_;
+        if (!displace_connection()) {
+            h2o_socket_close(socket);
+            return;
+        }
+    }
+    auto* connection = new server_connection{shared_from_this(), socket, options_.buffers, events_.now()};
     connections_.insert(connection);
     socket->on_close.data = connection;
     socket->on_close.cb = [](void* data) {
@@ -164,10 +197,16 @@
         closed->core->remove_connection(closed);
     };
     h2o_accept(&accept_context_, socket);
+    if (connections_.contains(connection)) {
+        meter(*connection);
+    }
 }
 
 void http_server_core::remove_connection(server_connection* connection) {
     connections_.erase(connection);
+    if (connection->was_closed != nullptr) {
+        *connection->was_closed = true;
+    }
     // If this is the last connection, h2o still uses the context that the core owns.
     events_.dispose_later(std::move(connection->core));
     delete connection;
@@ -184,6 +223,11 @@
         response->send(400, {{"connection", "close"}}, "the length of the body is stated more than once\n");
         return;
     }
+    if (handler_ && !admit(connection, *response, request->entity.len)) {
+        ++refused_requests_;
+        response->send(503, options_.overload_headers, "too many bytes are held for other requests\n");
+        return;
+    }
     if (handler_) {
         http_request converted = to_http_request(request);
         // The request may be gone when its handler throws.
@@ -208,6 +252,162 @@
     }
 }
 
+void http_server_core::meter(server_connection& connection) const {
+    h2o_socket_t* socket = connection.socket;
+    // The handshake of TLS replaces the callback several times, and a response watches its connection itself.
+    const bool is_reading = h2o_socket_is_reading(socket) != 0 && socket->_cb.read != on_read;
+    if (is_reading && connection.current_response == nullptr && socket->ssl == nullptr) {
+        connection.read_callback = std::exchange(socket->_cb.read, on_read);
+    }
+}
+
+void http_server_core::meter_later(server_connection* connection) {
+    if (unmetered_.empty()) {
+        events_.post([weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->meter_pending();
+            }
+        });
+    }
+    unmetered_.push_back(connection);
+}
+
+void http_server_core::meter_pending() {
+    for (server_connection* each : std::exchange(unmetered_, {})) {
+        if (connections_.contains(each)) {
+            meter(*each);
+            if (each->active_requests == 0) {
+                release_empty_input(each->socket);
+            }
+            each->update_account();
+        }
+    }
+}
+
+void http_server_core::on_read(h2o_socket_t* socket, const char* failure) {
+    auto& connection = *static_cast<server_connection*>(socket->on_close.data);
+    const auto core = connection.core;
+    bool was_closed = false;
+    connection.was_closed = &was_closed;
+    const std::size_t read_before = connection.account.bytes();
+    connection.read_callback(socket, failure);
+    if (was_closed) {
+        return;
+    }
+    connection.was_closed = nullptr;
+    if (connection.current_response != nullptr) {
+        return;
+    }
+    connection.update_account();
+    const std::size_t held = connection.account.bytes();
+    connection.account.note_moved(held - std::min(held, read_before), core->events_.now());
+    if (core->options_.buffers->is_exceeded()) {
+        core->relieve(0);
+    }
+}
+
+bool http_server_core::admit(server_connection& connection, h2o_response& response, std::size_t body_bytes) {
+    const std::size_t more = body_bytes * body_copies;
+    connection.update_account();
+    buffer_budget& buffers = *options_.buffers;
+    if (!buffers.admits(connection.account, more)) {
+        relieve(more);
+    }
+    if (!buffers.admits(connection.account, more)) {
+        buffers.count_refused();
+        log_event(log_level::warning, "request_overload",
+                  {{"bytes", body_bytes}, {"held", buffers.held()}, {"limit", buffers.limits().max_bytes}});
+        return false;
+    }
+    response.charge_request(more);
+    return true;
+}
+
+void http_server_core::relieve_later() {
+    if (options_.buffers->is_exceeded() && !std::exchange(relief_scheduled_, true)) {
+        events_.post([weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->relief_scheduled_ = false;
+                self->relieve(0);
+            }
+        });
+    }
+}
+
+void http_server_core::relieve(std::size_t needed) {
+    for (const buffer_account* each : options_.buffers->victims(needed, events_.now())) {
+        auto& connection = *static_cast<server_connection*>(each->owner());
+        // The budget may be shared with other servers.
+        connection.core->close_victim(connection);
+    }
+}
+
+void http_server_core::close_victim(server_connection& connection) {
+    const buffer_account& account = connection.account;
+    options_.buffers->count_closed(account.use());
+    log_event(log_level::warning, "connection_overload",
+              {{"use", name_of(account.use())},
+               {"bytes", account.bytes()},
+               {"idle_ms", milliseconds_in(account.idle_time(events_.now()))},
+               {"held", options_.buffers->held()},
+               {"limit", options_.buffers->limits().max_bytes}});
+    if (connection.current_response != nullptr) {
+        connection.account.set(0, buffer_use::sending);
+        connection.current_response->shared_from_this()->terminate_connection();
+    } else if (connection.active_requests > 0 || connection.socket->ssl != nullptr) {
+        connection.account.set(0, buffer_use::sending);
+        ::shutdown(h2o_socket_get_fd(connection.socket), SHUT_RDWR);
+    } else {
+        close_receiving(connection);
+    }
+}
+
+void http_server_core::close_receiving(server_connection& connection) {
+    h2o_socket_t* socket = connection.socket;
+    const int descriptor = h2o_socket_get_fd(socket);
+    if (socket->input->size > 0) {
+        const std::string text = overload_response(options_.overload_headers);
+        // The connection is closed whether or not the client takes the response.
+        (void)::send(descriptor, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        linger_before_close(events_, descriptor);
+    }
+    const h2o_socket_cb read = socket->_cb.read == on_read ? connection.read_callback : socket->_cb.read;
+    if (read != nullptr) {
+        read(socket, h2o_socket_error_closed);
+    } else {
+        ::shutdown(descriptor, SHUT_RDWR);
+    }
+}
+
+bool http_server_core::displace_connection() {
+    const time_point now = events_.now();
+    server_connection* chosen = nullptr;
+    duration longest{-1};
+    bool is_chosen_idle = false;
+    for (server_connection* each : connections_) {
+        if (each->active_requests > 0) {
+            continue;
+        }
+        const bool is_idle = each->socket->input->size == 0;
+        const duration passed = is_idle ? now - each->idle_since : each->account.idle_time(now);
+        // An idle connection loses nothing.
+        if ((is_idle && !is_chosen_idle) || (is_idle == is_chosen_idle && passed > longest)) {
+            chosen = each;
+            longest = passed;
+            is_chosen_idle = is_idle;
+        }
+    }
+    if (chosen == nullptr) {
+        return false;
+    }
+    if (chosen->socket->ssl != nullptr) {
+        ::shutdown(h2o_socket_get_fd(chosen->socket), SHUT_RDWR);
+    } else {
+        close_receiving(*chosen);
+    }
+    return true;
+}
+
 void http_server_core::begin_graceful_shutdown() {
     h2o_context_request_shutdown(&context_);
     idle_check_timer_ =
--- a/src/net/http_server_core.h
+++ b/src/net/http_server_core.h
@@ -19,6 +19,13 @@
 
 /// An accepted connection; deleted by the close callback of its socket.
 struct server_connection {
+    server_connection(std::shared_ptr<http_server_core> accepting_core, h2o_socket_t* accepted,
+                      const std::shared_ptr<buffer_budget>& buffers, time_point now)
+        : core(std::move(accepting_core)), socket(accepted), idle_since(now), account(buffers, this, now) {}
+
+    /// Charges the connection with what is held for it now.
+    void update_account() noexcept;
+
     std::shared_ptr<http_server_core> core;
     h2o_socket_t* socket = nullptr;
     /// Requests that have been given a response object and have not ended.
@@ -26,6 +33,15 @@
     /// HTTP/1 only: the response in progress.
     h2o_response* current_response = nullptr;
     time_point idle_since;
+    buffer_account account;
+    /// Copies of the bodies of its requests.
+    std::size_t request_bytes = 0;
+    /// Bytes of its responses that have not been handed to the operating system.
+    std::size_t unsent_bytes = 0;
+    /// The read callback of h2o, while that of the server stands in its place.
+    h2o_socket_cb read_callback = nullptr;
+    /// Set by the close callback, for a caller that may have closed the connection.
+    bool* was_closed = nullptr;
 };
 
 /// The part of the server that outlives its handle: the h2o context is needed until the last connection has
@@ -45,10 +61,15 @@
     /// Runs `h2o_response::flush` at the end of this loop iteration, so that the writes of one iteration are
     /// sent together.
     void flush_later(std::shared_ptr<h2o_response> response);
+    /// Watches the reads of a connection, again after each request, from the end of this loop iteration on.
+    void meter_later(server_connection* connection);
+    /// Closes connections at the end of this loop iteration if the budget is exceeded.
+    void relieve_later();
 
     [[nodiscard]] loop& events() noexcept { return events_; }
     [[nodiscard]] std::size_t open_connections() const noexcept { return connections_.size(); }
     [[nodiscard]] std::uint64_t refused_requests() const noexcept { return refused_requests_; }
+    [[nodiscard]] std::uint64_t displaced_connections() const noexcept { return displaced_connections_; }
     [[nodiscard]] bool is_shutting_down() const noexcept { return context_.shutdown_requested != 0; }
     /// Loads the certificate files, if any are set; on an error the old certificate stays in use.
     [[nodiscard]] status load_certificates();
@@ -69,8 +90,21 @@
     void on_request_disposed(h2o_req_t* request);
     void close_idle_connections();
     void flush_pending();
+    /// Charges what h2o reads, and enforces the budget before more is read.
+    static void on_read(h2o_socket_t* socket, const char* failure);
+    void meter(server_connection& connection) const;
+    void meter_pending();
+    /// Closes the connections that hold most and move least, so that `needed` more bytes fit.
+    void relieve(std::size_t needed);
+    void close_victim(server_connection& connection);
+    /// Closes a connection at once that has no request in progress.
+    void close_receiving(server_connection& connection);
+    /// Closes the connection that a new one displaces; returns false if all are needed.
+    [[nodiscard]] bool displace_connection();
+    [[nodiscard]] bool admit(server_connection& connection, h2o_response& response, std::size_t body_bytes);
 
     std::uint64_t refused_requests_ = 0;
+    std::uint64_t displaced_connections_ = 0;
     loop& events_;
     http_server_options options_;
     http_handler handler_;
@@ -81,6 +115,8 @@
     tls_context tls_;
     std::set<server_connection*> connections_;
     std::vector<std::shared_ptr<h2o_response>> unflushed_;
+    std::vector<server_connection*> unmetered_;
+    bool relief_scheduled_ = false;
     timer_handle idle_check_timer_;
 };
 
--- a/src/net/lingering_close.cpp
+++ b/src/net/lingering_close.cpp
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr duration linger_timeout = 1s;
+/// Most connections that linger at a time; each of them holds a descriptor.
+constexpr int max_lingering = 64;
+
+int lingering_count = 0;
 
 struct lingering_socket {
     h2o_socket_t* socket = nullptr;
@@ -19,6 +23,7 @@
 
 void close_lingering(lingering_socket* lingering) {
     h2o_socket_close(lingering->socket);
+    --lingering_count;
     delete lingering;
 }
 
@@ -33,10 +38,11 @@
 } // namespace
 
 void linger_before_close(loop& events, int descriptor) {
-    const int duplicate = ::fcntl(descriptor, F_DUPFD_CLOEXEC, 0);
+    const int duplicate = lingering_count < max_lingering ? ::fcntl(descriptor, F_DUPFD_CLOEXEC, 0) : -1;
     if (duplicate < 0) {
         return;
     }
+    ++lingering_count;
     ::shutdown(duplicate, SHUT_WR);
     auto* lingering = new lingering_socket;
     lingering->socket = h2o_evloop_socket_create(events.native(), duplicate, 0);
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,5 +1,7 @@
 #include "listener.h"
 
+#include "samphiretray/base/log.h"
+
 #include "socket_address.h"
 
 #include <h2o.h>
@@ -16,6 +18,9 @@
 // Bounds the connections accepted in one loop iteration, so that a burst of new connections does not delay
 // the open ones.
 constexpr int max_accepts_per_iteration = 32;
+// Bytes of a request that the kernel keeps before they are read; it doubles this for its own needs. Accepted
+// connections inherit it. Without a limit it lets the buffer of a fast upload grow to the system's maximum.
+constexpr int receive_buffer_size = 256 << 10;
 // Accepting pauses for this long when the process has run out of file descriptors. The listening socket stays
 // readable meanwhile, so without the pause the loop would spin.
 constexpr duration descriptor_shortage_pause = 100ms;
@@ -37,6 +42,10 @@
     }
     const int on = 1;
     ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer_size, sizeof(receive_buffer_size)) !=
+        0) {
+        log_event(log_level::debug, "receive_buffer_not_limited", {{"errno", errno}});
+    }
     const bool bound = ::bind(descriptor, target->get(), target->length) == 0;
     if (!bound || ::listen(descriptor, SOMAXCONN) != 0) {
         error failure = listen_error(listen, bound ? "listen" : "bind");
