Keep requests in their homes, follow evacuations, and spare cold servers

An agent is the only sender to its engine: it keeps the rate of a cold one in each second, and takes back what waits when its data centre is evacuated.

--- a/include/samphiretray/gateway/agent_protocol.h
+++ b/include/samphiretray/gateway/agent_protocol.h
@@ -62,6 +62,10 @@
 void add_engine_start(net::http_headers& headers, std::uint64_t started_at);
 [[nodiscard]] std::optional<std::uint64_t> read_engine_start(const net::http_headers& headers);
 
+/// How much longer the engine is cold, as far as the entry knows; nothing is added if it is not.
+void add_engine_cold(net::http_headers& headers, duration left);
+[[nodiscard]] std::optional<duration> read_engine_cold(const net::http_headers& headers);
+
 /// Headers of responses from an agent to an entry.
 void add_engine_load(net::http_headers& headers, const routing::engine_load& load);
 [[nodiscard]] std::optional<routing::engine_load> read_engine_load(const net::http_headers& headers);
--- a/include/samphiretray/gateway/endpoint_directory.h
+++ b/include/samphiretray/gateway/endpoint_directory.h
@@ -45,6 +45,7 @@
     /// The endpoints of a service that are not draining and have not asked for a pause.
     [[nodiscard]] std::vector<const endpoint*> available(std::string_view service, time_point now) const;
     [[nodiscard]] std::vector<std::string> ids() const;
+    [[nodiscard]] std::vector<const endpoint*> all() const;
     [[nodiscard]] std::size_t size() const noexcept { return endpoints_.size(); }
 
 private:
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -104,6 +104,11 @@
     control_ = std::move(*admin);
     poll();
     tick_timer_ = loop_.every(limits::agent_tick_interval, [this] {
+        for (const std::string& each : evacuations_.expire(loop_.now())) {
+            if (each == settings_.node.data_centre) {
+                on_evacuation_ended();
+            }
+        }
         if (!requests_.empty() || drain_started_) {
             process_queue();
         }
@@ -128,6 +133,10 @@
     model_load_time_ = found->engine->model_load_time;
     admission_.set_capacity(found->engine->max_batch_size, found->engine->kv_tokens);
     prefixes_.set_capacity(found->engine->kv_tokens);
+    if (std::exchange(cold_start_, found->cold_start) != found->cold_start) {
+        cold_window_.set_rate(cold_start_.requests_per_s);
+        cold_.on_start(cold_start_.cold_time, loop_.now());
+    }
     if (!slots_) {
         slots_.emplace(slot_settings_of(found->engine->adapter_slots));
         log_event(log_level::info, "capacity_known",
@@ -147,6 +156,37 @@
     }
 }
 
+template <request_binding Binding, engine_control Engine>
+void engine_agent<Binding, Engine>::begin_evacuation(const std::string& data_centre) {
+    if (evacuations_.begin(data_centre) && data_centre == settings_.node.data_centre) {
+        log_event(log_level::warning, "evacuation_began",
+                  {{"data_centre", data_centre}, {"waiting", admission_.waiting_count()}});
+        refuse_waiting(agent_refusal::draining);
+    }
+}
+
+template <request_binding Binding, engine_control Engine>
+void engine_agent<Binding, Engine>::end_evacuation(const std::string& data_centre, bool after_outage) {
+    if (evacuations_.end(data_centre, after_outage, loop_.now()) &&
+        data_centre == settings_.node.data_centre) {
+        on_evacuation_ended();
+    }
+}
+
+template <request_binding Binding, engine_control Engine>
+void engine_agent<Binding, Engine>::on_evacuation_ended() {
+    // The engine may have become cold while it got no requests.
+    cold_.on_start(cold_start_.cold_time, loop_.now());
+    log_event(log_level::warning, "evacuation_ended", {{"data_centre", settings_.node.data_centre}});
+}
+
+template <request_binding Binding, engine_control Engine>
+duration engine_agent<Binding, Engine>::cold_wait(std::size_t requests) const {
+    const bool is_limited = cold_start_.is_limited() && cold_.is_cold(loop_.now());
+    return is_limited ? std::min(cold_window_.wait_for(requests, loop_.now()), cold_.time_left(loop_.now()))
+                      : duration::zero();
+}
+
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::set_fencing_number(std::uint64_t number) {
     fencing_number_ =
@@ -197,7 +237,7 @@
 std::optional<agent_refusal>
 engine_agent<Binding, Engine>::reason_to_refuse(const agent_request& request,
                                                 const agent::admission_request& admission) const {
-    if (drain_started_ || engine_draining_since_) {
+    if (drain_started_ || engine_draining_since_ || is_evacuated()) {
         return agent_refusal::draining;
     }
     if (!is_engine_up() || !slots_ || !(has_base_model() || may_wait_for_base_model(request))) {
@@ -214,8 +254,9 @@
     const duration wait = model_load_time_left() + admission_.expected_wait(admission, loop_.now());
     const duration time_to_first_byte =
         admission_.prefill_rate().time_to_first_byte(admission.prefill_tokens);
+    const std::size_t waiting = admission_.waiting_count() + 1;
     const duration limit_wait =
-        std::max(limit_.wait_for(admission_.waiting_count() + 1, loop_.now()), pause_left());
+        std::max({limit_.wait_for(waiting, loop_.now()), pause_left(), cold_wait(waiting)});
     if (limit_wait > request.budget.max_queue_wait) {
         return agent_refusal::limited;
     }
@@ -266,6 +307,9 @@
     request->shared = make_prompt_request(request->forwarded.caller.attempt_id,
                                           shared_part_ids(request->forwarded.caller.prefix));
     learn_engine_id(*request);
+    if (const auto left = read_engine_cold(request->http.headers)) {
+        cold_.on_report(*left, request->arrived_at);
+    }
     if (const auto held = held_parts_.check(request->shared.parts, request->arrived_at)) {
         refuse(request, agent_refusal::quarantined, "", held->retry_after);
         return;
@@ -358,7 +402,8 @@
         const ports::adapter_version& adapter = requests_.at(id)->adapter;
         return adapter.adapter.empty() || slots_->can_run(adapter, false);
     };
-    while (limit_.allows(loop_.now()) && pause_left() <= duration::zero()) {
+    while (limit_.allows(loop_.now()) && pause_left() <= duration::zero() &&
+           cold_wait(1) <= duration::zero() && !is_evacuated()) {
         const auto id = admission_.next(runnable, loop_.now());
         if (!id || !limit_.try_take(loop_.now())) {
             break;
@@ -377,6 +422,7 @@
 void engine_agent<Binding, Engine>::forward_to_engine(const request_pointer& request) {
     const time_point now = loop_.now();
     request->forwarded_at = now;
+    cold_window_.count(now);
     wait_seconds_.observe({}, std::chrono::duration<double>(now - request->arrived_at).count());
     forward_fields fields = request->forwarded.fields;
     fields.time_left = std::max<duration>(request->deadline - now, 1ms);
@@ -811,7 +857,9 @@
         engine_id_.clear();
         fencing_number_ += fencing_number_ > 0 ? 1 : 0;
     }
+    cold_.on_report(report->cold_left, now);
     if (is_first_report || restarted) {
+        cold_.on_start(cold_start_.cold_time, now);
         prefixes_.clear();
         admission_.on_engine_restart();
         limit_.set(std::nullopt, now);
@@ -1014,7 +1062,9 @@
         response.send(200, {{"content-type", "application/json"}},
                       "{\"vm\":\"" + settings_.node.vm +
                           "\",\"revision\":0,\"requests\":" + std::to_string(requests_.size()) +
-                          ",\"engine_up\":" + (is_engine_up() ? "true" : "false") + "}");
+                          ",\"engine_up\":" + (is_engine_up() ? "true" : "false") +
+                          ",\"engine_cold\":" + (cold_.is_cold(loop_.now()) ? "true" : "false") +
+                          ",\"evacuated\":" + (is_evacuated() ? "true" : "false") + "}");
     } else {
         response.send(404, {}, "no such page\n");
     }
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -17,8 +17,10 @@
 #include "samphiretray/net/http_server.h"
 #include "samphiretray/observe/metrics.h"
 #include "samphiretray/ports/engine.h"
+#include "samphiretray/rate/cold_start.h"
 #include "samphiretray/rate/named_limit.h"
 #include "samphiretray/routing/crash_quarantine.h"
+#include "samphiretray/routing/evacuations.h"
 #include "samphiretray/routing/held_parts.h"
 #include "samphiretray/routing/prefix_cache_model.h"
 
@@ -62,6 +64,9 @@
 
     void apply(const routing_state& state);
     void apply(const adapter_release& release);
+    /// Sends nothing more to the engine if it is in the data centre, and again after the end.
+    void begin_evacuation(const std::string& data_centre);
+    void end_evacuation(const std::string& data_centre, bool after_outage);
     /// `number` has to be larger than that of any earlier agent of this engine; the fencing numbers in orders
     /// are derived from it.
     void set_fencing_number(std::uint64_t number);
@@ -141,6 +146,10 @@
     [[nodiscard]] bool is_engine_leaving() const;
     /// Time until the engine wants requests again.
     [[nodiscard]] duration pause_left() const;
+    /// Time until the engine, if it is cold, takes `requests` more.
+    [[nodiscard]] duration cold_wait(std::size_t requests) const;
+    [[nodiscard]] bool is_evacuated() const { return evacuations_.includes(settings_.node.data_centre); }
+    void on_evacuation_ended();
     void note_interruption(const agent_request& request);
     /// The incarnation of the engine in the last report has ended without notice.
     void on_engine_crash();
@@ -172,6 +181,10 @@
     agent::load_pacing pacing_;
     /// The limit that the engine names, all of which this agent may use: it is the engine's only sender.
     rate::named_limit limit_;
+    rate::cold_start_settings cold_start_;
+    rate::cold_state cold_;
+    rate::cold_window cold_window_;
+    routing::evacuations evacuations_;
     /// Ids (hashes) of the attempts that the engine has refused last.
     std::deque<std::uint64_t> refused_attempts_;
     /// The engine has asked for no requests until then.
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -132,11 +132,12 @@
       buffers_(std::make_shared<net::buffer_budget>(net::buffer_limits_of(settings_.node.memory_mb))),
       buffered_answers_(buffers_, nullptr, events.now()), http_(net::http_client::create(events)),
       choice_({}), ejection_(gateway_ejection), retries_(retry_settings_of(settings_, 0)), usage_({}),
-      quarantine_({}), limits_({}), usage_exchange_(events, *http_, store,
-                                                    {.vm = settings_.node.vm,
-                                                     .data_centre = settings_.node.data_centre,
-                                                     .listen = settings_.control_listen},
-                                                    usage_, quarantine_, limits_),
+      quarantine_({}), limits_({}), rules_(settings_.regions),
+      usage_exchange_(events, *http_, store,
+                      {.vm = settings_.node.vm,
+                       .data_centre = settings_.node.data_centre,
+                       .listen = settings_.control_listen},
+                      usage_, quarantine_, limits_),
       crash_exchange_(events, *http_, quarantine_, settings_.agent_control_port),
       quarantine_record_(events, store, settings_.node.vm, quarantine_),
       ended_requests_(metrics_.counter(
@@ -164,6 +165,9 @@
     }
     usage_exchange_.on_peers_changed([this](const std::vector<peer_entry>& peers) {
         peers_ = peers;
+        std::vector<std::string> names{settings_.node.vm};
+        std::ranges::transform(peers, std::back_inserter(names), &peer_entry::vm);
+        rules_.set_members(settings_.node.vm, std::move(names));
         if (on_peers_) {
             on_peers_(peers);
         }
@@ -249,6 +253,7 @@
         usage_.set_limits(each.name, bucket_limits_of(each, settings_), now);
     }
     usage_.retain(names);
+    rules_.set_services(table_->state().services);
     if (caller_server_) {
         const caller_limits& callers = table_->state().limits;
         caller_server_->set_limits(callers.max_body_bytes,
@@ -322,6 +327,7 @@
                          known->address == value.address && known->started_at == value.started_at;
     const endpoint copy = value;
     const bool restarted = directory_.update(std::move(value));
+    rules_.on_record(copy, restarted, loop_.now());
     if (restarted) {
         refresh_endpoint(copy);
         if (!copy.adapters.empty()) {
@@ -364,6 +370,27 @@
     choice_.remove(id);
     endpoints_paused_until_.erase(id);
     limits_.forget(id);
+    rules_.forget(id);
+}
+
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::begin_evacuation(const std::string& data_centre) {
+    if (rules_.begin_evacuation(data_centre)) {
+        log_event(log_level::warning, "evacuation_began", {{"data_centre", data_centre}});
+    }
+}
+
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::end_evacuation(const std::string& data_centre, bool after_outage) {
+    if (rules_.end_evacuation(data_centre, after_outage, directory_.all(), loop_.now())) {
+        on_evacuation_ended(data_centre);
+    }
+}
+
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::on_evacuation_ended(const std::string& data_centre) {
+    log_event(log_level::warning, "evacuation_ended",
+              {{"data_centre", data_centre}, {"cold_endpoints", rules_.cold_count(loop_.now())}});
 }
 
 template <request_binding Binding, typename Store>
@@ -485,7 +512,7 @@
     const time_point now = loop_.now();
     std::vector<std::string> usable;
     std::vector<std::string> avoided;
-    for (const endpoint* each : directory_.available(request.service, loop_.now())) {
+    for (const endpoint* each : allowed_endpoints(request)) {
         if (std::ranges::find(request.tried_endpoints, each->id) != request.tried_endpoints.end()) {
             continue;
         }
@@ -500,6 +527,19 @@
     return usable.empty() ? avoided : usable;
 }
 
+template <request_binding Binding, typename Store>
+std::vector<const endpoint*>
+entry_gateway<Binding, Store>::allowed_endpoints(const active_request& request) const {
+    const auto homes = placement_rules::homes_of(*request.matched_route, request.owner,
+                                                 table_ == request.table ? nullptr : table_.get(),
+                                                 request.caller.host, request.http.path);
+    auto found = directory_.available(request.service, loop_.now());
+    std::erase_if(found, [&](const endpoint* each) {
+        return rules_.is_evacuated(*each) || !rules_.is_at_home(*each, homes);
+    });
+    return found;
+}
+
 template <request_binding Binding, typename Store>
 routing::choice_request
 entry_gateway<Binding, Store>::make_choice_request(const active_request& request) const {
@@ -510,7 +550,9 @@
 template <request_binding Binding, typename Store>
 bool entry_gateway<Binding, Store>::is_limited(const active_request& request, const endpoint& value) const {
     const bool via_agent = request.is_engine && !is_agent_down(value.address.host);
-    return !via_agent && !limits_.allows(value.id, loop_.now());
+    const time_point now = loop_.now();
+    return !via_agent &&
+           (!limits_.allows(value.id, now) || !rules_.is_warm_enough(value, request.is_engine, now));
 }
 
 template <request_binding Binding, typename Store>
@@ -524,14 +566,16 @@
     if (request.last_refusal) {
         return name_of(*request.last_refusal);
     }
+    const auto allowed = allowed_endpoints(request);
     const bool any_limited =
-        std::ranges::any_of(directory_.available(request.service, loop_.now()),
-                            [&](const endpoint* each) { return is_limited(request, *each); });
+        std::ranges::any_of(allowed, [&](const endpoint* each) { return is_limited(request, *each); });
     const bool any_paused = directory_.pause_left(request.service, loop_.now()).has_value();
-    return any_limited                       ? "limited"
-           : any_paused                      ? "endpoints_paused"
-           : request.tried_endpoints.empty() ? "no_endpoint"
-                                             : "all_refused";
+    const bool any_elsewhere = !directory_.available(request.service, loop_.now()).empty();
+    return any_limited                        ? "limited"
+           : allowed.empty() && any_elsewhere ? "no_allowed_endpoint"
+           : any_paused                       ? "endpoints_paused"
+           : request.tried_endpoints.empty()  ? "no_endpoint"
+                                              : "all_refused";
 }
 
 template <request_binding Binding, typename Store>
@@ -621,6 +665,9 @@
     if (!via_agent && !limits_.try_take(to->id, now)) {
         log_event(log_level::warning, "limit_overrun", {{"endpoint", to->id}});
     }
+    if (!via_agent) {
+        rules_.count_direct(*to, now);
+    }
     request->endpoint = to->id;
     request->agent_host = via_agent ? to->address.host : "";
     request->engine_started_at = to->started_at;
@@ -653,6 +700,7 @@
     if (via_agent) {
         add_waiting_budget(call.headers, waiting_budget_of(*request, has_others));
         add_engine_start(call.headers, to->started_at);
+        add_engine_cold(call.headers, rules_.cold_left(to->id, now));
     }
     call.body = request->http.body;
     call.timeout = fields.time_left + 1s;
@@ -1117,6 +1165,9 @@
     }
     ejection_.failed(request->endpoint, now);
     if (never_sent) {
+        if (const endpoint* unreachable = directory_.find(request->endpoint)) {
+            rules_.on_unreachable(*unreachable, now);
+        }
         request->tried_endpoints.push_back(request->endpoint);
         log_event(log_level::warning, "endpoint_unreachable",
                   {{"request", request->caller.attempt_id},
@@ -1309,6 +1360,9 @@
     if (!expired.empty()) {
         refresh_pools();
     }
+    for (const std::string& data_centre : rules_.expire(directory_.all(), loop_.now())) {
+        on_evacuation_ended(data_centre);
+    }
     if (std::exchange(entry_count_, usage_exchange_.entry_count()) != usage_exchange_.entry_count()) {
         retries_.set_settings(retry_settings_of(settings_, entry_count_));
     }
@@ -1415,7 +1469,9 @@
            ",\"endpoints\":" + std::to_string(directory_.size()) +
            ",\"quarantined_parts\":" + std::to_string(quarantine_.quarantined_count(loop_.now())) +
            ",\"limited_endpoints\":" + std::to_string(limits_.limited_count()) +
-           ",\"requests\":" + std::to_string(active_requests_.size()) + "}";
+           ",\"cold_endpoints\":" + std::to_string(rules_.cold_count(loop_.now())) + ",\"evacuated\":\"" +
+           join(rules_.evacuated(), ",") + "\"" + ",\"requests\":" + std::to_string(active_requests_.size()) +
+           "}";
 }
 
 template <request_binding Binding, typename Store>
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -7,6 +7,7 @@
 #include "samphiretray/gateway/crash_exchange.h"
 #include "samphiretray/gateway/endpoint_directory.h"
 #include "samphiretray/gateway/event_stream_parser.h"
+#include "samphiretray/gateway/placement_rules.h"
 #include "samphiretray/gateway/quarantine_record.h"
 #include "samphiretray/gateway/relay.h"
 #include "samphiretray/gateway/routing_table.h"
@@ -68,6 +69,10 @@
     void apply(const adapter_release& release);
     void update_endpoint(endpoint value);
     void remove_endpoint(const std::string& id, bool after_outage);
+    /// Sends nothing more to the servers of the data centre, or sends to them again. With `after_outage` the
+    /// store has just returned and may be an older copy.
+    void begin_evacuation(const std::string& data_centre);
+    void end_evacuation(const std::string& data_centre, bool after_outage);
     /// All endpoints have been reported once; the entry is not ready before.
     void set_endpoints_complete();
 
@@ -170,6 +175,9 @@
     void hold_back(active_request& request, const routing::quarantine_match& match);
     void on_held_back_by_agent(const request_pointer& request);
     [[nodiscard]] std::vector<std::string> usable_endpoints(const active_request& request);
+    /// The endpoints that the request's homes and evacuations allow, whatever their state.
+    [[nodiscard]] std::vector<const endpoint*> allowed_endpoints(const active_request& request) const;
+    void on_evacuation_ended(const std::string& data_centre);
     [[nodiscard]] routing::choice_request make_choice_request(const active_request& request) const;
     /// True if the endpoint has named a limit that leaves no room for another request of this entry. Agents
     /// keep the limits of their engines.
@@ -260,6 +268,7 @@
     rate::fleet_rate_limiter usage_;
     routing::crash_quarantine quarantine_;
     rate::endpoint_limits limits_;
+    placement_rules rules_;
     usage_exchange<Store> usage_exchange_;
     crash_exchange crash_exchange_;
     quarantine_record<Store> quarantine_record_;
--- a/include/samphiretray/gateway/model.h
+++ b/include/samphiretray/gateway/model.h
@@ -4,6 +4,7 @@
 #include "samphiretray/base/time.h"
 #include "samphiretray/net/address.h"
 #include "samphiretray/ports/engine.h"
+#include "samphiretray/rate/cold_start.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -56,6 +57,8 @@
     bool is_public = false;
     /// An interrupted stream may be resumed on another endpoint after the last received event.
     bool resumable = false;
+    /// Regions in which its requests may be served; empty for all.
+    std::vector<std::string> allowed_regions = {};
 };
 
 /// Capacity of each engine of a service.
@@ -74,6 +77,7 @@
     std::string name;
     /// Set only for services that run model engines.
     std::optional<engine_capacity> engine;
+    rate::cold_start_settings cold_start = {};
 };
 
 struct organisation {
@@ -88,6 +92,8 @@
     double burst = 0;
     /// Tokens charged for a request that does not state its token counts.
     double default_request_tokens = 1;
+    /// Regions in which its requests may be served; empty for all.
+    std::vector<std::string> allowed_regions = {};
 };
 
 struct caller_limits {
@@ -123,6 +129,8 @@
     std::vector<ports::adapter_version> adapters;
     /// Rises with each record that an incarnation writes.
     std::uint64_t sequence = 0;
+    /// How much longer it stays cold, if its record says so.
+    std::optional<duration> cold_left = {};
 };
 
 /// The latest released version of an adapter, which is named "model/adapter".
@@ -221,6 +229,8 @@
     std::uint32_t waiting = 0;
     std::uint64_t kv_used = 0;
     std::uint64_t kv_total = 0;
+    /// How much longer the engine stays cold, if it says so.
+    duration cold_left{0};
 };
 
 } // namespace samphiretray::gateway
--- a/include/samphiretray/gateway/settings.h
+++ b/include/samphiretray/gateway/settings.h
@@ -69,6 +69,9 @@
     /// Address of the engine that the agent manages.
     net::address engine;
     std::string service;
+    /// Time within which the operator expects the orders to evacuate a data centre to be followed; 0 if there
+    /// are none. If it is set, the agent follows them apart from the rest of the configuration.
+    duration evacuation_limit{0};
     /// Time between status polls of the engine.
     duration poll_interval = 200ms;
 };
--- a/src/gateway/agent_protocol.cpp
+++ b/src/gateway/agent_protocol.cpp
@@ -16,8 +16,9 @@
 constexpr std::string_view refusal_header = "samphiretray-refusal";
 constexpr std::string_view engine_start_header = "samphiretray-engine-start";
 constexpr std::string_view refusal_wait_header = "samphiretray-refusal-wait-ms";
-constexpr std::array agent_headers{budget_header, load_header, refusal_header, engine_start_header,
-                                   refusal_wait_header};
+constexpr std::string_view engine_cold_header = "samphiretray-engine-cold-ms";
+constexpr std::array agent_headers{budget_header,       load_header,         refusal_header,
+                                   engine_start_header, refusal_wait_header, engine_cold_header};
 /// The header lists backlog tokens, running requests, reserved KV memory, free slots, wanted adapters and
 /// reading rate, followed by the names of resident adapters.
 constexpr std::size_t load_number_count = 6;
@@ -59,6 +60,17 @@
     return parse_number<std::uint64_t>(net::find_header(headers, engine_start_header));
 }
 
+void add_engine_cold(net::http_headers& headers, duration left) {
+    if (left > duration::zero()) {
+        headers.push_back({std::string{engine_cold_header}, milliseconds_text(left)});
+    }
+}
+
+std::optional<duration> read_engine_cold(const net::http_headers& headers) {
+    const auto left = parse_number<std::uint32_t>(net::find_header(headers, engine_cold_header));
+    return left ? std::optional<duration>{std::chrono::milliseconds{*left}} : std::nullopt;
+}
+
 void add_engine_load(net::http_headers& headers, const routing::engine_load& load) {
     std::string text = std::to_string(load.backlog_tokens) + "," + std::to_string(load.running) + "," +
                        std::to_string(load.kv_reserved) + "," + std::to_string(load.free_slots) + "," +
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -130,6 +130,13 @@
     return found;
 }
 
+std::vector<const endpoint*> endpoint_directory::all() const {
+    std::vector<const endpoint*> found;
+    std::ranges::transform(endpoints_ | std::views::values, std::back_inserter(found),
+                           [](const endpoint& each) { return &each; });
+    return found;
+}
+
 std::vector<std::string> endpoint_directory::ids() const {
     std::vector<std::string> names;
     std::ranges::copy(endpoints_ | std::views::keys, std::back_inserter(names));
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -59,6 +59,7 @@
     net::read_address(fields, "control_listen", target.control_listen);
     net::read_address(fields, "engine", target.engine);
     fields.read("service", target.service, presence::required);
+    fields.read("evacuation_limit", target.evacuation_limit, 0ms, 3600s);
     fields.read("poll_interval", target.poll_interval, 10ms, 60s);
 }
 
--- a/tests/platform/engine_agent_test.cpp
+++ b/tests/platform/engine_agent_test.cpp
@@ -543,3 +543,43 @@
     CHECK(connections_after("two", 2) == after_one);
     CHECK(connections_after("one", 3) == after_one + 1);
 }
+
+// Guards against requests that wait at an agent and reach its engine after its data centre has been
+// evacuated.
+TEST_CASE("an agent of an evacuated data centre takes back what waits and refuses what comes") {
+    agent_fixture fixture;
+    fixture.start();
+    fixture.agent.begin_evacuation("elsewhere");
+    fixture.send_request("before", "");
+    REQUIRE(fixture.events.run_until([&] { return fixture.answers.size() == 1; }, hang_limit));
+    CHECK(fixture.answers[0]->status == 200);
+    fixture.agent.begin_evacuation("");
+    fixture.send_request("after", "");
+    REQUIRE(fixture.events.run_until([&] { return fixture.answers.size() == 2; }, hang_limit));
+    CHECK(fixture.answers[1]->status == 503);
+    CHECK(gateway::read_refusal(fixture.answers[1]->headers) == gateway::agent_refusal::draining);
+    CHECK(fixture.engine.requests.size() == 1);
+    fixture.agent.end_evacuation("", false);
+    fixture.send_request("later", "");
+    REQUIRE(fixture.events.run_until([&] { return fixture.answers.size() == 3; }, hang_limit));
+    CHECK(fixture.answers[2]->status == 200);
+}
+
+// Guards against a crash of an engine that has just started and gets all that has waited for it.
+TEST_CASE("an agent sends a cold engine no more in a second than it takes, and turns the rest away") {
+    agent_fixture fixture;
+    fixture.start();
+    gateway::routing_state state;
+    state.version = 2;
+    state.services = {{"engines", gateway::engine_capacity{8, 100'000, 2, {"m0"}}, {20s, 3.2}}};
+    fixture.agent.apply(state);
+    for (int i = 0; i < 12; ++i) {
+        fixture.send_request("a" + std::to_string(i), "", "", 500ms);
+    }
+    REQUIRE(fixture.events.run_until([&] { return fixture.answers.size() == 12; }, hang_limit));
+    CHECK(fixture.engine.requests.size() == 3);
+    const auto refused = std::ranges::count_if(fixture.answers, [](const auto& each) {
+        return each && gateway::read_refusal(each->headers) == gateway::agent_refusal::limited;
+    });
+    CHECK(refused == 9);
+}
--- a/tests/platform/entry_with_servers.h
+++ b/tests/platform/entry_with_servers.h
@@ -87,6 +87,7 @@
         gateway::gateway_settings settings;
         settings.node.vm = "entry-1";
         settings.node.data_centre = "north-a";
+        settings.regions = {{"north-a", "north"}, {"south-a", "south"}};
         settings.listen = any_port;
         settings.ready_listen = any_port;
         settings.control_listen = any_port;
