Let the soak play homes, evacuations, cold engines and greedy clients

A second data centre has a plain server and every third engine. Checked: a route with a home runs nowhere else; 5 s after an evacuation (the calm end is evacuated) nothing runs there; a restarted engine gets no more than 1.5 times its cold rate + 5; no process grows by more than 72 MB while clients hold 40 unfinished bodies of 3 MB at it.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -5,6 +5,7 @@
 #include "soak/invariant_checker.h"
 #include "soak/platform_server.h"
 #include "soak/platform_store.h"
+#include "tests/overload/crowd.h"
 #include "tests/process/child_process.h"
 
 #include <nlohmann/json.hpp>
@@ -50,6 +51,14 @@
 /// Most crashes on it in the phase without faults, as the operators allow once it has crashed five engines.
 constexpr std::size_t max_late_prompt_crashes = 3;
 constexpr duration store_copy_interval = 1500ms;
+/// An evacuation has to be in force this soon.
+constexpr duration evacuation_limit = 5s;
+/// Of each process, in megabytes, and how much of it clients may make it use beyond what it uses at rest.
+constexpr int memory_mb = 96;
+constexpr std::size_t max_memory_growth = std::size_t{72} << 20U;
+/// Clients that send almost whole bodies and stay.
+constexpr std::size_t greedy_clients = 40;
+constexpr std::size_t greedy_body_bytes = std::size_t{3} << 20U;
 /// Processes must exit this soon after SIGTERM.
 constexpr duration stop_timeout = 9s;
 constexpr duration call_timeout = 2s;
@@ -67,6 +76,9 @@
     /// Where an entry accepts requests.
     net::address request_address;
     bool expected_to_end = false;
+    /// Resident memory shortly after the start, in bytes; 0 if it is not known yet.
+    std::size_t memory_at_rest = 0;
+    time_point started_at;
     /// Paused by SIGSTOP.
     bool paused = false;
 };
@@ -91,7 +103,7 @@
     void add_entry(int index);
     void add_engine(int index);
     void add_plain_server(int index);
-    void write_settings(process& target, json settings);
+    void write_settings(process& target, json settings, std::string_view data_centre);
     void start(process& target);
     void write_configuration();
     void write_release(const std::string& key, const std::string& release);
@@ -104,6 +116,10 @@
     void run_after(duration delay, std::function<void()> action);
     void inject_process_fault(process& target);
     void inject_store_fault();
+    void evacuate(bool evacuated);
+    /// Lets clients at an entry that send large bodies and never end them.
+    void inject_greedy_clients(const process& target);
+    void check_memory(process& target);
     /// Brings the store back from its copy; the operator and the servers write what they have written again.
     void restore_store();
     /// `may_repeat`: the responses on the link are small enough for a copy to be a whole response.
@@ -126,6 +142,8 @@
     std::map<std::string, std::string> registrations_;
     /// What the operator has announced, by key.
     std::map<std::string, std::string> releases_;
+    std::vector<std::shared_ptr<tests::crowd>> crowds_;
+    bool evacuated_ = false;
     std::vector<net::timer_handle> timers_;
     std::map<std::uint64_t, std::unique_ptr<net::http_exchange>> open_calls_;
     std::uint64_t next_call_number_ = 0;
@@ -165,11 +183,12 @@
     std::fflush(stdout);
 }
 
-void soak_run::write_settings(process& target, json settings) {
+void soak_run::write_settings(process& target, json settings, std::string_view data_centre) {
     settings["vm"] = target.name;
-    settings["region"] = "north";
-    settings["data_centre"] = "north-a";
+    settings["region"] = data_centre == home_data_centre ? "north" : "south";
+    settings["data_centre"] = data_centre;
     settings["drain_limit_ms"] = 8000;
+    settings["memory_mb"] = memory_mb;
     target.settings = folder_ / (target.name + ".json");
     std::ofstream{target.settings} << settings.dump(2);
 }
@@ -178,6 +197,8 @@
     ::setenv("SAMPHIRETRAY_CONFIG", target.settings.c_str(), 1);
     target.expected_to_end = false;
     target.paused = false;
+    target.memory_at_rest = 0;
+    target.started_at = loop_.now();
     target.child = tests::child_process(
         {SAMPHIRETRAY_BIN_DIR "/samphiretray", target.is_entry ? "gateway" : "engine-agent"}, folder_,
         folder_ / (target.name + ".log"));
@@ -191,34 +212,41 @@
     added->request_address = at(host, 1);
     added->control_address = at(host, control_port_offset);
     added->store_link = std::make_unique<fault_proxy>(at(host, 4), at(1, 0));
-    write_settings(*added, {{"store", net::to_string(at(host, 4))},
-                            {"listen", net::to_string(added->request_address)},
-                            {"ready_listen", net::to_string(at(host, 2))},
-                            {"control_listen", net::to_string(added->control_address)},
-                            {"agent_port", options_.port + agent_port_offset},
-                            {"agent_control_port", options_.port + control_port_offset},
-                            {"data_centres", json::array({{{"name", "north-a"}, {"region", "north"}}})}});
+    write_settings(*added,
+                   {{"store", net::to_string(at(host, 4))},
+                    {"listen", net::to_string(added->request_address)},
+                    {"ready_listen", net::to_string(at(host, 2))},
+                    {"control_listen", net::to_string(added->control_address)},
+                    {"agent_port", options_.port + agent_port_offset},
+                    {"agent_control_port", options_.port + control_port_offset},
+                    {"data_centres", json::array({{{"name", home_data_centre}, {"region", "north"}},
+                                                  {{"name", other_data_centre}, {"region", "south"}}})}},
+                   home_data_centre);
     start(*added);
     processes_.push_back(std::move(added));
 }
 
 void soak_run::add_engine(int index) {
     const int host = 11 + index;
+    const std::string data_centre{index % 3 == 2 ? other_data_centre : home_data_centre};
     servers_.push_back(
         std::make_unique<platform_server>(loop_,
                                           server_description{"engine-" + std::to_string(index), "engines",
-                                                             "north-a", at(host, 1), at(host, 1), true},
+                                                             data_centre, at(host, 1), at(host, 1), true},
                                           checker_));
     auto agent = std::make_unique<process>();
     agent->name = "agent-" + std::to_string(index);
     agent->control_address = at(host, control_port_offset);
     agent->store_link = std::make_unique<fault_proxy>(at(host, 4), at(1, 0));
     agent->engine_link = std::make_unique<fault_proxy>(at(host, 5), at(host, 1));
-    write_settings(*agent, {{"store", net::to_string(at(host, 4))},
-                            {"listen", net::to_string(at(host, agent_port_offset))},
-                            {"control_listen", net::to_string(agent->control_address)},
-                            {"engine", net::to_string(at(host, 5))},
-                            {"service", "engines"}});
+    write_settings(*agent,
+                   {{"store", net::to_string(at(host, 4))},
+                    {"listen", net::to_string(at(host, agent_port_offset))},
+                    {"control_listen", net::to_string(agent->control_address)},
+                    {"engine", net::to_string(at(host, 5))},
+                    {"evacuation_limit_ms", milliseconds_in(evacuation_limit)},
+                    {"service", "engines"}},
+                   data_centre);
     start(*agent);
     processes_.push_back(std::move(agent));
 }
@@ -226,11 +254,12 @@
 void soak_run::add_plain_server(int index) {
     const int host = 51 + index;
     server_links_.push_back(std::make_unique<fault_proxy>(at(host, 2), at(host, 1)));
-    servers_.push_back(
-        std::make_unique<platform_server>(loop_,
-                                          server_description{"plain-" + std::to_string(index), "orders",
-                                                             "north-a", at(host, 1), at(host, 2), false},
-                                          checker_));
+    servers_.push_back(std::make_unique<platform_server>(
+        loop_,
+        server_description{"plain-" + std::to_string(index), "orders",
+                           std::string{index % 2 == 1 ? other_data_centre : home_data_centre}, at(host, 1),
+                           at(host, 2), false},
+        checker_));
 }
 
 void soak_run::write_configuration() {
@@ -239,6 +268,8 @@
                     {"kind", kind},      {"service", service},         {"maxAttempts", attempts},
                     {"timeoutMs", 1500}, {"targetLatencyMs", 300},     {"priority", 1}};
     };
+    json home = make_route("/h/", "safe", "orders", 2);
+    home["allowedRegions"] = json::array({"north"});
     const json engine{{"slots", 16},
                       {"kvCapacityTokens", 100'000},
                       {"adapterSlots", 3},
@@ -247,8 +278,12 @@
         {"version", ++version_},
         {"routes",
          json::array({make_route("/s/", "safe", "orders", 2), make_route("/u/", "unsafe", "orders", 2),
-                      make_route("/e/", "streaming", "engines", 2)})},
-        {"services", json::array({{{"name", "engines"}, {"engine", engine}}, {{"name", "orders"}}})},
+                      make_route("/e/", "streaming", "engines", 2), home})},
+        {"services", json::array({{{"name", "engines"},
+                                   {"engine", engine},
+                                   {"coldS", std::chrono::duration<double>(cold_time).count()},
+                                   {"coldPerS", cold_requests_per_s}},
+                                  {{"name", "orders"}}})},
         {"tenants", json::array({{{"name", "large"}, {"apiKeys", json::array({key_})}},
                                  {{"name", "small"},
                                   {"apiKeys", json::array({"key-small"})},
@@ -288,6 +323,7 @@
         if (!each->child.has_ended()) {
             if (!each->paused) {
                 poll_configuration(*each);
+                check_memory(*each);
             }
             continue;
         }
@@ -338,7 +374,11 @@
     net::http_call call;
     call.peer = entries[random_below(entries.size())]->request_address;
     call.method = "POST";
-    call.target = kind == request_kind::safe ? "/s/1" : kind == request_kind::at_most_once ? "/u/1" : "/e/1";
+    const bool has_home = kind == request_kind::safe && random_below(2) == 0;
+    call.target = has_home                             ? "/h/1"
+                  : kind == request_kind::safe         ? "/s/1"
+                  : kind == request_kind::at_most_once ? "/u/1"
+                                                       : "/e/1";
     call.body = "body of " + attempt;
     call.timeout = call_timeout;
     call.headers = {{"host", "soak.example"},
@@ -416,12 +456,47 @@
     for (const auto& [key, release] : releases_) {
         store_.write(key, release);
     }
+    evacuate(evacuated_);
     registrations_.clear();
     for (const std::string& key : store_.keys("servers/")) {
         registrations_[key] = "";
     }
 }
 
+void soak_run::evacuate(bool evacuated) {
+    const std::string key = "op/evacuate/" + std::string{other_data_centre};
+    print_fault(evacuated ? "evacuation" : "end of the evacuation");
+    evacuated_ = evacuated;
+    evacuated ? store_.write(key, "{}") : store_.remove(key);
+}
+
+void soak_run::inject_greedy_clients(const process& target) {
+    print_fault("greedy clients at " + target.name);
+    const auto clients = std::make_shared<tests::crowd>(loop_, target.request_address, greedy_clients, 65536);
+    clients->begin("POST /s/1 HTTP/1.1\r\nhost: soak.example\r\nx-samphiretray-attempt-id: greedy-@\r\n"
+                   "content-length: " +
+                       std::to_string(greedy_body_bytes + 1) + "\r\n\r\n",
+                   std::string(greedy_body_bytes, 'x'));
+    crowds_.push_back(clients);
+    timers_.push_back(loop_.every(2ms, [clients] { (void)clients->push(); }));
+}
+
+void soak_run::check_memory(process& target) {
+    std::ifstream status{"/proc/" + std::to_string(target.child.id()) + "/status"};
+    std::size_t resident = 0;
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmRSS:")) {
+            resident = std::stoul(line.substr(6)) << 10U;
+        }
+    }
+    if (target.memory_at_rest == 0 && loop_.now() - target.started_at > 300ms) {
+        target.memory_at_rest = resident;
+    }
+    if (target.memory_at_rest > 0 && resident > target.memory_at_rest + max_memory_growth) {
+        checker_.add_violation(target.name + " uses " + std::to_string(resident >> 20U) + " MB", loop_.now());
+    }
+}
+
 void soak_run::write_release(const std::string& key, const std::string& release) {
     releases_[key] = release;
     store_.write(key, release);
@@ -430,7 +505,7 @@
 void soak_run::inject_fault() {
     process& target = *processes_[random_below(processes_.size())];
     platform_server& server = *servers_[random_below(servers_.size())];
-    switch (random_below(10)) {
+    switch (random_below(12)) {
     case 0:
     case 1:
         inject_process_fault(target);
@@ -461,6 +536,12 @@
         server.crash(random_time(100, 1500));
         break;
     case 8:
+        evacuate(!evacuated_);
+        break;
+    case 9:
+        inject_greedy_clients(*processes_.back());
+        break;
+    case 10:
         print_fault("response faults, refusals or delayed orders at " + server.id());
         switch (random_below(3)) {
         case 0:
@@ -523,6 +604,14 @@
     inject_fault();
     loop_.run_until([] { return false; }, std::chrono::seconds{options_.seconds});
     clear_faults();
+    timers_.clear();
+    crowds_.clear();
+    evacuate(true);
+    for (const auto& each : servers_) {
+        if (each->data_centre() == other_data_centre) {
+            each->expect_no_runs_from(loop_.now() + evacuation_limit);
+        }
+    }
     withdrawn_key_ = std::exchange(key_, "key-2");
     write_configuration();
     loop_.run_until([] { return false; }, recovery_time);
--- a/soak/platform_server.cpp
+++ b/soak/platform_server.cpp
@@ -65,6 +65,27 @@
     server_ = std::move(*created);
     id_ = description_.id + "-" + std::to_string(++start_count_);
     ++incarnation_;
+    started_at_ = loop_.now();
+    runs_while_cold_.clear();
+}
+
+void platform_server::check_run(const net::http_request& request, const std::string& attempt) {
+    const time_point now = loop_.now();
+    if (request.path.starts_with(home_prefix) && description_.data_centre != home_data_centre) {
+        checker_.add_violation(id_ + " runs " + attempt + " outside its home", now);
+    }
+    if (no_runs_from_ && now >= *no_runs_from_) {
+        checker_.add_violation(id_ + " runs " + attempt + " in an evacuated data centre", now);
+    }
+    if (!description_.is_engine || start_count_ == 1 || now - started_at_ >= cold_time) {
+        return;
+    }
+    // The excess that operators accept.
+    constexpr double allowed = cold_requests_per_s * 1.5 + 5;
+    runs_while_cold_.push_back(now);
+    if (static_cast<double>(runs_while_cold_.size()) > allowed) {
+        checker_.add_violation(id_ + " is cold and gets too many requests", now);
+    }
 }
 
 void platform_server::crash(duration downtime) {
@@ -92,6 +113,7 @@
                 {"state", "ready"},
                 {"seq", sequence_},
                 {"born", incarnation_},
+                {"coldMs", std::max<std::int64_t>(milliseconds_in(started_at_ + cold_time - loop_.now()), 0)},
                 {"models", models}}
         .dump();
 }
@@ -189,6 +211,7 @@
     const auto counts = split(net::find_header(request.headers, "x-samphiretray-token-count"), ',');
     const double tokens = counts.empty() ? 1 : parse_number<int>(counts[0]).value_or(1);
     const bool key_seen = !net::find_header(request.headers, "x-samphiretray-credential").empty();
+    check_run(request, attempt);
     checker_.on_attempt_run(id_, attempt, header(request, "x-samphiretray-tenant"), key_seen, tokens,
                             loop_.now());
     const auto outcome = has_response_faults_
--- a/soak/platform_server.h
+++ b/soak/platform_server.h
@@ -8,8 +8,10 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +27,14 @@
     bool is_engine = false;
 };
 
+/// Requests with this path prefix may run only in the data centre `home_data_centre`.
+inline constexpr std::string_view home_prefix = "/h/";
+inline constexpr std::string_view home_data_centre = "north-a";
+inline constexpr std::string_view other_data_centre = "south-a";
+/// A started engine is cold for this long, and then takes so many requests a second.
+inline constexpr duration cold_time = 1s;
+inline constexpr double cold_requests_per_s = 15;
+
 /// The response body of an attempt. It repeats the attempt's id, so that the caller can detect a truncated
 /// body and one of another attempt.
 [[nodiscard]] std::string expected_body(const std::string& attempt);
@@ -63,6 +73,9 @@
     void set_delayed_orders(bool on) noexcept { delays_orders_ = on; }
     [[nodiscard]] bool is_up() const noexcept { return server_ != nullptr; }
     [[nodiscard]] const std::string& id() const noexcept { return id_; }
+    [[nodiscard]] const std::string& data_centre() const noexcept { return description_.data_centre; }
+    /// From `time` on, a run in this server's data centre is a violation.
+    void expect_no_runs_from(time_point time) noexcept { no_runs_from_ = time; }
     /// The value of its key in the metadata store, as JSON.
     [[nodiscard]] std::string registration() const;
 
@@ -88,6 +101,10 @@
     std::unique_ptr<net::http_server> server_;
     std::string id_;
     int start_count_ = 0;
+    time_point started_at_;
+    std::deque<time_point> runs_while_cold_;
+    std::optional<time_point> no_runs_from_;
+    void check_run(const net::http_request& request, const std::string& attempt);
     std::uint64_t incarnation_ = 0;
     /// Number of accepted changes since the start; an order may require a value of it as its precondition.
     std::uint64_t sequence_ = 0;
--- a/tests/overload/crowd.cpp
+++ b/tests/overload/crowd.cpp
@@ -43,8 +43,6 @@
     for (connection& each : connections_) {
         each.descriptor = connect_to(peer);
         each.closed = each.descriptor < 0;
-        // Lets the servers of the test run.
-        events_.run_until([] { return true; }, 1ms);
     }
 }
 
@@ -56,10 +54,10 @@
     }
 }
 
-bool crowd::send_piece(connection& from, std::string_view body) const {
+bool crowd::send_piece(connection& from) const {
     const bool is_head = from.sent < from.head.size();
-    const std::string_view rest =
-        is_head ? std::string_view{from.head}.substr(from.sent) : body.substr(from.sent - from.head.size());
+    const std::string_view rest = is_head ? std::string_view{from.head}.substr(from.sent)
+                                          : std::string_view{body_}.substr(from.sent - from.head.size());
     if (from.closed || rest.empty()) {
         return false;
     }
@@ -70,23 +68,32 @@
     return sent > 0;
 }
 
-void crowd::send(const std::string& head, const std::string& body) {
+void crowd::begin(const std::string& head, std::string body) {
+    body_ = std::move(body);
     for (std::size_t i = 0; i < connections_.size(); ++i) {
         connections_[i].head = numbered(head, i);
         connections_[i].sent = 0;
     }
+}
+
+bool crowd::push() {
+    std::size_t taken = 0;
+    for (connection& each : connections_) {
+        taken += send_piece(each) ? 1 : 0;
+    }
+    return taken > 0;
+}
+
+void crowd::send(const std::string& head, std::string body) {
+    begin(head, std::move(body));
     const auto is_done = [&](const connection& each) {
-        return each.closed || each.sent == each.head.size() + body.size();
+        return each.closed || each.sent == each.head.size() + body_.size();
     };
     time_point last_sent = events_.now();
     const net::timer_handle tick = events_.every(1ms, [] {});
     events_.run_until(
         [&] {
-            std::size_t taken = 0;
-            for (connection& each : connections_) {
-                taken += send_piece(each, body) ? 1 : 0;
-            }
-            last_sent = taken > 0 ? events_.now() : last_sent;
+            last_sent = push() ? events_.now() : last_sent;
             return std::ranges::all_of(connections_, is_done) || events_.now() - last_sent > patience;
         },
         120s);
--- a/tests/overload/crowd.h
+++ b/tests/overload/crowd.h
@@ -24,7 +24,11 @@
 
     /// Sends `head`, in which each "@" is replaced by the connection's number, and `body` on all connections
     /// until every byte has been sent, or no connection has taken one for a second.
-    void send(const std::string& head, const std::string& body);
+    void send(const std::string& head, std::string body);
+    /// The same step by step, without running the loop: begins, and sends one piece on each connection that
+    /// takes it. Returns false if none does.
+    void begin(const std::string& head, std::string body);
+    bool push();
 
 private:
     struct connection {
@@ -35,10 +39,11 @@
     };
 
     /// Whether a byte could be sent.
-    bool send_piece(connection& from, std::string_view body) const;
+    bool send_piece(connection& from) const;
 
     net::loop& events_;
     std::size_t piece_;
+    std::string body_;
     std::vector<connection> connections_;
 };
 
