Make faster engines home to more adapters, from the time that work takes at them

The agent keeps a mean of the figure over seconds and tells it to entries; an engine's weight in the rendezvous order of an adapter's homes is its speed relative to the median engine, rounded to halves and between 0.5 and 3, so that a wrong figure draws a bounded part. The prefill and the cost of running requests are scaled alike. Nothing changes where no figure comes.

--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -516,7 +516,10 @@
     if (!std::exchange(request->body_started, true)) {
         admission_.on_prefill_done(request->id, loop_.now());
         request->first_byte_at = loop_.now();
+        request->last_byte_at = loop_.now();
     }
+    request->longest_pause = std::max(request->longest_pause, loop_.now() - request->last_byte_at);
+    request->last_byte_at = loop_.now();
     relay(*request->response, *request->exchange, bytes);
     if (request->events) {
         (void)request->events->append(bytes, loop_.now());
@@ -580,6 +583,9 @@
 
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::note_answer(const answer_summary& head) {
+    if (head.work_time_percent) {
+        work_time_.observe(*head.work_time_percent, loop_.now());
+    }
     if (head.is_leaving) {
         said_leaving_at_ = loop_.now();
         check_engine_draining();
@@ -678,6 +684,7 @@
           request->forwarded_at ? milliseconds_in(*request->forwarded_at - request->arrived_at) : -1},
          {"first_ms",
           request->first_byte_at ? milliseconds_in(*request->first_byte_at - *request->forwarded_at) : -1},
+         {"longest_pause_ms", milliseconds_in(request->longest_pause)},
          {"total_ms", milliseconds_in(now - request->arrived_at)},
          {"backlog_tokens", admission_.backlog_tokens()},
          {"running", admission_.running_count()},
@@ -866,6 +873,7 @@
         paused_until_ = now;
         said_leaving_at_.reset();
         pacing_.on_engine_restart();
+        work_time_.reset();
         slots_->adopt(report->loaded, now);
     }
     if (!report->models.empty()) {
@@ -980,6 +988,7 @@
     load.backlog_tokens = admission_.backlog_tokens();
     load.running = static_cast<std::uint32_t>(admission_.running_count());
     load.kv_reserved = admission_.reserved_memory();
+    load.work_time_percent = work_time_.percent();
     load.prefill_rate = static_cast<std::uint32_t>(admission_.prefill_rate().tokens_per_ms() * 1000.0);
     if (slots_) {
         load.free_slots = static_cast<std::uint32_t>(slots_->free_slots());
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -5,6 +5,7 @@
 #include "samphiretray/agent/load_pacing.h"
 #include "samphiretray/agent/load_priorities.h"
 #include "samphiretray/agent/slot_table.h"
+#include "samphiretray/agent/work_time_estimator.h"
 #include "samphiretray/gateway/agent_protocol.h"
 #include "samphiretray/gateway/answer_classification.h"
 #include "samphiretray/gateway/binding.h"
@@ -96,6 +97,9 @@
         std::optional<time_point> forwarded_at;
         std::optional<time_point> answer_began_at;
         std::optional<time_point> first_byte_at;
+        time_point last_byte_at;
+        /// Longest time between two reads of the answer.
+        duration longest_pause{0};
         /// Set for an event stream that ends with its connection: only its events tell whether it is whole.
         std::optional<event_stream_parser> events;
         std::optional<agent::slot_pin> pin;
@@ -179,6 +183,7 @@
     std::optional<agent::slot_table> slots_;
     agent::engine_admission admission_;
     agent::load_pacing pacing_;
+    agent::work_time_estimator work_time_;
     /// The limit that the engine names, all of which this agent may use: it is the engine's only sender.
     rate::named_limit limit_;
     rate::cold_start_settings cold_start_;
--- a/include/samphiretray/gateway/model.h
+++ b/include/samphiretray/gateway/model.h
@@ -202,6 +202,8 @@
     /// Numbers of running and waiting requests, if the endpoint reports them.
     std::optional<std::uint32_t> running;
     std::optional<std::uint32_t> waiting;
+    /// How long work takes at the endpoint now, in percent of the usual, if it says so.
+    std::optional<std::uint32_t> work_time_percent;
     /// Requests a second that the endpoint takes from all processes together, if it names a limit.
     std::optional<double> requests_per_s;
     /// The endpoint is about to shut down.
--- a/include/samphiretray/routing/endpoint_choice.h
+++ b/include/samphiretray/routing/endpoint_choice.h
@@ -44,6 +44,12 @@
     double plain_service_time_weight = 0.1;
     /// The running requests, free slots and memory reservations of older load reports are ignored.
     duration max_report_age = 3s;
+    /// Bounds of an engine's weight as a home of adapters, which is its speed relative to the median engine.
+    /// They keep a wrong figure from drawing all adapters to one engine.
+    double min_home_weight = 0.5;
+    double max_home_weight = 3;
+    /// Weights are rounded to multiples of this, so that all entries have the same one in most cases.
+    double home_weight_step = 0.5;
 };
 
 /// Static properties of an endpoint, known before any request is sent to it.
@@ -93,14 +99,17 @@
     /// Recently measured prefill rate in prompt tokens per second; 0 if unknown.
     std::uint32_t prefill_rate = 0;
     /// Resident adapters as "adapter@version".
-    std::vector<std::string> resident;
+    std::vector<std::string> resident = {};
+    /// How long work takes at the engine, in percent of the usual; 0 if it does not say so.
+    std::uint32_t work_time_percent = 0;
 };
 
 /// Ranks endpoints by the estimated time to the first byte of an answer: round trip, prefill backlog, load of
 /// the adapter, prefill of the tokens that are not in the prefix cache, and lack of KV cache memory.
 ///
 /// Each adapter has an order of home endpoints, given by rendezvous hashing: all entries prefer the same
-/// endpoints for it without coordination.
+/// endpoints for it without coordination. Where engines say how long work takes, faster ones are home to more
+/// adapters.
 class endpoint_choice {
 public:
     explicit endpoint_choice(choice_settings settings) : settings_(settings) {}
@@ -150,6 +159,10 @@
     };
 
     [[nodiscard]] double prefill_rate(const endpoint_state& state) const;
+    /// How long work takes at an engine relative to the median of all engines; 1 if it does not say so.
+    [[nodiscard]] double relative_work_time(const endpoint_state& state) const;
+    [[nodiscard]] double home_weight(const endpoint_state& state) const;
+    void update_median_work_time(time_point now);
     [[nodiscard]] duration prefill_time(const endpoint_state& state, std::uint64_t tokens) const;
     [[nodiscard]] std::uint64_t backlog(const endpoint_state& state, time_point now) const;
     [[nodiscard]] choice_candidate estimate(const endpoint_state& state, const choice_request& request,
@@ -159,6 +172,9 @@
 
     choice_settings settings_;
     std::map<std::string, endpoint_state> states_;
+    /// In percent of the usual; 0 if no engine says how long work takes.
+    std::uint32_t median_work_time_ = 0;
+    time_point median_updated_at_;
 };
 
 } // namespace samphiretray::routing
--- a/src/gateway/agent_protocol.cpp
+++ b/src/gateway/agent_protocol.cpp
@@ -17,8 +17,10 @@
 constexpr std::string_view engine_start_header = "samphiretray-engine-start";
 constexpr std::string_view refusal_wait_header = "samphiretray-refusal-wait-ms";
 constexpr std::string_view engine_cold_header = "samphiretray-engine-cold-ms";
-constexpr std::array agent_headers{budget_header,       load_header,         refusal_header,
-                                   engine_start_header, refusal_wait_header, engine_cold_header};
+constexpr std::string_view work_time_header = "samphiretray-engine-work-time";
+constexpr std::array agent_headers{work_time_header,  budget_header,       load_header,
+                                   refusal_header,    engine_start_header, refusal_wait_header,
+                                   engine_cold_header};
 /// The header lists backlog tokens, running requests, reserved KV memory, free slots, wanted adapters and
 /// reading rate, followed by the names of resident adapters.
 constexpr std::size_t load_number_count = 6;
@@ -79,6 +81,9 @@
         text += "," + name;
     }
     headers.push_back({std::string{load_header}, std::move(text)});
+    if (load.work_time_percent > 0) {
+        headers.push_back({std::string{work_time_header}, std::to_string(load.work_time_percent)});
+    }
 }
 
 std::optional<routing::engine_load> read_engine_load(const net::http_headers& headers) {
@@ -96,6 +101,8 @@
         return std::nullopt;
     }
     routing::engine_load load{*backlog, *running, *reserved, *free_slots, *wanted, *rate, {}};
+    load.work_time_percent =
+        parse_number<std::uint32_t>(net::find_header(headers, work_time_header)).value_or(0);
     for (const std::string_view name : parts | std::views::drop(load_number_count)) {
         load.resident.emplace_back(name);
     }
--- a/src/routing/endpoint_choice.cpp
+++ b/src/routing/endpoint_choice.cpp
@@ -3,6 +3,7 @@
 #include "samphiretray/base/hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <ranges>
 
@@ -37,7 +38,39 @@
     return found == states_.end() ? duration::zero() : found->second.endpoint.round_trip;
 }
 
+double endpoint_choice::relative_work_time(const endpoint_state& state) const {
+    return state.load.work_time_percent == 0 || median_work_time_ == 0
+               ? 1.0
+               : static_cast<double>(state.load.work_time_percent) / median_work_time_;
+}
+
+double endpoint_choice::home_weight(const endpoint_state& state) const {
+    const double speed = 1.0 / relative_work_time(state);
+    const double rounded = std::round(speed / settings_.home_weight_step) * settings_.home_weight_step;
+    return std::clamp(rounded, settings_.min_home_weight, settings_.max_home_weight);
+}
+
+void endpoint_choice::update_median_work_time(time_point now) {
+    constexpr duration interval = 1s;
+    if (now - median_updated_at_ < interval) {
+        return;
+    }
+    median_updated_at_ = now;
+    std::vector<std::uint32_t> known;
+    for (const endpoint_state& each : states_ | std::views::values) {
+        if (each.load.work_time_percent > 0) {
+            known.push_back(each.load.work_time_percent);
+        }
+    }
+    const auto middle = known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
+    std::ranges::nth_element(known, middle);
+    median_work_time_ = known.empty() ? 0 : *middle;
+}
+
 double endpoint_choice::prefill_rate(const endpoint_state& state) const {
+    if (state.load.work_time_percent > 0) {
+        return settings_.nominal_prefill_rate / std::clamp(relative_work_time(state), 0.25, 4.0);
+    }
     const double ratio = state.load.prefill_rate / settings_.typical_measured_rate;
     const bool is_slow = state.load.prefill_rate > 0 && ratio < settings_.slow_rate_ratio;
     return is_slow ? settings_.nominal_prefill_rate * ratio : settings_.nominal_prefill_rate;
@@ -107,7 +140,7 @@
     const std::uint64_t prefill = backlog(state, now) + request.prompt_tokens - candidate.cached_tokens;
     candidate.estimate += prefill_time(state, prefill);
     const std::uint32_t running = std::max(state.in_flight, is_recent ? state.load.running : 0);
-    candidate.estimate += settings_.running_request_cost * running;
+    candidate.estimate += scaled(settings_.running_request_cost * running, relative_work_time(state));
     const std::uint64_t reserved = is_recent ? state.load.kv_reserved : 0;
     const std::uint64_t needed = reserved + request.prompt_tokens + request.output_tokens;
     if (state.endpoint.kv_tokens > 0 && needed > state.endpoint.kv_tokens) {
@@ -118,11 +151,13 @@
 
 std::vector<choice_candidate> endpoint_choice::order(const choice_request& request,
                                                      std::span<const std::string> ids, time_point now) const {
-    std::vector<std::pair<std::uint64_t, const endpoint_state*>> homes;
+    // Weighted rendezvous hashing: with equal weights, this is the order of the hashes.
+    std::vector<std::pair<double, const endpoint_state*>> homes;
     for (const std::string& id : ids) {
         if (const auto found = states_.find(id); found != states_.end()) {
-            homes.emplace_back(hash64(found->second.endpoint.address, hash64(request.adapter)),
-                               &found->second);
+            const std::uint64_t hash = hash64(found->second.endpoint.address, hash64(request.adapter));
+            const double fraction = (static_cast<double>(hash) + 0.5) / std::exp2(64.0);
+            homes.emplace_back(-home_weight(found->second) / std::log(fraction), &found->second);
         }
     }
     std::ranges::sort(homes, std::ranges::greater{}, &decltype(homes)::value_type::first);
@@ -175,8 +210,13 @@
 
 void endpoint_choice::observe_engine(const std::string& id, const engine_load& load, time_point now) {
     if (const auto found = states_.find(id); found != states_.end()) {
+        const std::uint32_t work_time_before = found->second.load.work_time_percent;
         found->second.load = load;
+        if (load.work_time_percent == 0) {
+            found->second.load.work_time_percent = work_time_before;
+        }
         found->second.reported_at = now;
+        update_median_work_time(now);
     }
 }
 
--- a/tests/routing/endpoint_choice_test.cpp
+++ b/tests/routing/endpoint_choice_test.cpp
@@ -171,3 +171,75 @@
     all.choice.observe_engine("e0", {0, 0, 0, 8, 0, 18'000, {}}, start);
     CHECK(all.best_endpoint(long_request) == "e0");
 }
+
+namespace {
+
+/// Tells `choice` that work takes so long at the engine, and nothing else.
+void report_work_time(endpoint_choice& choice, const std::string& id, std::uint32_t percent,
+                      time_point now = start) {
+    engine_load load;
+    load.free_slots = 8;
+    load.work_time_percent = percent;
+    choice.observe_engine(id, load, now);
+}
+
+std::map<std::string, int> homes_of(const engines& all) {
+    std::map<std::string, int> count;
+    for (int i = 0; i < 4000; ++i) {
+        ++count[all.best_endpoint(request_for("m/a" + std::to_string(i), 800))];
+    }
+    return count;
+}
+
+} // namespace
+
+// Guards against streams that pause at slow engines while fast ones are idle. Load pattern: engines of two
+// speeds, each of which gets an equal part of the adapters.
+TEST_CASE("faster engines are home to more adapters, in proportion to their speed") {
+    engines all{8};
+    for (std::size_t i = 0; i < all.ids.size(); ++i) {
+        report_work_time(all.choice, all.ids[i], i < 2 ? 55 : 120);
+        report_work_time(all.choice, all.ids[i], i < 2 ? 55 : 120, start + 2s);
+    }
+    const auto count = homes_of(all);
+    const double fast = (count.at("e0") + count.at("e1")) / 2.0;
+    const double slow = (4000 - 2 * fast) / 6;
+    CHECK(fast / slow > 1.6);
+    CHECK(fast / slow < 2.5);
+}
+
+// Guards against adapters that move between engines, and are loaded again, when nothing tells their speed.
+TEST_CASE("homes do not change where engines do not say how long work takes") {
+    engines all{8};
+    const auto before = homes_of(all);
+    for (const std::string& id : all.ids) {
+        report_work_time(all.choice, id, 0);
+    }
+    CHECK(homes_of(all) == before);
+}
+
+// Guards against one engine that draws all adapters because its figure is wrong.
+TEST_CASE("an engine that claims to be a hundred times faster gets a bounded part of the adapters") {
+    engines all{8};
+    for (const std::string& id : all.ids) {
+        report_work_time(all.choice, id, id == "e0" ? 5 : 500);
+        report_work_time(all.choice, id, id == "e0" ? 5 : 500, start + 2s);
+    }
+    CHECK(homes_of(all).at("e0") < 4000 * 0.4);
+}
+
+// Guards against herding: many requests at once, of which each would go to the fastest engine.
+TEST_CASE("requests that wait at a fast engine outweigh its speed") {
+    engines all{2};
+    report_work_time(all.choice, "e0", 50);
+    report_work_time(all.choice, "e1", 100);
+    std::map<std::string, int> sent;
+    for (int i = 0; i < 60; ++i) {
+        const choice_request request{"", "1", {}, 5000, 100};
+        const std::string chosen = all.best_endpoint(request);
+        all.choice.sent(chosen, static_cast<std::uint64_t>(i), request);
+        ++sent[chosen];
+    }
+    CHECK(sent["e0"] > sent["e1"]);
+    CHECK(sent["e1"] >= 15);
+}
