Choose one connection to close at a time, and let a reader's time begin with its answer

Read in the diff: closing one of several chosen connections can end others, and the list would name them still; and an answer that began after 2 s of waiting, or a stream of small events, could count as stalled the moment it was written. victim() is asked anew after each close; progress starts again when an answer begins (buffer_budget_test covers both).

--- a/include/samphiretray/net/buffer_budget.h
+++ b/include/samphiretray/net/buffer_budget.h
@@ -53,6 +53,11 @@
     void set(std::size_t bytes, buffer_use use) noexcept;
     /// Counts `bytes` that have moved from or to the peer.
     void note_moved(std::size_t bytes, time_point now) noexcept;
+    /// The peer can make progress from now on, for example since an answer to it has begun.
+    void restart_progress(time_point now) noexcept {
+        moved_ = 0;
+        last_progress_ = now;
+    }
 
     [[nodiscard]] const buffer_limits& limits() const noexcept;
     [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
@@ -112,10 +117,10 @@
     /// waiting, so that a single request is served however low the limit is.
     [[nodiscard]] bool admits(const buffer_account& account, std::size_t more) const noexcept;
 
-    /// The accounts whose connections have to be closed so that `needed` more bytes fit, first the one to be
-    /// closed first: those that hold most and move least. Requests that wait for their answers are never
-    /// among them. Small accounts are only if the reserve is used up, too.
-    [[nodiscard]] std::vector<const buffer_account*> victims(std::size_t needed, time_point now) const;
+    /// The account whose connection is to be closed next so that `needed` more bytes fit: the one that holds
+    /// most and moves least. Null if they fit, or if no connection may be closed for them: requests that wait
+    /// for their answers never are, small accounts only if the reserve is used up, too.
+    [[nodiscard]] const buffer_account* victim(std::size_t needed, time_point now) const;
 
     void count_closed(buffer_use use) noexcept { ++closed_.at(static_cast<std::size_t>(use)); }
     void count_refused() noexcept { ++refused_; }
--- a/src/net/buffer_budget.cpp
+++ b/src/net/buffer_budget.cpp
@@ -51,8 +51,7 @@
 void buffer_account::note_moved(std::size_t bytes, time_point now) noexcept {
     moved_ += bytes;
     if (moved_ >= progress_bytes) {
-        moved_ = 0;
-        last_progress_ = now;
+        restart_progress(now);
     }
 }
 
@@ -88,27 +87,23 @@
     return total <= limits_.max_bytes || others == 0;
 }
 
-std::vector<const buffer_account*> buffer_budget::victims(std::size_t needed, time_point now) const {
-    if (held_ + needed <= limits_.max_bytes) {
-        return {};
+const buffer_account* buffer_budget::victim(std::size_t needed, time_point now) const {
+    const std::size_t total = held_ + needed;
+    if (total <= limits_.max_bytes) {
+        return nullptr;
     }
-    const bool is_reserve_used = held_ + needed > limits_.max_bytes + limits_.reserved_bytes;
+    const bool is_reserve_used = total > limits_.max_bytes + limits_.reserved_bytes;
     const std::size_t least = is_reserve_used ? 1 : limits_.small_bytes + 1;
-    std::vector<std::pair<double, const buffer_account*>> candidates;
+    const buffer_account* chosen = nullptr;
+    double highest = 0;
     for (const buffer_account* each : accounts_) {
-        if (each->owner_ != nullptr && each->use_ != buffer_use::waiting && each->bytes_ >= least) {
-            candidates.emplace_back(closing_priority(*each, now), each);
-        }
-    }
-    std::ranges::sort(candidates, std::ranges::greater{}, [](const auto& each) { return each.first; });
-    std::vector<const buffer_account*> chosen;
-    std::size_t left = held_ + needed;
-    for (const auto& [priority, account] : candidates) {
-        if (left <= limits_.max_bytes) {
-            break;
+        const bool may_close =
+            each->owner_ != nullptr && each->use_ != buffer_use::waiting && each->bytes_ >= least;
+        const double priority = may_close ? closing_priority(*each, now) : 0;
+        if (priority > highest) {
+            chosen = each;
+            highest = priority;
         }
-        left -= account->bytes_;
-        chosen.push_back(account);
     }
     return chosen;
 }
--- a/src/net/h2o_response.cpp
+++ b/src/net/h2o_response.cpp
@@ -251,6 +251,9 @@
 
 void h2o_response::charge_unsent() {
     const std::size_t unsent = pending_.size() + (in_flight_ || final_sent_ ? sending_.size() : 0);
+    if (connection_->unsent_bytes == 0 && unsent > 0) {
+        connection_->account.restart_progress(core_->events().now());
+    }
     connection_->unsent_bytes += unsent;
     connection_->unsent_bytes -= std::exchange(charged_unsent_, unsent);
     connection_->update_account();
--- a/src/net/http_server_core.cpp
+++ b/src/net/http_server_core.cpp
@@ -353,10 +353,12 @@
 }
 
 void http_server_core::relieve(std::size_t needed) {
-    for (const buffer_account* each : options_.buffers->victims(needed, events_.now())) {
-        auto& connection = *static_cast<server_connection*>(each->owner());
+    // Each round closes a connection or empties its account.
+    while (const buffer_account* victim = options_.buffers->victim(needed, events_.now())) {
+        auto& connection = *static_cast<server_connection*>(victim->owner());
         // The budget may be shared with other servers.
-        connection.core->close_victim(connection);
+        const auto core = connection.core;
+        core->close_victim(connection);
     }
 }
 
@@ -397,6 +399,7 @@
     if (read != nullptr) {
         read(socket, h2o_socket_error_closed);
     } else {
+        connection.account.set(0, buffer_use::receiving);
         ::shutdown(descriptor, SHUT_RDWR);
     }
 }
--- a/tests/net/buffer_budget_test.cpp
+++ b/tests/net/buffer_budget_test.cpp
@@ -30,10 +30,14 @@
 TEST_CASE("connections that hold most and move least are closed first, and no more than needed") {
     accounts all;
     all.add(300, buffer_use::receiving, start + 9s);
-    const buffer_account& stopped = all.add(300, buffer_use::receiving, start);
-    const buffer_account& unread = all.add(500, buffer_use::sending, start + 5s);
-    CHECK(all.budget->victims(0, start + 10s) == std::vector{&stopped});
-    CHECK(all.budget->victims(300, start + 10s) == std::vector{&stopped, &unread});
+    buffer_account& stopped = all.add(300, buffer_use::receiving, start);
+    buffer_account& unread = all.add(500, buffer_use::sending, start + 5s);
+    CHECK(all.budget->victim(0, start + 10s) == &stopped);
+    stopped.set(0, buffer_use::receiving);
+    CHECK(all.budget->victim(0, start + 10s) == nullptr);
+    CHECK(all.budget->victim(300, start + 10s) == &unread);
+    unread.set(0, buffer_use::sending);
+    CHECK(all.budget->victim(300, start + 10s) == nullptr);
 }
 
 // Guards against an upload that is kept by a byte now and then.
@@ -43,14 +47,14 @@
     buffer_account& moving = all.add(600, buffer_use::receiving);
     trickling.note_moved(1, start + 9s);
     moving.note_moved(5000, start + 9s);
-    CHECK(all.budget->victims(0, start + 10s) == std::vector<const buffer_account*>{&trickling});
+    CHECK(all.budget->victim(0, start + 10s) == &trickling);
 }
 
 // Guards against ending a request that may already run.
 TEST_CASE("requests that wait for their answers are never closed") {
     accounts all;
     all.add(2000, buffer_use::waiting);
-    CHECK(all.budget->victims(0, start + 10s).empty());
+    CHECK(all.budget->victim(0, start + 10s) == nullptr);
 }
 
 // Guards against large requests that shut out ordinary ones.
@@ -92,7 +96,9 @@
     const buffer_account& idle = all.add(0, buffer_use::receiving, start);
     const buffer_account& unfinished = all.add(100, buffer_use::receiving, start);
     const buffer_account& stalled = all.add(100, buffer_use::sending, start);
-    const buffer_account& reading = all.add(100, buffer_use::sending, start + 9s);
+    buffer_account& reading = all.add(100, buffer_use::sending, start);
+    // An answer that begins after a long wait has not stalled.
+    reading.restart_progress(start + 9s);
     const buffer_account& waiting = all.add(100, buffer_use::waiting, start);
     std::vector<displacement_candidate> candidates{{&waiting, false, 1, 0, start},
                                                    {&reading, false, 1, 100, start},
