Keep the sanitizer's quarantine out of the soak's memory check

Cause: the address sanitizer keeps up to 256 MB of freed memory; tests/overload sets its quarantine to 1 MB, the soak did not.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -195,6 +195,8 @@
 
 void soak_run::start(process& target) {
     ::setenv("SAMPHIRETRAY_CONFIG", target.settings.c_str(), 1);
+    // Freed memory that the address sanitizer keeps is not memory that clients make the process hold.
+    ::setenv("ASAN_OPTIONS", "quarantine_size_mb=1:thread_local_quarantine_size_kb=64", 1);
     target.expected_to_end = false;
     target.paused = false;
     target.memory_at_rest = 0;
