--- a/include/samphiretray/net/http_server.h
+++ b/include/samphiretray/net/http_server.h
@@ -62,8 +62,8 @@
     /// Bounds what the connections of this server hold together with everything else that shares the budget.
     /// A server without one gets a budget of its own with the default limits.
     std::shared_ptr<buffer_budget> buffers = {};
-    /// Open connections; 0 for any number. At the limit, a new one takes the place of the one that has been
-    /// idle for the longest time, or of the one with an incomplete request that has moved least.
+    /// Open connections; 0 for any number. At the limit, a new one takes the place of the one that
+    /// `choose_displaced` names, or is closed if there is none.
     std::size_t max_connections = 0;
     /// Headers of the 503 for requests that have not run because the budget is used up.
     http_headers overload_headers = {};
