Add failing tests of a request that crashes every server that runs it

Three entries before three plain servers and four engines in one process; one request (same path, caller and body) crashes each server that begins to run it.

--- a/tests/fleet/small_fleet.h
+++ b/tests/fleet/small_fleet.h
@@ -59,7 +59,8 @@
     }
     void put(const std::string& key, const std::string& value, std::uint64_t,
              const ports::completion<std::uint64_t>& done) {
-        values[key] = value;
+        const bool is_hidden = hides_peers && key.starts_with("entries/");
+        values[key] = is_hidden ? "127.0.0.1:1 north-a" : value;
         changes.emplace_back(++revision, key);
         events.post([done, at = revision] { done(at); });
     }
@@ -68,9 +69,54 @@
     std::map<std::string, std::string> values;
     std::vector<std::pair<std::uint64_t, std::string>> changes;
     std::uint64_t revision = 1;
+    /// Entries register with an address at which nobody listens, as if they were cut off from each other.
+    bool hides_peers = false;
     std::deque<net::timer_handle> timers;
 };
 
+/// A plain service on the loopback interface that can crash and start again at its address under another id.
+struct plain_server {
+    plain_server(net::loop& loop, std::size_t index)
+        : events(loop), at{"127.0.0." + std::to_string(51 + index), 0}, name("p-" + std::to_string(index)) {
+        listen();
+    }
+
+    void listen() {
+        auto created = net::http_server::create(
+            events, {at}, [this](net::http_request request, std::shared_ptr<net::http_response> response) {
+                if (net::find_header(request.headers, "x-samphiretray-expect-instance") != id) {
+                    const auto attempt = net::find_header(request.headers, "x-samphiretray-attempt-id");
+                    response->send(421, {{"x-samphiretray-attempt-id", std::string{attempt}}}, "");
+                    return;
+                }
+                on_request(request, std::move(response));
+            });
+        REQUIRE(created);
+        server = std::move(*created);
+        at = server->local_address();
+        if (!id.empty()) {
+            former_ids.push_back(id);
+        }
+        id = name + "-" + std::to_string(++born);
+    }
+
+    /// Closes all connections and starts again after `downtime`.
+    void crash(duration downtime) {
+        events.post([stopped = std::shared_ptr<net::http_server>(std::move(server))] {});
+        restart = events.after(downtime, [this] { listen(); });
+    }
+
+    net::loop& events;
+    net::address at;
+    std::string name;
+    std::string id;
+    std::vector<std::string> former_ids;
+    std::uint64_t born = 0;
+    std::unique_ptr<net::http_server> server;
+    net::timer_handle restart;
+    std::function<void(const net::http_request&, const std::shared_ptr<net::http_response>&)> on_request;
+};
+
 /// Entries, engines and the engines' agents in one process, all on one event loop. Each engine has a loopback
 /// address of its own, on which its agent listens at a port that all agents share.
 struct small_fleet {
@@ -89,7 +135,10 @@
         std::unique_ptr<agent_type> agent;
     };
 
-    small_fleet(std::size_t entry_count, std::size_t engine_count) {
+    small_fleet(std::size_t entry_count, std::size_t engine_count, std::size_t plain_count = 0) {
+        for (std::size_t i = 0; i < plain_count; ++i) {
+            plain_servers.push_back(std::make_unique<plain_server>(events, i));
+        }
         for (std::size_t i = 0; i < engine_count; ++i) {
             engines.push_back(std::make_unique<engine_vm>(*this, i));
             start_agent(*engines.back());
@@ -150,6 +199,18 @@
             value.started_at = engines[i]->engine.born;
             entry.update_endpoint(value);
         }
+        for (const auto& each : plain_servers) {
+            std::ranges::for_each(each->former_ids,
+                                  [&](const std::string& id) { entry.remove_endpoint(id, false); });
+            gateway::endpoint value;
+            value.id = each->id;
+            value.service = "orders";
+            value.address = each->at;
+            value.data_centre = "north-a";
+            value.slots = 8;
+            value.started_at = each->born;
+            entry.update_endpoint(value);
+        }
     }
 
     static net::address control_address(std::size_t entry) {
@@ -159,7 +220,8 @@
     static gateway::routing_state state() {
         gateway::routing_state made;
         made.version = 1;
-        made.services = {{"engines", gateway::engine_capacity{8, 100'000, 4, {"m0"}}}};
+        made.services = {{"engines", gateway::engine_capacity{8, 100'000, 4, {"m0"}}},
+                         {"orders", std::nullopt}};
         gateway::route streams;
         streams.name = "/e/";
         streams.host = "a.example";
@@ -167,8 +229,21 @@
         streams.kind = gateway::call_kind::streaming;
         streams.services = {{"engines", 1}};
         streams.timeout = 5s;
-        made.routes = {streams};
-        made.organisations = {{"coop", {sha256_hex("key")}, std::nullopt, 0, 0, 1}};
+        gateway::route resumable = streams;
+        resumable.name = resumable.prefix = "/r/";
+        resumable.resumable = true;
+        resumable.max_attempts = 3;
+        gateway::route safe = streams;
+        safe.name = safe.prefix = "/s/";
+        safe.kind = gateway::call_kind::safe;
+        safe.services = {{"orders", 1}};
+        safe.max_attempts = 2;
+        gateway::route unsafe = safe;
+        unsafe.name = unsafe.prefix = "/u/";
+        unsafe.kind = gateway::call_kind::at_most_once;
+        made.routes = {streams, resumable, safe, unsafe};
+        made.organisations = {{"coop", {sha256_hex("key")}, std::nullopt, 0, 0, 1},
+                              {"shelter", {sha256_hex("other key")}, std::nullopt, 0, 0, 1}};
         return made;
     }
 
@@ -188,15 +263,22 @@
     }
 
     std::shared_ptr<asked> send(std::size_t entry, const std::string& parts, const std::string& model) {
+        return send_to(entry, "/e/1", "", parts, model);
+    }
+
+    std::shared_ptr<asked> send_to(std::size_t entry, const std::string& path, const std::string& body,
+                                   const std::string& parts = "first:20,own:50",
+                                   const std::string& model = "m0", const std::string& key = "key") {
         auto sent = std::make_shared<asked>();
         net::http_call call;
         call.peer = entries[entry]->listen_address();
         call.method = "POST";
-        call.target = "/e/1";
+        call.target = path;
+        call.body = body;
         call.timeout = 5s;
         call.headers = {{"host", "a.example"},
                         {"x-samphiretray-attempt-id", "attempt-" + std::to_string(++attempts)},
-                        {"x-samphiretray-credential", "key"},
+                        {"x-samphiretray-credential", key},
                         {"x-samphiretray-deadline-ms", "3000"},
                         {"x-samphiretray-model", model},
                         {"x-samphiretray-token-count", "100,10"},
@@ -230,6 +312,7 @@
     std::unique_ptr<net::http_client> client = net::http_client::create(events);
     memory_store store{events};
     std::vector<std::unique_ptr<engine_vm>> engines;
+    std::vector<std::unique_ptr<plain_server>> plain_servers;
     std::vector<std::unique_ptr<entry_type>> entries;
     std::uint64_t attempts = 0;
 };
