--- a/include/samphiretray/agent/crash_recorder.h
+++ b/include/samphiretray/agent/crash_recorder.h
@@ -3,6 +3,7 @@
 #include "samphiretray/base/time.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -17,6 +18,8 @@
     /// Empty if no answer had begun.
     std::optional<time_point> answer_began_at;
     time_point interrupted_at;
+    /// Identifies all attempts at the request.
+    std::uint64_t request_key = 0;
 };
 
 struct crash_recorder_settings {
--- a/include/samphiretray/base/text.h
+++ b/include/samphiretray/base/text.h
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <concepts>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -52,4 +53,9 @@
     return value;
 }
 
+/// 16 lower-case hexadecimal digits.
+[[nodiscard]] std::string to_hex(std::uint64_t value);
+/// Returns nothing if `text` is not a number of at most 16 hexadecimal digits.
+[[nodiscard]] std::optional<std::uint64_t> parse_hex(std::string_view text);
+
 } // namespace samphiretray
--- a/include/samphiretray/gateway/crash_exchange.h
+++ b/include/samphiretray/gateway/crash_exchange.h
@@ -3,6 +3,7 @@
 #include "samphiretray/net/http_client.h"
 #include "samphiretray/net/loop.h"
 #include "samphiretray/routing/crash_quarantine.h"
+#include "samphiretray/routing/request_quarantine.h"
 
 #include <cstdint>
 #include <map>
@@ -23,7 +24,12 @@
     net::address engine;
     /// Start of the engine in Unix milliseconds, as the entry knew it when it sent the request.
     std::uint64_t engine_started_at = 0;
+    /// Its id identifies all attempts at the request.
     routing::prompt_request request;
+    /// Hash of the id of the attempt.
+    std::uint64_t attempt = 0;
+    /// Hash of the name of the engine's incarnation.
+    std::uint64_t server = 0;
 };
 
 /// Asks the agents of engines that have cut answers whether they crashed, and what they were running, and
@@ -32,15 +38,18 @@
 public:
     /// `agent_control_port` 0 means that there are no agents to talk to.
     crash_exchange(net::loop& events, net::http_client& http, routing::crash_quarantine& quarantine,
-                   std::uint16_t agent_control_port)
-        : loop_(events), http_(http), quarantine_(quarantine), port_(agent_control_port) {}
+                   routing::request_quarantine& requests, std::uint16_t agent_control_port)
+        : loop_(events), http_(http), quarantine_(quarantine), requests_(requests),
+          port_(agent_control_port) {}
 
     /// The agent on `host`, or its engine, has closed the connection of a request before the end of its
     /// answer. `cut` is set if the request may have crashed the engine.
     void on_interrupted(const std::string& host, std::optional<cut_answer> cut);
     /// The agent on `host` holds back a part that this entry does not.
     void on_held_back_by(const std::string& host);
-    /// Tells the agents on `hosts` which parts are quarantined.
+    /// The parts and requests that are held back from engines, and those that no longer are.
+    [[nodiscard]] std::vector<routing::held_part> held() const;
+    /// Tells the agents on `hosts` which parts and requests are quarantined.
     void announce(const std::vector<std::string>& hosts);
 
 private:
@@ -59,6 +68,8 @@
     /// agent that was restarted since does not know what its engine was running, and one that does not answer
     /// cannot say.
     void report_own(const inquiry& ended, std::optional<std::uint64_t> engine_started_at);
+    /// The engine of these answers has crashed while it ran their requests.
+    void report_cut_runs(const inquiry& ended);
     /// What this entry knows, as sent to agents.
     [[nodiscard]] std::string message_text() const;
     [[nodiscard]] net::http_call make_call(const std::string& host, std::string_view path,
@@ -67,6 +78,7 @@
     net::loop& loop_;
     net::http_client& http_;
     routing::crash_quarantine& quarantine_;
+    routing::request_quarantine& requests_;
     std::uint16_t port_;
     /// Inquiries in progress, by host.
     std::map<std::string, inquiry> inquiries_;
--- a/include/samphiretray/gateway/crash_report.h
+++ b/include/samphiretray/gateway/crash_report.h
@@ -3,7 +3,9 @@
 #include "samphiretray/base/error.h"
 #include "samphiretray/base/hash.h"
 #include "samphiretray/gateway/model.h"
+#include "samphiretray/net/http.h"
 #include "samphiretray/routing/crash_quarantine.h"
+#include "samphiretray/routing/request_quarantine.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -15,7 +17,7 @@
 #include <string_view>
 #include <vector>
 
-/// The form in which processes exchange evidence about crashed engines.
+/// The form in which processes exchange evidence about crashed servers.
 namespace samphiretray::gateway {
 
 /// The ids of the parts of a prompt that other requests may share: all but the last one, which belongs to the
@@ -25,14 +27,21 @@
            std::views::transform(&prompt_part::id);
 }
 
+/// `id` tells requests, or attempts at them, apart.
 template <std::ranges::input_range Ids>
-[[nodiscard]] routing::prompt_request make_prompt_request(std::string_view attempt_id, const Ids& part_ids) {
-    routing::prompt_request request{hash64(attempt_id), {}};
+[[nodiscard]] routing::prompt_request make_prompt_request(std::uint64_t id, const Ids& part_ids) {
+    routing::prompt_request request{id, {}};
     std::ranges::transform(part_ids, std::back_inserter(request.parts),
-                           [](std::string_view id) { return hash64(id); });
+                           [](std::string_view part) { return hash64(part); });
     return request;
 }
 
+/// What all attempts at one request have in common: host, method, path with query, caller and body. `caller`
+/// is the organisation; empty on routes without keys. If the body is empty, the parts of the prompt stand for
+/// it.
+[[nodiscard]] routing::request_key
+make_request_key(const caller_request& decoded, const net::http_request& request, std::string_view caller);
+
 /// Names an incarnation of an engine alike in all processes.
 [[nodiscard]] std::string crashed_engine_name(const net::address& engine, std::uint64_t started_at);
 
@@ -45,6 +54,11 @@
 [[nodiscard]] result<routing::crash_evidence> crash_evidence_from(const nlohmann::json& value,
                                                                   std::string_view peer);
 
+[[nodiscard]] nlohmann::json to_json(const routing::request_evidence& evidence);
+/// Fails with `protocol_error` if `value` is not evidence about requests.
+[[nodiscard]] result<routing::request_evidence> request_evidence_from(const nlohmann::json& value,
+                                                                      std::string_view peer);
+
 /// What entries and agents tell each other about crashes.
 struct crash_message {
     routing::crash_evidence evidence;
@@ -61,12 +75,18 @@
 /// The time of day in Unix milliseconds, for ages that outlive processes and VMs.
 [[nodiscard]] std::uint64_t wall_clock_milliseconds();
 
-/// Evidence as an entry keeps it in the store, with the time of day of the write.
-[[nodiscard]] std::string encode_recorded_evidence(const routing::crash_evidence& evidence,
+/// Evidence as an entry keeps it in the store.
+struct recorded_evidence {
+    routing::crash_evidence crashes;
+    routing::request_evidence requests = {};
+};
+
+/// Includes the time of day of the write.
+[[nodiscard]] std::string encode_recorded_evidence(const recorded_evidence& evidence,
                                                    std::uint64_t written_at_ms);
 /// Adds the time since the write to the ages; a write in the future counts as one at `now_ms`. Fails with
 /// `protocol_error` if `text` is not recorded evidence.
-[[nodiscard]] result<routing::crash_evidence>
-decode_recorded_evidence(std::string_view text, std::string_view key, std::uint64_t now_ms);
+[[nodiscard]] result<recorded_evidence> decode_recorded_evidence(std::string_view text, std::string_view key,
+                                                                 std::uint64_t now_ms);
 
 } // namespace samphiretray::gateway
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -304,13 +304,15 @@
     for (const prompt_part& part : request->forwarded.caller.prefix) {
         request->prompt.push_back({part.id, part.tokens});
     }
-    request->shared = make_prompt_request(request->forwarded.caller.attempt_id,
+    request->shared = make_prompt_request(hash64(request->forwarded.caller.attempt_id),
                                           shared_part_ids(request->forwarded.caller.prefix));
+    request->key =
+        make_request_key(request->forwarded.caller, request->http, request->forwarded.fields.organisation);
     learn_engine_id(*request);
     if (const auto left = read_engine_cold(request->http.headers)) {
         cold_.on_report(*left, request->arrived_at);
     }
-    if (const auto held = held_parts_.check(request->shared.parts, request->arrived_at)) {
+    if (const auto held = hold_of(*request)) {
         refuse(request, agent_refusal::quarantined, "", held->retry_after);
         return;
     }
@@ -615,7 +617,7 @@
         return;
     }
     const caller_request& caller = request.forwarded.caller;
-    agent::interrupted_work work{caller.attempt_id, {}, request.answer_began_at, loop_.now()};
+    agent::interrupted_work work{caller.attempt_id, {}, request.answer_began_at, loop_.now(), request.key};
     std::ranges::copy(shared_part_ids(caller.prefix), std::back_inserter(work.parts));
     crashes_.on_interrupted(std::move(work));
 }
@@ -637,10 +639,12 @@
     for (const agent::interrupted_work& each : suspects) {
         const auto answer_age =
             each.answer_began_at ? milliseconds_in(each.interrupted_at - *each.answer_began_at) : -1;
-        log_event(
-            log_level::info, "crash_suspect",
-            {{"request", each.attempt_id}, {"answer_age_ms", answer_age}, {"parts", join(each.parts, ",")}});
-        crash.requests.push_back(make_prompt_request(each.attempt_id, each.parts));
+        log_event(log_level::info, "crash_suspect",
+                  {{"request", each.attempt_id},
+                   {"request_hash", to_hex(each.request_key)},
+                   {"answer_age_ms", answer_age},
+                   {"parts", join(each.parts, ",")}});
+        crash.requests.push_back(make_prompt_request(each.request_key, each.parts));
     }
     known_crashes_.on_crash(crash, now);
 }
@@ -928,13 +932,21 @@
     }
 }
 
+template <request_binding Binding, engine_control Engine>
+std::optional<routing::quarantine_match>
+engine_agent<Binding, Engine>::hold_of(const agent_request& request) const {
+    std::vector<routing::part_key> keys = request.shared.parts;
+    keys.push_back(request.key);
+    return held_parts_.check(keys, loop_.now());
+}
+
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::withdraw_held() {
     std::vector<request_pointer> not_begun;
     std::ranges::copy_if(requests_ | std::views::values, std::back_inserter(not_begun),
                          [](const request_pointer& each) { return !each->answer_began_at; });
     for (const request_pointer& each : not_begun) {
-        const auto held = held_parts_.check(each->shared.parts, loop_.now());
+        const auto held = hold_of(*each);
         if (!held) {
             continue;
         }
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -24,6 +24,7 @@
 #include "samphiretray/routing/evacuations.h"
 #include "samphiretray/routing/held_parts.h"
 #include "samphiretray/routing/prefix_cache_model.h"
+#include "samphiretray/routing/request_quarantine.h"
 
 #include <concepts>
 #include <deque>
@@ -86,6 +87,8 @@
         std::vector<routing::prompt_segment> prompt;
         /// Identifies the request, and the parts of its prompt that others may share, in evidence of crashes.
         routing::prompt_request shared;
+        /// Identifies all attempts at the request, as entries do.
+        routing::request_key key = 0;
         time_point arrived_at;
         time_point deadline;
         waiting_budget budget;
@@ -163,7 +166,9 @@
     void refuse_after_failed_loads();
     void load_base_model();
     void refuse_waiting(agent_refusal reason);
-    /// Takes back the requests with quarantined parts whose answers have not begun.
+    /// Why the request must not be sent to the engine; nothing if it may.
+    [[nodiscard]] std::optional<routing::quarantine_match> hold_of(const agent_request& request) const;
+    /// Takes back the quarantined requests, and those with quarantined parts, whose answers have not begun.
     void withdraw_held();
     [[nodiscard]] bool has_base_model() const;
     void check_drained();
@@ -199,7 +204,7 @@
     agent::crash_recorder crashes_;
     /// What this agent and the entries know about crashes, in case all entries restart.
     routing::crash_quarantine known_crashes_;
-    /// The quarantined parts that entries have announced.
+    /// The quarantined parts and requests that entries have announced.
     routing::held_parts held_parts_;
     routing::prefix_cache_model prefixes_{0};
     std::map<std::string, std::uint64_t> released_versions_;
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -8,6 +8,8 @@
 #include "samphiretray/gateway/quarantine_record-inl.h"
 #include "samphiretray/gateway/usage_exchange-inl.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <ranges>
 #include <utility>
@@ -49,6 +51,10 @@
 inline constexpr duration quarantine_announcement_interval = 5s;
 /// The record in the store is written again after this time, since the store may lose it.
 inline constexpr duration quarantine_record_interval = 10s;
+/// After a cut that this entry has observed, it reads the others' records for this long, at this interval,
+/// while it does not hear them.
+inline constexpr duration cut_off_reading_time = 30s;
+inline constexpr duration cut_off_reading_interval = 1s;
 inline constexpr std::size_t entries_informing_an_agent = 2;
 inline constexpr std::size_t entries_recording_the_quarantine = 2;
 /// Most endpoints tried for one request, whatever the route allows; those whose agents refused count.
@@ -132,14 +138,14 @@
       buffers_(std::make_shared<net::buffer_budget>(net::buffer_limits_of(settings_.node.memory_mb))),
       buffered_answers_(buffers_, nullptr, events.now()), http_(net::http_client::create(events)),
       choice_({}), ejection_(gateway_ejection), retries_(retry_settings_of(settings_, 0)), usage_({}),
-      quarantine_({}), limits_({}), rules_(settings_.regions),
+      quarantine_({}), suspected_requests_({}), limits_({}), rules_(settings_.regions),
       usage_exchange_(events, *http_, store,
                       {.vm = settings_.node.vm,
                        .data_centre = settings_.node.data_centre,
                        .listen = settings_.control_listen},
-                      usage_, quarantine_, limits_),
-      crash_exchange_(events, *http_, quarantine_, settings_.agent_control_port),
-      quarantine_record_(events, store, settings_.node.vm, quarantine_),
+                      usage_, quarantine_, suspected_requests_, limits_),
+      crash_exchange_(events, *http_, quarantine_, suspected_requests_, settings_.agent_control_port),
+      quarantine_record_(events, store, settings_.node.vm, quarantine_, suspected_requests_),
       ended_requests_(metrics_.counter(
           {"samphiretray_requests_total", "Requests by kind and outcome", {"kind", "outcome"}})),
       retry_counter_(
@@ -150,6 +156,11 @@
       held_back_counter_(metrics_.counter({"samphiretray_held_back_requests_total",
                                            "Requests refused because of a quarantined prompt part",
                                            {}})),
+      request_quarantine_counter_(metrics_.counter(
+          {"samphiretray_request_quarantines_total", "Changes of the quarantine of requests", {"phase"}})),
+      held_back_requests_counter_(metrics_.counter({"samphiretray_held_back_attempts_total",
+                                                    "Attempts refused because their request is quarantined",
+                                                    {}})),
       first_byte_seconds_(metrics_.histogram({"samphiretray_first_byte_seconds",
                                               "Time from the request to the first byte of its answer",
                                               {"kind"}},
@@ -458,8 +469,13 @@
         request->prompt.push_back({part.id, part.tokens});
     }
     request->shared =
-        make_prompt_request(request->caller.attempt_id, shared_part_ids(request->caller.prefix));
-    return authenticate(*request) && admit(*request);
+        make_prompt_request(hash64(request->caller.attempt_id), shared_part_ids(request->caller.prefix));
+    if (!authenticate(*request)) {
+        return false;
+    }
+    request->key = make_request_key(request->caller, request->http,
+                                    request->owner == nullptr ? "" : request->owner->name);
+    return admit(*request);
 }
 
 template <request_binding Binding, typename Store>
@@ -580,6 +596,10 @@
 
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::dispatch(const request_pointer& request) {
+    if (const auto wait = suspected_requests_.check(request->key, request->shared.id, loop_.now())) {
+        hold_back_quarantined(*request, *wait);
+        return;
+    }
     if (const auto match = quarantine_.check(request->shared, loop_.now())) {
         hold_back(*request, *match);
         return;
@@ -623,10 +643,31 @@
                {"part", part_name(request.caller, match.part)},
                {"retry_after_ms", milliseconds_in(match.retry_after)},
                {"attempts", request.attempt}});
+    end_held_back(request, match.retry_after, "prompt_part_quarantined");
+}
+
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::hold_back_quarantined(active_request& request, duration wait) {
+    held_back_requests_counter_.add({});
+    refused_origin& origin = refused_origins_[request.key];
+    origin.organisation = request.owner == nullptr ? "" : request.owner->name;
+    origin.route = request.matched_route->name;
+    ++origin.refused;
+    log_event(log_level::info, "request_held_back",
+              {{"request", request.caller.attempt_id},
+               {"request_hash", to_hex(request.key)},
+               {"retry_after_ms", milliseconds_in(wait)},
+               {"attempts", request.attempt}});
+    end_held_back(request, wait, "request_quarantined");
+}
+
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::end_held_back(active_request& request, duration wait,
+                                                  std::string_view cause) {
     if (request.response->is_started() || request.may_have_run) {
-        give_up(request, "prompt_part_quarantined");
+        give_up(request, cause);
     } else {
-        refuse(request, 503, match.retry_after, "prompt_part_quarantined");
+        refuse(request, 503, wait, cause);
     }
 }
 
@@ -635,7 +676,12 @@
     ejection_.abandoned(request->endpoint, loop_.now());
     crash_exchange_.on_held_back_by(request->agent_host);
     request->may_have_run = request->may_have_run || is_outcome_unknown(*request->last_refusal);
-    hold_back(*request, {0, request->refusal_wait.value_or(limits::retry_after_when_full)});
+    const duration wait = request->refusal_wait.value_or(limits::retry_after_when_full);
+    if (suspected_requests_.is_quarantined(request->key, loop_.now())) {
+        hold_back_quarantined(*request, wait);
+    } else {
+        hold_back(*request, {0, wait});
+    }
 }
 
 template <request_binding Binding, typename Store>
@@ -949,6 +995,8 @@
     const bool is_cut = is_broken_off || (failure && failure->code == errc::connection_closed);
     if (request->is_engine && (is_cut || (request->state == answer_state::agent_refused && !refused))) {
         on_interrupted(*request);
+    } else if (!request->is_engine && is_cut && request->exchange->may_have_been_sent()) {
+        on_cut(*request);
     }
     if (refused && !failure) {
         ejection_.abandoned(request->endpoint, now);
@@ -987,6 +1035,7 @@
         if (request->is_event_stream && request->body_started) {
             note_harmless(*request);
         }
+        suspected_requests_.on_answered(request->key, now);
         // Only comments are left.
         request->response->write(request->events.incomplete_event());
         request->response->finish();
@@ -1026,7 +1075,12 @@
     const endpoint* at = directory_.find(request.endpoint);
     std::optional<cut_answer> cut;
     if (at != nullptr && is_suspect) {
-        cut = cut_answer{at->address, request.engine_started_at, request.shared};
+        cut = cut_answer{at->address,
+                         request.engine_started_at,
+                         {request.key, request.shared.parts},
+                         request.shared.id,
+                         incarnation_hash(request)};
+        last_cut_at_ = loop_.now();
     }
     if (!request.agent_host.empty()) {
         crash_exchange_.on_interrupted(request.agent_host, std::move(cut));
@@ -1034,13 +1088,35 @@
         // Without its agent, nobody else knows what the engine was running.
         quarantine_.on_crash({crashed_engine_name(cut->engine, cut->engine_started_at), 0ms, {cut->request}},
                              loop_.now());
+        on_cut(request);
     }
 }
 
+/// A cut connection counts whether or not the server has ended: it may have lost only the process that ran
+/// the request, and three servers in a row without an answer are evidence enough.
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::on_cut(const active_request& request) {
+    last_cut_at_ = loop_.now();
+    suspected_requests_.on_cut(request.key, {incarnation_hash(request), request.shared.id, 0ms}, loop_.now());
+    log_event(log_level::info, "request_cut",
+              {{"request", request.caller.attempt_id},
+               {"request_hash", to_hex(request.key)},
+               {"endpoint", request.endpoint},
+               {"organisation", request.owner == nullptr ? std::string{} : request.owner->name},
+               {"route", request.matched_route->name}});
+}
+
+/// Names the incarnation of the server that the request was sent to alike at all entries.
+template <request_binding Binding, typename Store>
+std::uint64_t entry_gateway<Binding, Store>::incarnation_hash(const active_request& request) {
+    return hash64(request.endpoint + "#" + std::to_string(request.engine_started_at));
+}
+
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::note_harmless(active_request& request) {
     if (!std::exchange(request.noted_harmless, true)) {
         quarantine_.on_answered(request.shared.parts, request.answer_began_at, loop_.now());
+        suspected_requests_.on_answered(request.key, loop_.now());
     }
 }
 
@@ -1062,16 +1138,21 @@
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::report_quarantine_changes() {
     const auto changes = quarantine_.poll(loop_.now());
+    const bool is_changed = report_request_changes() || !changes.empty();
     const bool is_due = quarantine_announced_at_ &&
                         loop_.now() - *quarantine_announced_at_ >= limits::quarantine_announcement_interval;
-    if (!changes.empty() || is_due) {
+    if (is_changed || is_due) {
         announce_quarantine();
     }
     const bool is_record_due = quarantine_recorded_at_ &&
                                loop_.now() - *quarantine_recorded_at_ >= limits::quarantine_record_interval;
-    if (!changes.empty() || is_record_due) {
+    if (is_changed || is_record_due) {
         record_quarantine();
     }
+    if (suspected_requests_.take_repeated_cut()) {
+        quarantine_record_.write();
+    }
+    exchange_through_store();
     for (const routing::quarantine_change& each : changes) {
         const std::string_view phase = each.phase ? name_of(*each.phase) : "harmless";
         quarantine_counter_.add({phase});
@@ -1085,6 +1166,60 @@
     }
 }
 
+template <request_binding Binding, typename Store>
+bool entry_gateway<Binding, Store>::report_request_changes() {
+    const auto changes = suspected_requests_.poll(loop_.now());
+    for (const routing::request_change& each : changes) {
+        const std::string_view phase = each.phase ? name_of(*each.phase) : "lifted";
+        request_quarantine_counter_.add({phase});
+        log_event(log_level::warning, "request_quarantine",
+                  {{"request_hash", to_hex(each.request)},
+                   {"phase", phase},
+                   {"cuts", each.cuts},
+                   {"suspects", suspected_requests_.suspect_count()}});
+        if (!each.phase) {
+            refused_origins_.erase(each.request);
+        }
+    }
+    if (!changes.empty()) {
+        withdraw_quarantined();
+    }
+    return !changes.empty();
+}
+
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::withdraw_quarantined() {
+    std::vector<request_pointer> sent;
+    std::ranges::copy_if(
+        active_requests_ | std::views::values, std::back_inserter(sent), [this](const request_pointer& each) {
+            return each->exchange && each->agent_host.empty() && each->state == answer_state::awaiting_head &&
+                   suspected_requests_.is_quarantined(each->key, loop_.now());
+        });
+    for (const request_pointer& each : sent) {
+        const bool was_sent = may_have_run(*each);
+        cancel_attempt(*each);
+        ejection_.abandoned(each->endpoint, loop_.now());
+        if (was_sent) {
+            each->may_have_run = true;
+            give_up(*each, "request_quarantined");
+        } else {
+            dispatch(each);
+        }
+    }
+}
+
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::exchange_through_store() {
+    const time_point now = loop_.now();
+    const bool has_cut = last_cut_at_ && now - *last_cut_at_ < limits::cut_off_reading_time;
+    const bool is_due = !records_read_at_ || now - *records_read_at_ >= limits::cut_off_reading_interval;
+    if (has_cut && is_due && !usage_exchange_.hears_all_peers()) {
+        records_read_at_ = now;
+        quarantine_record_.write();
+        quarantine_record_.read();
+    }
+}
+
 /// The data centre itself if its region is not configured.
 template <request_binding Binding, typename Store>
 std::string entry_gateway<Binding, Store>::region_of(const std::string& data_centre) const {
@@ -1126,7 +1261,7 @@
 
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::announce_quarantine() {
-    if (quarantine_.announcement(loop_.now()).empty()) {
+    if (crash_exchange_.held().empty()) {
         quarantine_announced_at_.reset();
         return;
     }
@@ -1137,7 +1272,8 @@
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::record_quarantine() {
     quarantine_recorded_at_.reset();
-    if (quarantine_.quarantined_count(loop_.now()) > 0) {
+    if (quarantine_.quarantined_count(loop_.now()) > 0 ||
+        !suspected_requests_.quarantined(loop_.now()).empty()) {
         quarantine_recorded_at_ = loop_.now();
     }
     const auto others = peers_ | std::views::transform(&peer_entry::vm);
@@ -1185,6 +1321,7 @@
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::deliver_buffered(const request_pointer& request) {
     const time_point now = loop_.now();
+    suspected_requests_.on_answered(request->key, now);
     const bool failed = request->status >= 500;
     if (failed) {
         ejection_.failed(request->endpoint, now);
@@ -1226,7 +1363,9 @@
                                          retryable,
                                          forwarded,
                                          false};
-    const bool may_run_elsewhere = !forwarded || request->failed_sends < request->matched_route->max_attempts;
+    const bool may_run_elsewhere =
+        !forwarded || (request->failed_sends < request->matched_route->max_attempts &&
+                       suspected_requests_.may_repeat(request->key));
     const auto verdict =
         may_run_elsewhere ? retries_.decide(failed, now) : routing::retry_verdict::too_many_attempts;
     log_event(log_level::info, "attempt_failed",
@@ -1468,24 +1607,63 @@
            ",\"ready\":" + (is_ready() ? "true" : "false") +
            ",\"endpoints\":" + std::to_string(directory_.size()) +
            ",\"quarantined_parts\":" + std::to_string(quarantine_.quarantined_count(loop_.now())) +
+           ",\"quarantined_requests\":" +
+           std::to_string(suspected_requests_.quarantined(loop_.now()).size()) +
            ",\"limited_endpoints\":" + std::to_string(limits_.limited_count()) +
            ",\"cold_endpoints\":" + std::to_string(rules_.cold_count(loop_.now())) + ",\"evacuated\":\"" +
            join(rules_.evacuated(), ",") + "\"" + ",\"requests\":" + std::to_string(active_requests_.size()) +
            "}";
 }
 
+template <request_binding Binding, typename Store>
+std::string entry_gateway<Binding, Store>::quarantine_text() const {
+    nlohmann::json requests = nlohmann::json::array();
+    for (const routing::quarantined_request& each : suspected_requests_.quarantined(loop_.now())) {
+        nlohmann::json entry{{"request", to_hex(each.request)},
+                             {"phase", name_of(each.phase)},
+                             {"cuts", each.cuts},
+                             {"last_cut_ms", milliseconds_in(each.last_cut_age)},
+                             {"time_left_ms", milliseconds_in(each.time_left)}};
+        if (const auto origin = refused_origins_.find(each.request); origin != refused_origins_.end()) {
+            entry["organisation"] = origin->second.organisation;
+            entry["route"] = origin->second.route;
+            entry["refused"] = origin->second.refused;
+        }
+        requests.push_back(std::move(entry));
+    }
+    return nlohmann::json{{"vm", settings_.node.vm}, {"requests", std::move(requests)}}.dump() + "\n";
+}
+
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::on_release(const net::http_request& request,
+                                               net::http_response& response) {
+    const auto key = parse_hex(net::find_query_parameter(request.query, "request"));
+    if (request.method != "POST" || !key) {
+        response.send(400, {}, "POST with the hash of a request is needed\n");
+        return;
+    }
+    const bool is_known = suspected_requests_.release(*key, loop_.now());
+    log_event(
+        log_level::warning, "request_released",
+        {{"request_hash", to_hex(*key)}, {"peer", request.peer}, {"known", is_known ? "true" : "false"}});
+    response.send(is_known ? 200 : 404, {}, is_known ? "released\n" : "no such request\n");
+}
+
 template <request_binding Binding, typename Store>
 usage_report entry_gateway<Binding, Store>::report_for(const net::http_request& request) const {
     // A revision that the peer has of an earlier incarnation means nothing.
     const bool is_current = net::find_query_parameter(request.query, "incarnation") == incarnation_;
     const auto revision =
         parse_number<std::uint64_t>(net::find_query_parameter(request.query, "crashes_after"));
+    const auto request_revision =
+        parse_number<std::uint64_t>(net::find_query_parameter(request.query, "requests_after"));
     return {settings_.node.vm,
             incarnation_,
             table_ ? table_->version() : 0,
             usage_.spent(),
             quarantine_.evidence_after(is_current ? revision.value_or(0) : 0, loop_.now()),
-            limits_.observations(loop_.now())};
+            limits_.observations(loop_.now()),
+            suspected_requests_.evidence_after(is_current ? request_revision.value_or(0) : 0, loop_.now())};
 }
 
 template <request_binding Binding, typename Store>
@@ -1500,6 +1678,10 @@
         response->send(200, {{"content-type", "text/plain; version=0.0.4"}}, metrics_.text());
     } else if (request.path == "/status") {
         response->send(200, {{"content-type", "application/json"}}, status_text());
+    } else if (request.path == "/quarantine") {
+        response->send(200, {{"content-type", "application/json"}}, quarantine_text());
+    } else if (request.path == "/quarantine/release") {
+        on_release(request, *response);
     } else {
         response->send(404, {}, "no such page\n");
     }
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -20,6 +20,7 @@
 #include "samphiretray/routing/crash_quarantine.h"
 #include "samphiretray/routing/endpoint_choice.h"
 #include "samphiretray/routing/outlier_ejection.h"
+#include "samphiretray/routing/request_quarantine.h"
 #include "samphiretray/routing/retry_policy.h"
 
 #include <map>
@@ -124,6 +125,8 @@
         std::vector<routing::prompt_segment> prompt;
         /// Identifies the request, and the parts of its prompt that others may share, in evidence of crashes.
         routing::prompt_request shared;
+        /// Identifies all attempts at the request in evidence of crashes.
+        routing::request_key key = 0;
         std::vector<std::string> tried_endpoints;
         /// Addresses of the endpoints that have refused the request themselves.
         std::vector<net::address> refused_by;
@@ -163,6 +166,12 @@
     };
     using request_pointer = std::shared_ptr<active_request>;
 
+    struct refused_origin {
+        std::string organisation;
+        std::string route;
+        std::uint64_t refused = 0;
+    };
+
     [[nodiscard]] status start_servers();
     void on_request(net::http_request&& http, std::shared_ptr<net::http_response>&& response);
     [[nodiscard]] bool accept(const request_pointer& request);
@@ -171,8 +180,10 @@
     void dispatch(const request_pointer& request);
     /// Why no endpoint takes the request.
     [[nodiscard]] std::string_view unplaced_cause(const active_request& request) const;
-    /// Ends a request that would crash the engine that it is sent to.
+    /// Ends a request that would crash the server that it is sent to.
     void hold_back(active_request& request, const routing::quarantine_match& match);
+    void hold_back_quarantined(active_request& request, duration wait);
+    void end_held_back(active_request& request, duration wait, std::string_view cause);
     void on_held_back_by_agent(const request_pointer& request);
     [[nodiscard]] std::vector<std::string> usable_endpoints(const active_request& request);
     /// The endpoints that the request's homes and evacuations allow, whatever their state.
@@ -205,8 +216,17 @@
     void on_no_answer(const request_pointer& request, const std::optional<error>& failure);
     /// An engine, or its agent, has closed the connection of a request before the end of its answer.
     void on_interrupted(const active_request& request);
+    [[nodiscard]] static std::uint64_t incarnation_hash(const active_request& request);
+    /// A server without an agent has closed the connection of a request before the end of its answer.
+    void on_cut(const active_request& request);
     void report_quarantine_changes();
-    /// Announces the quarantined parts to the agents that this entry informs.
+    /// Returns true if a request's quarantine has changed.
+    [[nodiscard]] bool report_request_changes();
+    /// Takes back the requests that have been quarantined since they were sent to servers without agents.
+    void withdraw_quarantined();
+    /// While other entries cannot be heard, learns from the store what they know about suspected requests.
+    void exchange_through_store();
+    /// Announces the quarantined parts and requests to the agents that this entry informs.
     void announce_quarantine();
     /// Writes the evidence into the store if this entry is one of those that do.
     void record_quarantine();
@@ -241,6 +261,9 @@
     void on_control_request(const net::http_request& request,
                             const std::shared_ptr<net::http_response>& response);
     [[nodiscard]] std::string status_text() const;
+    /// The quarantined requests, for operators.
+    [[nodiscard]] std::string quarantine_text() const;
+    void on_release(const net::http_request& request, net::http_response& response);
     [[nodiscard]] usage_report report_for(const net::http_request& request) const;
     void refresh_endpoint(const endpoint& value);
     void refresh_pools();
@@ -267,6 +290,12 @@
     std::size_t entry_count_ = 0;
     rate::fleet_rate_limiter usage_;
     routing::crash_quarantine quarantine_;
+    routing::request_quarantine suspected_requests_;
+    /// Where attempts at quarantined requests come from, as far as this entry has refused any.
+    std::map<routing::request_key, refused_origin> refused_origins_;
+    /// When this entry has observed the last cut, and has last read the others' records because of it.
+    std::optional<time_point> last_cut_at_;
+    std::optional<time_point> records_read_at_;
     rate::endpoint_limits limits_;
     placement_rules rules_;
     usage_exchange<Store> usage_exchange_;
@@ -294,6 +323,8 @@
     observe::counter_family& retry_counter_;
     observe::counter_family& quarantine_counter_;
     observe::counter_family& held_back_counter_;
+    observe::counter_family& request_quarantine_counter_;
+    observe::counter_family& held_back_requests_counter_;
     observe::histogram_family& first_byte_seconds_;
     observe::histogram_family& request_seconds_;
 };
--- a/include/samphiretray/gateway/quarantine_record.h
+++ b/include/samphiretray/gateway/quarantine_record.h
@@ -3,6 +3,7 @@
 #include "samphiretray/net/loop.h"
 #include "samphiretray/ports/shared_store.h"
 #include "samphiretray/routing/crash_quarantine.h"
+#include "samphiretray/routing/request_quarantine.h"
 
 #include <memory>
 #include <string>
@@ -10,23 +11,26 @@
 
 namespace samphiretray::gateway {
 
-/// Keeps the evidence for the quarantined prompt parts in the store, so that a quarantine outlives a restart
-/// of all entries and agents at one moment. Each writer has a key of its own; a starting entry reads them
-/// all.
+/// Keeps the evidence for the quarantined prompt parts and requests in the store, so that a quarantine
+/// outlives a restart of all entries and agents at one moment. Each writer has a key of its own; a starting
+/// entry reads them all, and so does one that is cut off from others.
 template <typename Store>
     requires ports::watched_store<Store> && ports::leased_store<Store>
 class quarantine_record {
 public:
     quarantine_record(net::loop& events, Store& store, const std::string& vm,
-                      routing::crash_quarantine& quarantine)
-        : loop_(events), store_(store), key_(std::string{prefix} + vm), quarantine_(quarantine) {}
+                      routing::crash_quarantine& quarantine, routing::request_quarantine& requests)
+        : loop_(events), store_(store), key_(std::string{prefix} + vm), quarantine_(quarantine),
+          requests_(requests) {}
     quarantine_record(const quarantine_record&) = delete;
     quarantine_record& operator=(const quarantine_record&) = delete;
     ~quarantine_record() = default;
 
-    /// Reads what any entry has written; tries again until the store answers.
+    /// Reads what any entry has written; tries again until the store answers. Does nothing while an earlier
+    /// read has not ended.
     void read();
-    /// Writes the evidence for what is quarantined now. Does nothing while the write before has not ended.
+    /// Writes the evidence for what is quarantined now, and tries again until the store takes it. While a
+    /// write has not ended, another one follows it.
     void write();
 
 private:
@@ -34,7 +38,9 @@
     /// The store removes a record that is not written again. Readers go by the ages in it.
     static constexpr duration lease_duration = 10min;
     static constexpr duration retry_delay = 500ms;
+    static constexpr duration write_retry_delay = 1s;
 
+    void list();
     void on_listing(const ports::store_listing& listing);
     void on_written(const result<std::uint64_t>& outcome);
 
@@ -42,8 +48,13 @@
     Store& store_;
     std::string key_;
     routing::crash_quarantine& quarantine_;
+    routing::request_quarantine& requests_;
+    bool is_reading_ = false;
     bool is_writing_ = false;
+    /// Something may have changed since the write in progress has begun.
+    bool is_outdated_ = false;
     net::timer_handle timer_;
+    net::timer_handle write_timer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/samphiretray/gateway/usage_exchange-inl.h
+++ b/include/samphiretray/gateway/usage_exchange-inl.h
@@ -11,9 +11,10 @@
 template <typename Store>
 usage_exchange<Store>::usage_exchange(net::loop& events, net::http_client& http, Store& store,
                                       exchange_settings settings, rate::fleet_rate_limiter& usage,
-                                      routing::crash_quarantine& quarantine, rate::endpoint_limits& limits)
+                                      routing::crash_quarantine& quarantine,
+                                      routing::request_quarantine& requests, rate::endpoint_limits& limits)
     : loop_(events), http_(http), settings_(std::move(settings)), usage_(usage), quarantine_(quarantine),
-      limits_(limits),
+      requests_(requests), limits_(limits),
       registration_(events, store,
                     {.key = std::string{prefix} + settings_.vm,
                      .value = net::to_string(settings_.listen) + " " + settings_.data_centre}),
@@ -60,6 +61,12 @@
     publish_peers();
 }
 
+template <typename Store>
+bool usage_exchange<Store>::hears_all_peers() const {
+    return std::ranges::none_of(peers_ | std::views::values,
+                                [](const peer& each) { return each.is_lost && !each.unregistered_at; });
+}
+
 template <typename Store>
 void usage_exchange<Store>::remove_unregistered() {
     const time_point now = loop_.now();
@@ -78,6 +85,7 @@
     usage_.set_peers(names, loop_.now());
     names.push_back(settings_.vm);
     quarantine_.set_members(settings_.vm, names);
+    requests_.set_members(settings_.vm, names);
     limits_.set_members(settings_.vm, std::move(names));
     log_event(log_level::info, "peers_changed", {{"peers", peers_.size()}});
     if (!on_peers_) {
@@ -118,7 +126,8 @@
     net::http_call call;
     call.peer = from.at;
     call.target = "/usage?incarnation=" + net::url_encode(from.incarnation) +
-                  "&crashes_after=" + std::to_string(from.crash_revision);
+                  "&crashes_after=" + std::to_string(from.crash_revision) +
+                  "&requests_after=" + std::to_string(from.request_revision);
     call.timeout = settings_.pull_timeout;
     from.pending_pull =
         http_.fetch(std::move(call),
@@ -142,7 +151,9 @@
         usage_.on_peer_report(name, report->incarnation, report->spent, loop_.now());
         found->second.incarnation = report->incarnation;
         found->second.crash_revision = report->crashes.revision;
+        found->second.request_revision = report->requests.revision;
         quarantine_.merge(report->crashes, loop_.now());
+        requests_.merge(report->requests, loop_.now());
         limits_.merge(report->limits, loop_.now());
     }
 }
--- a/include/samphiretray/gateway/usage_exchange.h
+++ b/include/samphiretray/gateway/usage_exchange.h
@@ -44,7 +44,7 @@
 public:
     usage_exchange(net::loop& events, net::http_client& http, Store& store, exchange_settings settings,
                    rate::fleet_rate_limiter& usage, routing::crash_quarantine& quarantine,
-                   rate::endpoint_limits& limits);
+                   routing::request_quarantine& requests, rate::endpoint_limits& limits);
     usage_exchange(const usage_exchange&) = delete;
     usage_exchange& operator=(const usage_exchange&) = delete;
     ~usage_exchange() = default;
@@ -56,6 +56,8 @@
     }
     /// Number of known entries, including this one.
     [[nodiscard]] std::size_t entry_count() const noexcept { return peers_.size() + 1; }
+    /// False while the last report of a registered peer could not be read.
+    [[nodiscard]] bool hears_all_peers() const;
 
 private:
     static constexpr std::string_view prefix = "entries/";
@@ -69,9 +71,10 @@
         std::optional<time_point> unregistered_at;
         std::unique_ptr<net::http_exchange> pending_pull;
         bool is_lost = false;
-        /// Incarnation of the last report, and its revision of the evidence about crashes.
+        /// Incarnation of the last report, and its revisions of the evidence about crashes and requests.
         std::string incarnation;
         std::uint64_t crash_revision = 0;
+        std::uint64_t request_revision = 0;
     };
 
     void on_change(const ports::store_change& change);
@@ -86,6 +89,7 @@
     exchange_settings settings_;
     rate::fleet_rate_limiter& usage_;
     routing::crash_quarantine& quarantine_;
+    routing::request_quarantine& requests_;
     rate::endpoint_limits& limits_;
     node::registration<Store> registration_;
     node::prefix_follower<Store> follower_;
--- a/include/samphiretray/gateway/usage_report.h
+++ b/include/samphiretray/gateway/usage_report.h
@@ -11,7 +11,7 @@
 
 namespace samphiretray::gateway {
 
-/// What one entry reports to its peers: its token usage and what it knows about crashes of engines.
+/// What one entry reports to its peers: its token usage and what it knows about crashes of servers.
 struct usage_report {
     std::string vm;
     /// Changes with every start of the process.
@@ -22,6 +22,8 @@
     /// Newer than the revision that the peer has named.
     routing::crash_evidence crashes = {};
     std::vector<rate::limit_observation> limits = {};
+    /// Newer than the revision that the peer has named.
+    routing::request_evidence requests = {};
 };
 
 /// JSON form of a report.
--- a/include/samphiretray/routing/crash_quarantine.h
+++ b/include/samphiretray/routing/crash_quarantine.h
@@ -19,7 +19,8 @@
 using part_key = std::uint64_t;
 
 struct prompt_request {
-    /// Hash of the id of the attempt.
+    /// In evidence, what all attempts at the request have in common; in a check, the hash of the attempt's
+    /// id.
     std::uint64_t id = 0;
     /// The parts that other requests may share.
     std::vector<part_key> parts;
--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -7,6 +7,8 @@
 #include <xxhash.h>
 
 #include <array>
+#include <cstring>
+#include <memory>
 #include <span>
 #include <stdexcept>
 #include <vector>
@@ -39,6 +41,21 @@
     return to_hex(std::span{digest}.first(size));
 }
 
+std::uint64_t digest64(std::initializer_list<std::string_view> parts) {
+    constexpr unsigned char separator = 0;
+    const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context{EVP_MD_CTX_new(), EVP_MD_CTX_free};
+    EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
+    for (const std::string_view part : parts) {
+        EVP_DigestUpdate(context.get(), part.data(), part.size());
+        EVP_DigestUpdate(context.get(), &separator, sizeof(separator));
+    }
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    EVP_DigestFinal_ex(context.get(), digest.data(), nullptr);
+    std::uint64_t value = 0;
+    std::memcpy(&value, digest.data(), sizeof(value));
+    return value;
+}
+
 std::string hmac_sha256_hex(std::string_view secret, std::string_view text) {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned int size = 0;
--- a/src/base/text.cpp
+++ b/src/base/text.cpp
@@ -67,4 +67,22 @@
     return true;
 }
 
+std::string to_hex(std::uint64_t value) {
+    constexpr std::size_t digits = 16;
+    constexpr int base = 16;
+    std::array<char, digits> text{};
+    const auto* const end = std::to_chars(text.data(), text.data() + text.size(), value, base).ptr;
+    const auto length = static_cast<std::size_t>(end - text.data());
+    return std::string(digits - length, '0').append(text.data(), length);
+}
+
+std::optional<std::uint64_t> parse_hex(std::string_view text) {
+    constexpr std::size_t max_digits = 16;
+    constexpr int base = 16;
+    std::uint64_t value = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value, base);
+    const bool is_whole = failure == std::errc{} && end == text.data() + text.size();
+    return is_whole && text.size() <= max_digits ? std::optional{value} : std::nullopt;
+}
+
 } // namespace samphiretray
--- a/src/gateway/crash_exchange.cpp
+++ b/src/gateway/crash_exchange.cpp
@@ -4,6 +4,7 @@
 #include "samphiretray/gateway/crash_report.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace samphiretray::gateway {
@@ -18,7 +19,7 @@
 /// A younger crash explains the cut answer.
 constexpr duration explaining_crash_age = 3s;
 /// Suspects that one entry reports for one crash.
-constexpr std::size_t max_cut_answers = 12;
+constexpr std::size_t max_cut_answers = 128;
 
 } // namespace
 
@@ -49,8 +50,21 @@
 }
 
 std::string crash_exchange::message_text() const {
+    return encode(crash_message{quarantine_.supporting_evidence(loop_.now()), held()});
+}
+
+std::vector<routing::held_part> crash_exchange::held() const {
+    const time_point now = loop_.now();
+    std::vector<routing::held_part> all = quarantine_.announcement(now);
+    std::ranges::move(requests_.announcement(now), std::back_inserter(all));
+    return all;
+}
+
+void crash_exchange::report_cut_runs(const inquiry& ended) {
     const time_point now = loop_.now();
-    return encode(crash_message{quarantine_.supporting_evidence(now), quarantine_.announcement(now)});
+    for (const cut_answer& each : ended.cut_answers) {
+        requests_.on_cut(each.request.id, {each.server, each.attempt, now - ended.began_at}, now);
+    }
 }
 
 net::http_call crash_exchange::make_call(const std::string& host, std::string_view path,
@@ -93,6 +107,9 @@
         log_event(log_level::warning, "crash_inquiry_failed",
                   {{"at", host}, {"attempt", kept->attempts}, {"failure", to_string(message.error())}});
     }
+    if (is_explained) {
+        report_cut_runs(*kept);
+    }
     if (is_explained || kept->cut_answers.empty()) {
         return;
     }
@@ -112,6 +129,7 @@
     for (const cut_answer& each : ended.cut_answers) {
         const bool has_gone_on = engine_started_at && *engine_started_at <= each.engine_started_at;
         if (!has_gone_on) {
+            requests_.on_cut(each.request.id, {each.server, each.attempt, now - ended.began_at}, now);
             quarantine_.on_crash({crashed_engine_name(each.engine, each.engine_started_at),
                                   now - ended.began_at,
                                   {each.request}},
--- a/src/gateway/crash_report.cpp
+++ b/src/gateway/crash_report.cpp
@@ -1,5 +1,7 @@
 #include "samphiretray/gateway/crash_report.h"
 
+#include "samphiretray/base/hash.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -60,8 +62,54 @@
     return crash;
 }
 
+/// A cut run is a list of the hashes of the server and the attempt, and its age in milliseconds.
+json cut_json(const routing::cut_run& cut) {
+    return json::array({cut.server, cut.attempt, static_cast<std::uint64_t>(milliseconds_in(cut.age))});
+}
+
+json suspected_json(const routing::suspected_request& suspected) {
+    json cuts = json::array();
+    std::ranges::transform(suspected.cuts, std::back_inserter(cuts), cut_json);
+    json value{{"request", suspected.request}, {"cuts", std::move(cuts)}};
+    if (suspected.answered) {
+        value["answered_ms"] = static_cast<std::uint64_t>(milliseconds_in(*suspected.answered));
+    }
+    return value;
+}
+
+std::optional<routing::suspected_request> suspected_from(const json& value) {
+    constexpr std::size_t cut_size = 3;
+    const auto request = value.is_object() ? unsigned_field(value, "request") : std::nullopt;
+    if (!request || !value.contains("cuts") || !value["cuts"].is_array()) {
+        return std::nullopt;
+    }
+    routing::suspected_request suspected{*request, {}, std::nullopt};
+    for (const json& each : value["cuts"]) {
+        if (!is_list_of_numbers(each, cut_size)) {
+            return std::nullopt;
+        }
+        suspected.cuts.push_back({each[0], each[1], age_from(each[2])});
+    }
+    if (const auto answered = unsigned_field(value, "answered_ms")) {
+        suspected.answered = age_from(*answered);
+    }
+    return suspected;
+}
+
 } // namespace
 
+routing::request_key make_request_key(const caller_request& decoded, const net::http_request& request,
+                                      std::string_view caller) {
+    if (!request.body.empty() || decoded.prefix.empty()) {
+        return digest64({decoded.host, request.method, request.target, caller, request.body});
+    }
+    std::string prompt;
+    for (const prompt_part& each : decoded.prefix) {
+        prompt += each.id + ",";
+    }
+    return digest64({decoded.host, request.method, request.target, caller, prompt});
+}
+
 std::string crashed_engine_name(const net::address& engine, std::uint64_t started_at) {
     return net::to_string(engine) + "#" + std::to_string(started_at);
 }
@@ -112,6 +160,28 @@
     return evidence;
 }
 
+json to_json(const routing::request_evidence& evidence) {
+    json requests = json::array();
+    std::ranges::transform(evidence.requests, std::back_inserter(requests), suspected_json);
+    return {{"revision", evidence.revision}, {"requests", std::move(requests)}};
+}
+
+result<routing::request_evidence> request_evidence_from(const json& value, std::string_view peer) {
+    const auto revision = value.is_object() ? unsigned_field(value, "revision") : std::nullopt;
+    if (!revision || !value.contains("requests") || !value["requests"].is_array()) {
+        return malformed(peer);
+    }
+    routing::request_evidence evidence{*revision, {}};
+    for (const json& each : value["requests"]) {
+        auto suspected = suspected_from(each);
+        if (!suspected) {
+            return malformed(peer);
+        }
+        evidence.requests.push_back(std::move(*suspected));
+    }
+    return evidence;
+}
+
 std::string encode(const crash_message& message) {
     json body = to_json(message.evidence);
     if (!message.held.empty()) {
@@ -149,23 +219,43 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
 }
 
-std::string encode_recorded_evidence(const routing::crash_evidence& evidence, std::uint64_t written_at_ms) {
-    json body = to_json(evidence);
+std::string encode_recorded_evidence(const recorded_evidence& evidence, std::uint64_t written_at_ms) {
+    json body = to_json(evidence.crashes);
     body["written_at_ms"] = written_at_ms;
+    if (!evidence.requests.requests.empty()) {
+        body["requests"] = to_json(evidence.requests);
+    }
     return body.dump();
 }
 
-result<routing::crash_evidence> decode_recorded_evidence(std::string_view text, std::string_view key,
-                                                         std::uint64_t now_ms) {
+result<recorded_evidence> decode_recorded_evidence(std::string_view text, std::string_view key,
+                                                   std::uint64_t now_ms) {
     const json parsed = json::parse(text, nullptr, false);
-    auto evidence = crash_evidence_from(parsed, key);
-    const auto written_at_ms = evidence ? unsigned_field(parsed, "written_at_ms") : std::nullopt;
+    auto crashes = crash_evidence_from(parsed, key);
+    const auto written_at_ms = crashes ? unsigned_field(parsed, "written_at_ms") : std::nullopt;
     if (!written_at_ms) {
         return malformed(key);
     }
+    recorded_evidence evidence{*std::move(crashes)};
+    // Entries of earlier versions record no requests.
+    if (parsed.contains("requests")) {
+        auto requests = request_evidence_from(parsed["requests"], key);
+        if (!requests) {
+            return requests.error();
+        }
+        evidence.requests = *std::move(requests);
+    }
     const duration since = age_from(now_ms - std::min(now_ms, *written_at_ms));
-    std::ranges::for_each(evidence->crashes, [since](routing::engine_crash& each) { each.age += since; });
-    std::ranges::for_each(evidence->harmless, [since](routing::harmless_part& each) { each.age += since; });
+    std::ranges::for_each(evidence.crashes.crashes,
+                          [since](routing::engine_crash& each) { each.age += since; });
+    std::ranges::for_each(evidence.crashes.harmless,
+                          [since](routing::harmless_part& each) { each.age += since; });
+    for (routing::suspected_request& each : evidence.requests.requests) {
+        std::ranges::for_each(each.cuts, [since](routing::cut_run& cut) { cut.age += since; });
+        if (each.answered) {
+            *each.answered += since;
+        }
+    }
     return evidence;
 }
 
--- a/src/gateway/usage_report.cpp
+++ b/src/gateway/usage_report.cpp
@@ -51,7 +51,8 @@
                 {"configuration", report.configuration_version},
                 {"spent", std::move(spent)},
                 {"crashes", to_json(report.crashes)},
-                {"limits", std::move(limits)}}
+                {"limits", std::move(limits)},
+                {"requests", to_json(report.requests)}}
         .dump();
 }
 
@@ -68,7 +69,7 @@
     if (!well_formed) {
         return make_error(errc::protocol_error, step::parse, std::string{peer}, "malformed usage report");
     }
-    usage_report report{parsed["vm"], parsed["incarnation"], parsed["configuration"], {}, {}, {}};
+    usage_report report{parsed["vm"], parsed["incarnation"], parsed["configuration"], {}, {}, {}, {}};
     for (const auto& [organisation, tokens] : parsed["spent"].items()) {
         if (tokens.is_number()) {
             report.spent.push_back({organisation, tokens.get<double>()});
@@ -82,6 +83,14 @@
         }
         report.crashes = std::move(*crashes);
     }
+    // Entries of earlier versions report no requests.
+    if (parsed.contains("requests")) {
+        auto requests = request_evidence_from(parsed["requests"], peer);
+        if (!requests) {
+            return requests.error();
+        }
+        report.requests = *std::move(requests);
+    }
     for (const json& each : parsed.value("limits", json::array())) {
         auto limit = limit_from(each);
         if (!limit) {
--- a/tests/gateway/crash_message_test.cpp
+++ b/tests/gateway/crash_message_test.cpp
@@ -36,17 +36,28 @@
 }
 
 TEST_CASE("recorded evidence is older by the time since it was written") {
-    routing::crash_evidence evidence;
-    evidence.crashes = {{"10.0.0.1:80#7", 1500ms, {{11, {21, 22}}}}};
+    recorded_evidence evidence;
+    evidence.crashes.crashes = {{"10.0.0.1:80#7", 1500ms, {{11, {21, 22}}}}};
+    evidence.requests.requests = {{31, {{41, 51, 1s}, {42, 52, 2s}}, 3s}, {32, {{43, 53, 4s}}, std::nullopt}};
     const std::string text = encode_recorded_evidence(evidence, 100'000);
     const auto later = decode_recorded_evidence(text, "key", 102'000);
     REQUIRE(later);
-    CHECK(later->crashes.front().age == 3500ms);
-    CHECK(later->crashes.front().requests.front().parts == std::vector<routing::part_key>{21, 22});
+    CHECK(later->crashes.crashes.front().age == 3500ms);
+    CHECK(later->crashes.crashes.front().requests.front().parts == std::vector<routing::part_key>{21, 22});
+    REQUIRE(later->requests.requests.size() == 2);
+    const routing::suspected_request& suspected = later->requests.requests.front();
+    CHECK(suspected.request == 31);
+    REQUIRE(suspected.cuts.size() == 2);
+    CHECK(suspected.cuts[1].server == 42);
+    CHECK(suspected.cuts[1].attempt == 52);
+    CHECK(suspected.cuts[1].age == 4s);
+    CHECK(suspected.answered == 5s);
+    CHECK_FALSE(later->requests.requests[1].answered);
     // A reader whose clock is behind.
     const auto earlier = decode_recorded_evidence(text, "key", 99'000);
     REQUIRE(earlier);
-    CHECK(earlier->crashes.front().age == 1500ms);
+    CHECK(earlier->crashes.crashes.front().age == 1500ms);
+    CHECK(earlier->requests.requests.front().cuts.front().age == 1s);
 }
 
 TEST_CASE("recorded evidence that is malformed is refused") {
@@ -58,4 +69,13 @@
         CHECK_FALSE(decode_recorded_evidence(text, "key", 7));
     }
     CHECK_FALSE(decode_recorded_evidence(valid + "-5}", "key", 7));
+    const std::string with_requests = valid + "5,\"requests\":";
+    CHECK(decode_recorded_evidence(with_requests + R"({"revision":1,"requests":[]}})", "key", 7));
+    for (const char* requests :
+         {"7}", "{}}", R"({"revision":1,"requests":7}})", R"({"revision":1,"requests":[7]}})",
+          R"({"revision":1,"requests":[{"request":1}]}})",
+          R"({"revision":1,"requests":[{"request":-1,"cuts":[]}]}})",
+          R"({"revision":1,"requests":[{"request":1,"cuts":[[1,2]]}]}})"}) {
+        CHECK_FALSE(decode_recorded_evidence(with_requests + requests, "key", 7));
+    }
 }
