Reject a response head that contains another answer's status line

What callers saw: a server that failed inside its answer's head and wrote another answer behind it on the same connection gave its caller a mixture of both. "HTTP/1.1 200 " + "HTTP/1.1 500 Status ..." was read as a 200 with the headers and the body of the 500; cut inside a header's value, the status, attempt id and seal of the first answer came with the length and the body of the second: an earlier request's answer, a failure as a success, or "not run" for a request that had run, which then ran again.

Cause: the rest of the cut line and the next status line are one valid line, a reason or a header's value. Cuts at other places were already malformed.

Fix: a head with the start of a status line ("HTTP/1.x NNN") in its reason or in a header's value is malformed, at every reader of answers (callers' requests, agents, reports, orders, the store, peers). A server that really sends such a value gets 502; "HTTP/1.1 proxy" passes.

--- a/src/net/response_parser.cpp
+++ b/src/net/response_parser.cpp
@@ -12,6 +12,20 @@
 
 constexpr std::size_t max_headers = 100;
 
+/// True if `text` contains the start of a status line.
+bool contains_status_line(std::string_view text) {
+    constexpr std::string_view version = "HTTP/1.";
+    const auto is_digit = [](char each) { return each >= '0' && each <= '9'; };
+    for (auto at = text.find(version); at != std::string_view::npos; at = text.find(version, at + 1)) {
+        const std::string_view rest = text.substr(at + version.size(), 5);
+        if (rest.size() == 5 && is_digit(rest[0]) && rest[1] == ' ' &&
+            std::ranges::all_of(rest.substr(2), is_digit)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /// Sets `length` to the value of the Content-Length headers, if there are any. Returns false if they differ
 /// or if one is not a number.
 bool parse_content_length(const http_headers& headers, std::optional<std::uint64_t>& length) {
@@ -92,14 +106,20 @@
         return parsed;
     }
     parsed.head.size = static_cast<std::size_t>(size);
+    // A server that fails inside a head may write another answer behind it. The line that was cut then
+    // contains the status line of the other answer, whose headers and body would come with the status of the
+    // first.
+    if (contains_status_line({reason, reason_size})) {
+        return parsed;
+    }
     for (std::size_t i = 0; i < count; ++i) {
+        const std::string_view value{headers[i].value, headers[i].value_len};
         // A continuation line (obsolete line folding) has no name. It is rejected, as RFC 9112 allows,
         // because it would hide a part of the header's value.
-        if (headers[i].name == nullptr) {
+        if (headers[i].name == nullptr || contains_status_line(value)) {
             return parsed;
         }
-        parsed.head.headers.push_back(
-            {{headers[i].name, headers[i].name_len}, {headers[i].value, headers[i].value_len}});
+        parsed.head.headers.push_back({{headers[i].name, headers[i].name_len}, std::string{value}});
     }
     if (determine_framing(parsed.head, is_response_to_head)) {
         parsed.head.keep_alive = allows_keep_alive(parsed.head, minor_version);
--- a/tests/platform/entry_with_servers.h
+++ b/tests/platform/entry_with_servers.h
@@ -84,6 +84,11 @@
             REQUIRE(created);
             servers.push_back(std::move(*created));
         }
+        start_entry();
+    }
+
+    /// Starts the entry, in place of the one before, with settings that `change` may modify.
+    void start_entry(const std::function<void(gateway::gateway_settings&)>& change = {}) {
         gateway::gateway_settings settings;
         settings.node.vm = "entry-1";
         settings.node.data_centre = "north-a";
@@ -92,6 +97,9 @@
         settings.ready_listen = any_port;
         settings.control_listen = any_port;
         settings.agent_port = agent_port();
+        if (change) {
+            change(settings);
+        }
         entry =
             std::make_unique<gateway::entry_gateway<request_binding, silent_store>>(events, settings, store);
         REQUIRE(entry->start());
--- a/tests/support/scripted_server.cpp
+++ b/tests/support/scripted_server.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <optional>
@@ -164,8 +165,9 @@
 
 void scripted_server::write(connection& to) {
     const std::string& bytes = to.answer->bytes;
-    while (to.written < bytes.size()) {
-        const auto sent = ::send(to.descriptor, bytes.data() + to.written, bytes.size() - to.written,
+    const std::size_t part_end = to.written + std::min(bytes.size() - to.written, to.answer->max_part);
+    while (to.written < part_end) {
+        const auto sent = ::send(to.descriptor, bytes.data() + to.written, part_end - to.written,
                                  MSG_DONTWAIT | MSG_NOSIGNAL);
         if (sent < 0) {
             to.closed = to.closed || errno != EAGAIN;
@@ -173,7 +175,9 @@
         }
         to.written += static_cast<std::size_t>(sent);
     }
-    finish_answer(to);
+    if (to.written == bytes.size()) {
+        finish_answer(to);
+    }
 }
 
 void scripted_server::finish_answer(connection& to) {
@@ -185,6 +189,10 @@
         to.closed = true;
         return;
     }
+    if (to.answer->ending == answer_ending::half_close) {
+        ::shutdown(to.descriptor, SHUT_WR);
+        return;
+    }
     if (!to.ends_at) {
         to.ends_at = events_.now() + to.answer->pause_before_ending;
     }
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -5,6 +5,7 @@
 #include "samphiretray/net/loop.h"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -15,8 +16,9 @@
 /// How an answer tells where its body ends.
 enum class answer_framing { length, chunks, until_close };
 
-/// What a server does with the connection once the bytes of an answer have been written.
-enum class answer_ending { keep_open, close, reset };
+/// What a server does with the connection once the bytes of an answer have been written. `half_close` ends
+/// the direction towards the client and waits for the client's close.
+enum class answer_ending { keep_open, close, half_close, reset };
 
 /// The bytes of an answer, which need not be a valid one.
 struct scripted_answer {
@@ -24,6 +26,8 @@
     answer_ending ending = answer_ending::keep_open;
     /// The bytes are given this time to arrive before a reset.
     duration pause_before_ending{20ms};
+    /// More bytes than these are written in several parts, a poll interval apart.
+    std::size_t max_part = std::numeric_limits<std::size_t>::max();
 };
 
 /// A head with this status and these headers, followed by the whole of `body` in this framing.
