Check what follows the digits of a chunk size in an answer

What callers saw: of a chunked answer whose server failed inside a size with leading zeros ("0" of "0005"), and then wrote another answer behind it on the same connection, the client read "0HTTP/1.1 500 Status" as the last chunk: a 200 with an empty or short body that counted as whole.

Cause: picohttpparser skips all bytes between the digits and the end of the line. Now white space, an extension or the end of the line must follow, else the answer is malformed.

A cut behind the last chunk's size leaves a whole body, which is delivered as before.

--- a/src/net/response_parser.cpp
+++ b/src/net/response_parser.cpp
@@ -26,6 +26,13 @@
     return false;
 }
 
+/// The value of a hexadecimal digit.
+std::uint64_t value_of_digit(char digit) {
+    std::uint64_t value = 0;
+    (void)std::from_chars(&digit, &digit + 1, value, 16);
+    return value;
+}
+
 /// Sets `length` to the value of the Content-Length headers, if there are any. Returns false if they differ
 /// or if one is not a number.
 bool parse_content_length(const http_headers& headers, std::optional<std::uint64_t>& length) {
@@ -129,6 +136,38 @@
     return parsed;
 }
 
+bool chunk_size_check::accepts(std::string_view input) noexcept {
+    constexpr std::string_view digits = "0123456789abcdefABCDEF";
+    while (!input.empty() && position_ != position::trailers) {
+        if (position_ == position::data) {
+            const auto taken = static_cast<std::size_t>(std::min<std::uint64_t>(left_, input.size()));
+            input.remove_prefix(taken);
+            left_ -= taken;
+            position_ = left_ == 0 ? position::end_of_data : position::data;
+            continue;
+        }
+        const char next = input.front();
+        input.remove_prefix(1);
+        const bool is_end_of_line = next == '\n';
+        if (position_ == position::size && digits.find(next) != std::string_view::npos) {
+            left_ = left_ * 16 + value_of_digit(next);
+        } else if (position_ == position::end_of_data) {
+            position_ = is_end_of_line ? position::size : position::end_of_data;
+        } else if (position_ == position::rest_of_line || is_end_of_line) {
+            position_ = !is_end_of_line ? position::rest_of_line
+                        : left_ == 0    ? position::trailers
+                                        : position::data;
+        } else if (next == ' ' || next == '\t') {
+            position_ = position::behind_size;
+        } else if (next == '\r' || next == ';') {
+            position_ = position::rest_of_line;
+        } else {
+            return false;
+        }
+    }
+    return true;
+}
+
 body_decoder::body_decoder(body_framing framing, std::uint64_t length) noexcept
     : framing_(framing), remaining_(length) {
     chunks_.consume_trailer = 1;
@@ -156,6 +195,9 @@
 }
 
 body_decoder::decode_result body_decoder::decode_chunks(char* input, std::size_t size) {
+    if (!sizes_.accepts({input, size})) {
+        return {parse_progress::malformed, {}, 0};
+    }
     std::size_t decoded = size;
     const ssize_t trailing = phr_decode_chunked(&chunks_, input, &decoded);
     const std::size_t consumed = trailing > 0 ? size - static_cast<std::size_t>(trailing) : size;
--- a/src/net/response_parser.h
+++ b/src/net/response_parser.h
@@ -52,6 +52,22 @@
 inline constexpr std::size_t max_chunk_overhead = 16U << 10U;
 inline constexpr std::size_t max_chunk_overhead_ratio = 16;
 
+/// Checks that nothing but white space, an extension or the end of the line follows the digits of a chunk
+/// size. picohttpparser skips anything there: of a size with leading zeros that was cut, with another answer
+/// behind it, it makes the last chunk.
+class chunk_size_check {
+public:
+    /// False if a size in the next bytes of the body is malformed.
+    [[nodiscard]] bool accepts(std::string_view input) noexcept;
+
+private:
+    enum class position { size, behind_size, rest_of_line, data, end_of_data, trailers };
+
+    position position_ = position::size;
+    /// The size of the chunk as far as it was read, then the bytes of the chunk that are still to come.
+    std::uint64_t left_ = 0;
+};
+
 /// Decodes a response body and finds its end. A chunked body with too much overhead is malformed.
 class body_decoder {
 public:
@@ -79,6 +95,7 @@
     /// Bytes of chunk sizes, extensions and trailers since the last read with data.
     std::size_t overhead_ = 0;
     phr_chunked_decoder chunks_{};
+    chunk_size_check sizes_;
 };
 
 } // namespace samphiretray::net
--- a/tests/net/truncated_answer_test.cpp
+++ b/tests/net/truncated_answer_test.cpp
@@ -153,3 +153,57 @@
         CHECK(call.body == "whole");
     });
 }
+
+namespace {
+
+constexpr std::string_view chunked_head =
+    "HTTP/1.1 200 OK\r\nAnswer-To: first\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// Sizes with leading zeros, an extension and a trailer.
+constexpr std::string_view chunks =
+    "0005\r\nhello\r\n06;name=\"v\"\r\n world\r\n1\r\n!\r\n000\r\nX-Trailer: 1\r\nX-More: 2\r\n\r\n";
+constexpr std::string_view chunked_body = "hello world!";
+
+} // namespace
+
+// Guards against a chunked answer that ends inside a size, a chunk, the last chunk or a trailer and looks
+// whole.
+TEST_CASE("a chunked answer that is cut at any byte is an error, however the connection ends") {
+    std::vector<scripted_answer> answers;
+    for (std::size_t cut = 0; cut < chunks.size(); ++cut) {
+        for (const answer_ending ending : broken_endings) {
+            for (const std::size_t max_part : {std::size_t{1000}, chunked_head.size(), std::size_t{40}}) {
+                answers.push_back({std::string{chunked_head}.append(chunks.substr(0, cut)), ending,
+                                   pause_before_reset, max_part});
+            }
+        }
+    }
+    std::vector<std::string> faults;
+    play(answers, [&](std::size_t i, const call_record& call) {
+        if (!call.failure || call.failure->code != errc::connection_closed ||
+            !chunked_body.starts_with(call.body)) {
+            faults.push_back(describe(answers[i], call));
+        }
+    });
+    INFO(answers.size() << " answers; " << summary_of(faults));
+    CHECK(faults.empty());
+}
+
+// Guards against a size of which only leading zeros came, and that another answer behind it made the last
+// chunk.
+TEST_CASE("a chunked answer that is cut at any byte is not completed by another answer behind it") {
+    std::vector<scripted_answer> answers;
+    for (std::size_t cut = 0; cut < chunks.size(); ++cut) {
+        for (const std::string& other : whole_answers("other", 500)) {
+            answers.push_back({std::string{chunked_head}.append(chunks.substr(0, cut)) + other,
+                               answer_ending::close, pause_before_reset, max_part_of(cut)});
+        }
+    }
+    std::vector<std::string> faults;
+    play(answers, [&](std::size_t i, const call_record& call) {
+        if (!call.failure && call.body != chunked_body) {
+            faults.push_back(describe(answers[i], call));
+        }
+    });
+    INFO(answers.size() << " answers; " << summary_of(faults));
+    CHECK(faults.empty());
+}
--- a/tests/platform/answer_end_test.cpp
+++ b/tests/platform/answer_end_test.cpp
@@ -220,3 +220,41 @@
     CHECK_FALSE(caller.received.ends_with("0\r\n\r\n"));
     CHECK(answers == 2);
 }
+
+// Guards against a chunk size of which only leading zeros came, and that another answer behind it made the
+// last chunk: the caller got a short answer as a whole one.
+TEST_CASE("a cut chunk size is not completed by the answer behind it for any caller") {
+    struct row {
+        std::string path;
+        /// The body that the caller gets in the end; nothing if it is told that there is no whole answer.
+        std::optional<std::string> body;
+    };
+    const row each = GENERATE(values<row>({{"/s/1", "id: 2\n\n"},
+                                           {"/u/1", std::nullopt},
+                                           {"/e/1", std::nullopt},
+                                           {"/r/1", "id: 1\n\nid: 2\n\n"}}));
+    const std::string zeros = GENERATE("0", "00");
+    const int other_status = GENERATE(200, 500);
+    INFO(each.path << " " << zeros << " " << other_status);
+    std::size_t answers = 0;
+    entry_with_scripted_server fixture{[&](const net::http_request& request) {
+        const bool is_stream = each.path == "/e/1" || each.path == "/r/1";
+        const auto headers = is_stream ? stream_headers(request) : signed_headers(request);
+        if (++answers > 1) {
+            return scripted_answer{format_answer(answer_framing::chunks, headers, "id: 2\n\n")};
+        }
+        std::string bytes = format_answer(answer_framing::chunks, headers, "id: 1\n\n");
+        bytes.resize(bytes.size() - std::string_view{"0\r\n\r\n"}.size());
+        return scripted_answer{
+            bytes + zeros +
+                format_answer(answer_framing::length, signed_headers(request), "other", other_status),
+            answer_ending::close, 20ms, bytes.size()};
+    }};
+    const auto& answer = fixture.entry.send_and_wait(each.path);
+    const bool is_whole = answer && answer->status == 200;
+    CHECK(is_whole == each.body.has_value());
+    if (is_whole && each.body) {
+        CHECK(answer->body == *each.body);
+    }
+    CHECK(fixture.requests.size() == (each.body ? 2 : 1));
+}
