--- a/src/net/response_parser.h
+++ b/src/net/response_parser.h
@@ -41,7 +41,8 @@
 /// Parses the response head at the start of `input`. `previous_size` is the input size of the previous call
 /// for the same head, 0 for the first one. `is_response_to_head` tells that the request was a HEAD request,
 /// so that there is no body. A response with an ambiguous body length (different Content-Length values or an
-/// unknown transfer coding) is malformed.
+/// unknown transfer coding) is malformed, and so is one with a status line in its reason or in the value of a
+/// header: it is a cut head with another answer behind it.
 [[nodiscard]] head_result parse_response_head(std::string_view input, std::size_t previous_size,
                                               bool is_response_to_head);
 
@@ -51,6 +52,22 @@
 inline constexpr std::size_t max_chunk_overhead = 16U << 10U;
 inline constexpr std::size_t max_chunk_overhead_ratio = 16;
 
+/// Checks that nothing but white space, an extension or the end of the line follows the digits of a chunk
+/// size. picohttpparser skips anything there: of a size with leading zeros that was cut, with another answer
+/// behind it, it makes the last chunk.
+class chunk_size_check {
+public:
+    /// False if a size in the next bytes of the body is malformed.
+    [[nodiscard]] bool accepts(std::string_view input) noexcept;
+
+private:
+    enum class position { size, behind_size, rest_of_line, data, end_of_data, trailers };
+
+    position position_ = position::size;
+    /// The size of the chunk as far as it was read, then the bytes of the chunk that are still to come.
+    std::uint64_t left_ = 0;
+};
+
 /// Decodes a response body and finds its end. A chunked body with too much overhead is malformed.
 class body_decoder {
 public:
@@ -78,6 +95,7 @@
     /// Bytes of chunk sizes, extensions and trailers since the last read with data.
     std::size_t overhead_ = 0;
     phr_chunked_decoder chunks_{};
+    chunk_size_check sizes_;
 };
 
 } // namespace samphiretray::net
