--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -952,6 +952,11 @@
     }
     if (refused && !failure) {
         ejection_.abandoned(request->endpoint, now);
+        log_event(log_level::info, "attempt_refused",
+                  {{"request", request->caller.attempt_id},
+                   {"endpoint", request->endpoint},
+                   {"attempt", request->attempt},
+                   {"reason", name_of(*request->last_refusal)}});
         if (request->last_refusal == agent_refusal::engine_restarted) {
             // The endpoint's record predates the engine's restart. If it is written again, the endpoint
             // returns.
