--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <stdexcept>
@@ -29,10 +30,10 @@
     return from_socket_address(local.get());
 }
 
-int bound_socket() {
+int bound_socket(const address& at = {"127.0.0.1", 0}) {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const auto any_port = to_socket_address({"127.0.0.1", 0});
-    if (descriptor < 0 || ::bind(descriptor, any_port->get(), any_port->length) != 0) {
+    const auto native = to_socket_address(at);
+    if (descriptor < 0 || ::bind(descriptor, native->get(), native->length) != 0) {
         throw std::runtime_error("cannot bind a loopback socket");
     }
     return descriptor;
@@ -111,10 +112,28 @@
     close();
 }
 
-raw_listener::raw_listener() : descriptor_(bound_socket()) {
+raw_listener::raw_listener(const address& at) : descriptor_(bound_socket(at)) {
     ::listen(descriptor_, 16);
 }
 
+unanswering_listener::unanswering_listener() : descriptor_(bound_socket()) {
+    ::listen(descriptor_, 0);
+    const auto target = to_socket_address(local_address());
+    for (int& filler : fillers_) {
+        filler = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+        (void)::connect(filler, target->get(), target->length);
+    }
+}
+
+unanswering_listener::~unanswering_listener() {
+    std::ranges::for_each(fillers_, ::close);
+    ::close(descriptor_);
+}
+
+address unanswering_listener::local_address() const {
+    return local_address_of(descriptor_);
+}
+
 raw_listener::~raw_listener() {
     ::close(descriptor_);
 }
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -3,6 +3,7 @@
 #include "samphiretray/net/address.h"
 #include "samphiretray/net/loop.h"
 
+#include <array>
 #include <string>
 #include <string_view>
 
@@ -47,7 +48,7 @@
 /// A listening loopback socket; the test itself reads and writes on the accepted connections.
 class raw_listener {
 public:
-    raw_listener();
+    explicit raw_listener(const address& at = {"127.0.0.1", 0});
     ~raw_listener();
     raw_listener(const raw_listener&) = delete;
     raw_listener& operator=(const raw_listener&) = delete;
@@ -59,6 +60,22 @@
     int descriptor_;
 };
 
+/// A loopback address that does not answer attempts to connect, as that of a machine that is cut off.
+class unanswering_listener {
+public:
+    unanswering_listener();
+    ~unanswering_listener();
+    unanswering_listener(const unanswering_listener&) = delete;
+    unanswering_listener& operator=(const unanswering_listener&) = delete;
+
+    [[nodiscard]] address local_address() const;
+
+private:
+    int descriptor_;
+    /// Connections that fill the queue of the listener, which then drops further attempts.
+    std::array<int, 4> fillers_{};
+};
+
 /// A loopback address on which nothing listens.
 address unused_address();
 
