--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -1343,14 +1343,13 @@
                {"first_ms", first_ms},
                {"total_ms", milliseconds_in(now - request.arrived)}});
     discard_buffered(request);
+    // Cancelled at once: the exchange may fail to connect in this iteration of the loop, and the request
+    // would then be sent to another endpoint although its caller has been told that it will not run.
+    request.exchange.reset();
     const auto found = active_requests_.find(request.id);
     if (found != active_requests_.end()) {
-        // This may be called from a callback of the exchange or the timer, which must not be destroyed inside
-        // it.
-        loop_.post([kept = std::move(found->second)] {
-            kept->exchange.reset();
-            kept->deadline_timer.reset();
-        });
+        // This may be called from the action of the timer, which must not be destroyed inside it.
+        loop_.post([kept = std::move(found->second)] { kept->deadline_timer.reset(); });
         active_requests_.erase(found);
     }
 }
