--- a/tests/platform/entry_with_servers.h
+++ b/tests/platform/entry_with_servers.h
@@ -55,6 +55,15 @@
            "\r\n\r\n" + body;
 }
 
+/// The header line that names the sending in a request of an entry to an agent, as agents repeat it; empty if
+/// there is none.
+inline std::string sending_line(std::string_view request) {
+    const std::size_t begin = request.find("samphiretray-sending:");
+    return begin == std::string_view::npos
+               ? std::string{}
+               : std::string{request.substr(begin, request.find('\n', begin) + 1 - begin)};
+}
+
 /// An entry with two plain servers. Routes: /s/ safe, /u/ at most once, /e/ streaming, /p/ public, /r/
 /// resumable.
 struct entry_with_servers {
--- a/tests/platform/not_run_promise_test.cpp
+++ b/tests/platform/not_run_promise_test.cpp
@@ -26,3 +26,50 @@
     fixture.events.run_until([] { return false; }, 50ms);
     CHECK(fixture.received[1].size() == 1);
 }
+
+// Guards against "not run" for a request that an engine has begun (REFUSED): on the link between entry and
+// agent the refusal of an earlier request arrives once more, when the agent is running the next one.
+TEST_CASE("a copy of an agent's earlier refusal is not taken as a refusal of the next request") {
+    entry_with_servers fixture;
+    net::testing::raw_listener agent{{"127.0.0.2", fixture.agent_port()}};
+    auto state = entry_with_servers::make_state(3);
+    state.services = {{"orders", gateway::engine_capacity{8, 100'000, 2, {"m0"}}}};
+    fixture.entry->apply(state);
+    fixture.entry->update_endpoint({"i-0", "orders", {"127.0.0.2", 9}, "north-a", 6, false, 1, {}});
+    fixture.entry->set_endpoints_complete();
+    fixture.send_request("/e/1", {}, "key", "one", "a1");
+    auto connection = agent.accept(fixture.events);
+    REQUIRE(connection.receive_until(fixture.events, "one"));
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nsamphiretray-refusal: busy\r\n" +
+                                sending_line(connection.received) + "Content-Length: 0\r\n\r\n";
+    connection.send(fixture.events, refusal);
+    CHECK(fixture.wait_for_outcome()->status == 503);
+    fixture.send_request("/e/1", {}, "key", "two", "a2");
+    REQUIRE(connection.receive_until(fixture.events, "two"));
+    connection.send(fixture.events, refusal);
+    CHECK(fixture.wait_for_outcome()->status == 502);
+}
+
+// Guards against "not run" for a request that has run (REFUSED): one attempt goes to one agent twice, since
+// an engine's old and new records have the same address, and the first refusal arrives once more.
+TEST_CASE("a copy of an agent's refusal is not taken as that of the same attempt sent again") {
+    entry_with_servers fixture;
+    net::testing::raw_listener agent{{"127.0.0.2", fixture.agent_port()}};
+    auto state = entry_with_servers::make_state(3);
+    state.services = {{"orders", gateway::engine_capacity{8, 100'000, 2, {"m0"}}}};
+    fixture.entry->apply(state);
+    for (const std::string id : {"i-before", "i-now"}) {
+        fixture.entry->update_endpoint({id, "orders", {"127.0.0.2", 9}, "north-a", 6, false, 1, {}});
+    }
+    fixture.entry->set_endpoints_complete();
+    fixture.send_request("/e/1", {}, "key", "one", "a1");
+    auto connection = agent.accept(fixture.events);
+    REQUIRE(connection.receive_until(fixture.events, "one"));
+    const std::string refusal = "HTTP/1.1 503 Stale\r\nsamphiretray-refusal: engine_restarted\r\n" +
+                                sending_line(connection.received) + "Content-Length: 0\r\n\r\n";
+    connection.received.clear();
+    connection.send(fixture.events, refusal);
+    REQUIRE(connection.receive_until(fixture.events, "one"));
+    connection.send(fixture.events, refusal);
+    CHECK(fixture.wait_for_outcome()->status == 502);
+}
