--- a/include/samphiretray/gateway/agent_protocol.h
+++ b/include/samphiretray/gateway/agent_protocol.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 /// HTTP headers that entry gateways and engine agents exchange. They are removed before a request or response
 /// reaches an endpoint or a caller.
@@ -66,6 +67,12 @@
 void add_engine_cold(net::http_headers& headers, duration left);
 [[nodiscard]] std::optional<duration> read_engine_cold(const net::http_headers& headers);
 
+/// Identifies one sending of a request. An agent repeats it in its response, so that the entry does not take
+/// a late copy of an earlier response on the same connection for that to this request.
+void add_sending(net::http_headers& headers, std::string_view sending);
+/// Empty if none is named.
+[[nodiscard]] std::string_view read_sending(const net::http_headers& headers);
+
 /// Headers of responses from an agent to an entry.
 void add_engine_load(net::http_headers& headers, const routing::engine_load& load);
 [[nodiscard]] std::optional<routing::engine_load> read_engine_load(const net::http_headers& headers);
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -81,6 +81,8 @@
     options.shutdown_idle_timeout = limits::idle_before_close;
     options.buffers = buffers_;
     options.max_connections = max_caller_connections(settings_.node.max_descriptors);
+    // These refusals do not name the sending, so they must be the last response on their connection.
+    options.overload_headers.push_back({"connection", "close"});
     add_refusal(options.overload_headers, agent_refusal::busy);
     auto server = net::http_server::create(
         loop_, options, [this](net::http_request http, std::shared_ptr<net::http_response> response) {
@@ -291,7 +293,9 @@
     requests_.emplace(request->id, request);
     auto decoded = Binding::decode_forwarded(request->http);
     if (!decoded) {
-        request->response->send(400, {}, decoded.error().detail + "\n");
+        net::http_headers headers;
+        add_sending(headers, read_sending(request->http.headers));
+        request->response->send(400, headers, decoded.error().detail + "\n");
         finish(request, "malformed");
         return;
     }
@@ -489,6 +493,7 @@
     }
     net::http_headers response_headers = headers;
     remove_agent_headers(response_headers);
+    add_sending(response_headers, read_sending(request->http.headers));
     add_engine_load(response_headers, current_load());
     request->response->start(code, response_headers);
 }
@@ -649,6 +654,7 @@
 void engine_agent<Binding, Engine>::refuse(const request_pointer& request, agent_refusal reason,
                                            std::string_view detail, std::optional<duration> retry_after) {
     net::http_headers headers;
+    add_sending(headers, read_sending(request->http.headers));
     add_refusal(headers, reason, retry_after);
     if (report_) {
         add_engine_load(headers, current_load());
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -697,7 +697,12 @@
     call.method = request->http.method;
     call.target = request->http.target;
     call.headers = Binding::forward_headers(request->http.headers, fields);
+    // The caller may have sent some.
+    remove_agent_headers(call.headers);
     if (via_agent) {
+        // The id is unique on each connection: all connections are of this process.
+        request->sending = std::to_string(request->id) + "-" + std::to_string(attempt);
+        add_sending(call.headers, request->sending);
         add_waiting_budget(call.headers, waiting_budget_of(*request, has_others));
         add_engine_start(call.headers, to->started_at);
         add_engine_cold(call.headers, rules_.cold_left(to->id, now));
@@ -749,8 +754,16 @@
 typename entry_gateway<Binding, Store>::answer_state
 entry_gateway<Binding, Store>::classify(const active_request& request, const answer_summary& head,
                                         const net::http_headers& headers) const {
-    if (!request.agent_host.empty() && read_refusal(headers)) {
-        return answer_state::agent_refused;
+    if (!request.agent_host.empty()) {
+        // Only responses that the agent's HTTP server makes itself, before it has read the request, name
+        // none.
+        const std::string_view sending = read_sending(headers);
+        if (!sending.empty() && sending != request.sending) {
+            return answer_state::invalid;
+        }
+        if (read_refusal(headers)) {
+            return answer_state::agent_refused;
+        }
     }
     switch (classify_answer(head, request.caller.attempt_id)) {
     case answer_class::mismatched:
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -138,6 +138,8 @@
         std::string endpoint;
         net::address sent_to;
         std::string agent_host;
+        /// Identifies the current sending to an agent.
+        std::string sending;
         std::string adapter_version;
         std::unique_ptr<net::http_exchange> exchange;
         time_point sent_at;
--- a/src/gateway/agent_protocol.cpp
+++ b/src/gateway/agent_protocol.cpp
@@ -18,9 +18,10 @@
 constexpr std::string_view refusal_wait_header = "samphiretray-refusal-wait-ms";
 constexpr std::string_view engine_cold_header = "samphiretray-engine-cold-ms";
 constexpr std::string_view work_time_header = "samphiretray-engine-work-time";
-constexpr std::array agent_headers{work_time_header,  budget_header,       load_header,
-                                   refusal_header,    engine_start_header, refusal_wait_header,
-                                   engine_cold_header};
+constexpr std::string_view sending_header = "samphiretray-sending";
+constexpr std::array agent_headers{work_time_header,   budget_header,       load_header,
+                                   refusal_header,     engine_start_header, refusal_wait_header,
+                                   engine_cold_header, sending_header};
 /// The header lists backlog tokens, running requests, reserved KV memory, free slots, wanted adapters and
 /// reading rate, followed by the names of resident adapters.
 constexpr std::size_t load_number_count = 6;
@@ -73,6 +74,16 @@
     return left ? std::optional<duration>{std::chrono::milliseconds{*left}} : std::nullopt;
 }
 
+void add_sending(net::http_headers& headers, std::string_view sending) {
+    if (!sending.empty()) {
+        headers.push_back({std::string{sending_header}, std::string{sending}});
+    }
+}
+
+std::string_view read_sending(const net::http_headers& headers) {
+    return net::find_header(headers, sending_header);
+}
+
 void add_engine_load(net::http_headers& headers, const routing::engine_load& load) {
     std::string text = std::to_string(load.backlog_tokens) + "," + std::to_string(load.running) + "," +
                        std::to_string(load.kv_reserved) + "," + std::to_string(load.free_slots) + "," +
