--- a/tests/platform/not_run_promise_test.cpp
+++ b/tests/platform/not_run_promise_test.cpp
@@ -73,3 +73,30 @@
     connection.send(fixture.events, refusal);
     CHECK(fixture.wait_for_outcome()->status == 502);
 }
+
+// Guards against "not run" for a request that a server has begun (REFUSED): only X-Samphiretray-Not-Executed
+// and 421 tell that it has not, but to the caller these statuses promise so.
+TEST_CASE("a server's own 503, 429 or 408 without a promise reaches no caller of a call that may run once") {
+    entry_with_servers fixture;
+    fixture.register_all();
+    const auto answer_with = [&fixture](int status) {
+        fixture.responders[0] = fixture.responders[1] = [status](const auto& request, const auto& response) {
+            send_signed(request, response, status, "broken");
+        };
+    };
+    for (const int status : {408, 429, 503}) {
+        answer_with(status);
+        for (const std::string path : {"/u/1", "/e/1"}) {
+            INFO(status << " " << path);
+            const std::size_t before = fixture.received_count();
+            CHECK(status_of(fixture.send_and_wait(path)) == 502);
+            CHECK(net::find_header((*fixture.outcome)->headers, "x-samphiretray-server-seal").empty());
+            CHECK(fixture.received_count() == before + 1);
+        }
+    }
+    answer_with(503);
+    CHECK(status_of(fixture.send_and_wait("/s/1")) == 503);
+    answer_with(500);
+    CHECK(status_of(fixture.send_and_wait("/u/1")) == 500);
+    CHECK(status_of(fixture.send_and_wait("/e/1")) == 500);
+}
