--- a/include/samphiretray/gateway/answer_classification.h
+++ b/include/samphiretray/gateway/answer_classification.h
@@ -26,6 +26,9 @@
 /// the request has not run.
 [[nodiscard]] answer_class classify_answer(const answer_summary& answer, std::string_view attempt_id);
 
+/// Whether a response with this status tells a caller that the request has not run and will not.
+[[nodiscard]] bool promises_not_run(int status) noexcept;
+
 /// True if the headers name the content type of event streams.
 [[nodiscard]] bool names_event_stream(const net::http_headers& headers);
 
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -773,8 +773,9 @@
     case answer_class::matching:
         break;
     }
-    return request.matched_route->kind == call_kind::streaming ? answer_state::relayed
-                                                               : answer_state::buffered;
+    return request.matched_route->kind == call_kind::streaming && !is_false_promise(request)
+               ? answer_state::relayed
+               : answer_state::buffered;
 }
 
 template <request_binding Binding, typename Store>
@@ -939,6 +940,11 @@
     return request.matched_route->kind == call_kind::safe || is_resumable(request);
 }
 
+template <request_binding Binding, typename Store>
+bool entry_gateway<Binding, Store>::is_false_promise(const active_request& request) {
+    return promises_not_run(request.status) && !is_retryable(request);
+}
+
 template <request_binding Binding, typename Store>
 bool entry_gateway<Binding, Store>::may_have_run(const active_request& request) {
     return request.may_have_run || (request.exchange && request.exchange->may_have_been_sent());
@@ -1226,6 +1232,10 @@
     } else {
         ejection_.succeeded(request->endpoint, now);
     }
+    if (is_false_promise(*request)) {
+        refuse(*request, 502, std::nullopt, "the endpoint failed");
+        return;
+    }
     remove_content_length(request->headers);
     request->response->send(request->status, request->headers, request->body);
     end(*request, failed ? request_outcome::endpoint_failed : request_outcome::answered, request->status, "");
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -225,6 +225,9 @@
     void retry_or_give_up(const request_pointer& request, bool forwarded, std::string_view cause);
     [[nodiscard]] static bool is_resumable(const active_request& request);
     [[nodiscard]] static bool is_retryable(const active_request& request);
+    /// Whether the status of an endpoint's own failure would tell the caller, wrongly, that a request that
+    /// may run only once has not run. It is not passed on.
+    [[nodiscard]] static bool is_false_promise(const active_request& request);
     /// False only if it is certain that no endpoint is running or has run the request.
     [[nodiscard]] static bool may_have_run(const active_request& request);
     void check_stalled_streams();
--- a/src/gateway/answer_classification.cpp
+++ b/src/gateway/answer_classification.cpp
@@ -2,6 +2,9 @@
 
 #include "samphiretray/base/text.h"
 
+#include <algorithm>
+#include <array>
+
 namespace samphiretray::gateway {
 
 namespace {
@@ -24,6 +27,11 @@
     return answer.is_signed ? answer_class::matching : answer_class::mismatched;
 }
 
+bool promises_not_run(int status) noexcept {
+    constexpr auto promises = std::to_array({408, 421, 429, 503});
+    return std::ranges::find(promises, status) != promises.end();
+}
+
 bool names_event_stream(const net::http_headers& headers) {
     return net::equals_ignore_case(media_type_of(headers), "text/event-stream");
 }
