--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -1,17 +1,22 @@
 #include "soak/fault_proxy.h"
 
+#include "samphiretray/base/text.h"
+
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <deque>
 #include <list>
 #include <stdexcept>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace samphiretray::soak {
@@ -24,6 +29,8 @@
 constexpr std::chrono::milliseconds repetition_delay{15};
 constexpr int poll_ms = 5;
 constexpr std::size_t read_size = 64U << 10U;
+/// More connections than a queue of length 0 takes.
+constexpr int filler_count = 4;
 
 sockaddr_in to_native(const net::address& at) {
     sockaddr_in native{};
@@ -63,6 +70,20 @@
     bool failed = false;
 };
 
+/// Whether the bytes are one response with all of its body.
+bool is_whole_response(std::string_view bytes) {
+    constexpr std::string_view length_name = "content-length: ";
+    const std::size_t head_end = bytes.find("\r\n\r\n");
+    const std::size_t length_at = bytes.find(length_name);
+    if (!bytes.starts_with("HTTP/1.1 ") || head_end == std::string_view::npos || length_at > head_end) {
+        return false;
+    }
+    const std::size_t value_at = length_at + length_name.size();
+    const auto length =
+        parse_number<std::size_t>(bytes.substr(value_at, bytes.find('\r', value_at) - value_at));
+    return length && bytes.size() == head_end + 4 + *length;
+}
+
 void read_available(relay_direction& direction, connection& parent, link_fault fault) {
     if (direction.eof_received) {
         return;
@@ -72,7 +93,10 @@
     if (size > 0) {
         bytes.resize(static_cast<std::size_t>(size));
         const clock::time_point now = clock::now();
-        if (fault == link_fault::repeated && direction.from_target) {
+        const bool is_repeated =
+            direction.from_target && (fault == link_fault::repeated ||
+                                      (fault == link_fault::repeated_responses && is_whole_response(bytes)));
+        if (is_repeated) {
             direction.buffered.push_back({now, bytes});
             direction.buffered.push_back({now + repetition_delay, std::move(bytes)});
         } else {
@@ -86,8 +110,8 @@
 }
 
 void forward_buffered(relay_direction& direction, connection& parent, link_fault fault) {
-    const bool is_blocked =
-        fault == link_fault::silent || (fault == link_fault::one_way && direction.from_target);
+    const bool is_blocked = fault == link_fault::silent || fault == link_fault::unreachable ||
+                            (fault == link_fault::one_way && direction.from_target);
     const auto min_age = fault == link_fault::delayed ? added_delay : std::chrono::milliseconds{0};
     while (!is_blocked && !direction.buffered.empty() &&
            clock::now() - direction.buffered.front().since >= min_age) {
@@ -122,7 +146,7 @@
 } // namespace
 
 fault_proxy::fault_proxy(const net::address& listen, const net::address& target)
-    : target_(target), listener_(open_socket()) {
+    : listen_(listen), target_(target), listener_(open_socket()) {
     const sockaddr_in native = to_native(listen);
     if (::bind(listener_, reinterpret_cast<const sockaddr*>(&native), sizeof(native)) != 0 ||
         ::listen(listener_, SOMAXCONN) != 0) {
@@ -134,13 +158,28 @@
 fault_proxy::~fault_proxy() {
     stopped_ = true;
     thread_.join();
+    set_unreachable(false);
     ::close(listener_);
 }
 
+void fault_proxy::set_unreachable(bool unreachable) {
+    if (unreachable == !fillers_.empty()) {
+        return;
+    }
+    ::listen(listener_, unreachable ? 0 : SOMAXCONN);
+    std::ranges::for_each(std::exchange(fillers_, {}), ::close);
+    const sockaddr_in native = to_native(listen_);
+    for (int i = 0; unreachable && i < filler_count; ++i) {
+        fillers_.push_back(open_socket());
+        ::connect(fillers_.back(), reinterpret_cast<const sockaddr*>(&native), sizeof(native));
+    }
+}
+
 void fault_proxy::run() {
     std::list<connection> connections;
     while (!stopped_) {
-        std::vector<pollfd> poll_set{{listener_, POLLIN, 0}};
+        set_unreachable(fault_ == link_fault::unreachable);
+        std::vector<pollfd> poll_set{{fillers_.empty() ? listener_ : -1, POLLIN, 0}};
         for (const connection& each : connections) {
             for (const relay_direction& direction : each.directions) {
                 poll_set.push_back(
@@ -150,6 +189,7 @@
         ::poll(poll_set.data(), poll_set.size(), poll_ms);
         const link_fault fault = fault_;
         for (int accepted = 0;
+             fillers_.empty() &&
              (accepted = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0;) {
             const int on = 1;
             ::setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <thread>
+#include <vector>
 
 namespace samphiretray::soak {
 
@@ -19,6 +20,10 @@
     silent,
     /// What the target sends is sent once more 15 ms later, as by a server that answers twice.
     repeated,
+    /// The same for whole responses only, so that no copy of a part looks like the rest of its response.
+    repeated_responses,
+    /// Connections that are being established get no reply, and open ones are silent.
+    unreachable,
 };
 
 /// Forwards TCP connections from one loopback address to another and injects faults. Buffered bytes are
@@ -35,9 +40,14 @@
 
 private:
     void run();
+    /// Lets attempts to connect go unanswered, or ends that.
+    void set_unreachable(bool unreachable);
 
+    net::address listen_;
     net::address target_;
     int listener_ = -1;
+    /// Connections that fill the queue of the listener, so that the kernel drops further attempts.
+    std::vector<int> fillers_;
     std::atomic<link_fault> fault_ = link_fault::none;
     std::atomic<bool> stopped_ = false;
     std::thread thread_;
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -13,6 +13,11 @@
 constexpr double rate_tolerance = 0.1;
 constexpr double token_tolerance = 72'000;
 
+/// Statuses that promise that the attempt has not run and will not.
+bool promises_not_run(int status) {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 } // namespace
 
 void invariant_checker::add_violation(const std::string& what, time_point now) {
@@ -43,8 +48,8 @@
     if (record.kind != request_kind::safe && record.runs > 1) {
         add_violation(name + " runs twice", now);
     }
-    if (record.status == 503 || record.status == 429) {
-        add_violation(name + " runs after it was refused as not run", now);
+    if (promises_not_run(record.status)) {
+        add_violation(name + " runs after it was refused with " + std::to_string(record.status), now);
     }
     if (organisation != record.organisation) {
         add_violation(name + " runs for \"" + organisation + "\" instead of " + record.organisation, now);
@@ -77,9 +82,8 @@
     attempt& record = attempts_.at(name);
     record.status = status;
     record.complete = complete;
-    const bool refused = status == 503 || status == 429;
-    if (refused && record.runs > 0 && record.kind != request_kind::safe) {
-        add_violation(name + " has run and is refused as not run", now);
+    if (promises_not_run(status) && record.runs > 0 && record.kind != request_kind::safe) {
+        add_violation(name + " has run and is refused with " + std::to_string(status), now);
     }
     if (status == 200 && !complete) {
         add_violation(name + " gets an answer that is not its own and whole", now);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -37,9 +37,13 @@
     std::uint16_t port = 21000;
 };
 
-constexpr int plain_server_count = 2;
+/// The last of them belongs to two services in turn.
+constexpr int plain_server_count = 3;
+/// Where entries reach an agent, behind which it listens, and the same for entries among themselves.
 constexpr std::uint16_t agent_port_offset = 900;
+constexpr std::uint16_t agent_listen_offset = 901;
 constexpr std::uint16_t control_port_offset = 3;
+constexpr std::uint16_t entry_peer_offset = 6;
 /// Time for processes and routes to recover after the last fault has been cleared.
 constexpr duration recovery_time = 6s;
 /// The run ends with this long a phase without faults.
@@ -62,15 +66,21 @@
 /// Processes must exit this soon after SIGTERM.
 constexpr duration stop_timeout = 9s;
 constexpr duration call_timeout = 2s;
+/// One in so many requests of the faulty phase has a short deadline, or a caller that leaves soon.
+constexpr std::size_t hurried_one_in = 3;
+constexpr std::size_t leaving_one_in = 12;
+/// Pauses of a process that gets too little processor time.
+constexpr int stutter_count = 10;
 
 /// A process of the system, with the fault proxies on its connections to the store and, for an agent, to its
-/// engine.
+/// engine, and on those of entries to it.
 struct process {
     std::string name;
     bool is_entry = false;
     std::filesystem::path settings;
     std::unique_ptr<fault_proxy> store_link;
     std::unique_ptr<fault_proxy> engine_link;
+    std::unique_ptr<fault_proxy> entry_link;
     tests::child_process child;
     net::address control_address;
     /// Where an entry accepts requests.
@@ -115,6 +125,9 @@
     void inject_fault();
     void run_after(duration delay, std::function<void()> action);
     void inject_process_fault(process& target);
+    /// Lets the process run and stand still in turn, so that its timers run late and together.
+    void inject_stutter(process& target, int pauses);
+    void inject_server_fault(platform_server& server);
     void inject_store_fault();
     void evacuate(bool evacuated);
     /// Lets clients at an entry that send large bodies and never end them.
@@ -122,8 +135,7 @@
     void check_memory(process& target);
     /// Brings the store back from its copy; the operator and the servers write what they have written again.
     void restore_store();
-    /// `may_repeat`: the responses on the link are small enough for a copy to be a whole response.
-    void inject_link_fault(fault_proxy& link, bool may_repeat = false);
+    void inject_link_fault(fault_proxy& link, link_fault repetition);
     void clear_faults();
     void print_fault(const std::string& fault) const;
     [[nodiscard]] int report(time_point fault_free_since);
@@ -151,6 +163,7 @@
     std::string key_ = "key-1";
     std::string withdrawn_key_;
     bool stopping_ = false;
+    bool has_faults_ = false;
 };
 
 soak_run::soak_run(options parsed)
@@ -214,6 +227,9 @@
     added->request_address = at(host, 1);
     added->control_address = at(host, control_port_offset);
     added->store_link = std::make_unique<fault_proxy>(at(host, 4), at(1, 0));
+    added->entry_link = std::make_unique<fault_proxy>(at(host, entry_peer_offset), added->control_address);
+    store_.translate("entries/", net::to_string(added->control_address),
+                     net::to_string(at(host, entry_peer_offset)));
     write_settings(*added,
                    {{"store", net::to_string(at(host, 4))},
                     {"listen", net::to_string(added->request_address)},
@@ -233,7 +249,7 @@
     const std::string data_centre{index % 3 == 2 ? other_data_centre : home_data_centre};
     servers_.push_back(
         std::make_unique<platform_server>(loop_,
-                                          server_description{"engine-" + std::to_string(index), "engines",
+                                          server_description{"engine-" + std::to_string(index), "engines", "",
                                                              data_centre, at(host, 1), at(host, 1), true},
                                           checker_));
     auto agent = std::make_unique<process>();
@@ -241,9 +257,11 @@
     agent->control_address = at(host, control_port_offset);
     agent->store_link = std::make_unique<fault_proxy>(at(host, 4), at(1, 0));
     agent->engine_link = std::make_unique<fault_proxy>(at(host, 5), at(host, 1));
+    agent->entry_link =
+        std::make_unique<fault_proxy>(at(host, agent_port_offset), at(host, agent_listen_offset));
     write_settings(*agent,
                    {{"store", net::to_string(at(host, 4))},
-                    {"listen", net::to_string(at(host, agent_port_offset))},
+                    {"listen", net::to_string(at(host, agent_listen_offset))},
                     {"control_listen", net::to_string(agent->control_address)},
                     {"engine", net::to_string(at(host, 5))},
                     {"evacuation_limit_ms", milliseconds_in(evacuation_limit)},
@@ -259,6 +277,7 @@
     servers_.push_back(std::make_unique<platform_server>(
         loop_,
         server_description{"plain-" + std::to_string(index), "orders",
+                           index == plain_server_count - 1 ? "lookups" : "",
                            std::string{index % 2 == 1 ? other_data_centre : home_data_centre}, at(host, 1),
                            at(host, 2), false},
         checker_));
@@ -280,12 +299,14 @@
         {"version", ++version_},
         {"routes",
          json::array({make_route("/s/", "safe", "orders", 2), make_route("/u/", "unsafe", "orders", 2),
-                      make_route("/e/", "streaming", "engines", 2), home})},
+                      make_route("/l/", "unsafe", "lookups", 2), make_route("/e/", "streaming", "engines", 2),
+                      home})},
         {"services", json::array({{{"name", "engines"},
                                    {"engine", engine},
                                    {"coldS", std::chrono::duration<double>(cold_time).count()},
                                    {"coldPerS", cold_requests_per_s}},
-                                  {{"name", "orders"}}})},
+                                  {{"name", "orders"}},
+                                  {{"name", "lookups"}}})},
         {"tenants", json::array({{{"name", "large"}, {"apiKeys", json::array({key_})}},
                                  {{"name", "small"},
                                   {"apiKeys", json::array({"key-small"})},
@@ -377,15 +398,20 @@
     call.peer = entries[random_below(entries.size())]->request_address;
     call.method = "POST";
     const bool has_home = kind == request_kind::safe && random_below(2) == 0;
+    const bool is_lookup = has_faults_ && kind == request_kind::at_most_once && random_below(4) == 0;
     call.target = has_home                             ? "/h/1"
                   : kind == request_kind::safe         ? "/s/1"
+                  : is_lookup                          ? "/l/1"
                   : kind == request_kind::at_most_once ? "/u/1"
                                                        : "/e/1";
     call.body = "body of " + attempt;
-    call.timeout = call_timeout;
+    const bool is_hurried = has_faults_ && random_below(hurried_one_in) == 0;
+    const bool leaves = has_faults_ && random_below(leaving_one_in) == 0;
+    const duration deadline = is_hurried ? random_time(30, 350) : duration{1800ms};
+    call.timeout = leaves ? random_time(10, 300) : call_timeout;
     call.headers = {{"host", "soak.example"},
                     {"x-samphiretray-attempt-id", attempt},
-                    {"x-samphiretray-deadline-ms", "1800"},
+                    {"x-samphiretray-deadline-ms", std::to_string(milliseconds_in(deadline))},
                     {"x-samphiretray-credential", key},
                     {"x-samphiretray-token-count", organisation == "small" ? "5000,20" : "500,20"}};
     if (kind == request_kind::stream) {
@@ -433,10 +459,42 @@
     }
 }
 
-void soak_run::inject_link_fault(fault_proxy& link, bool may_repeat) {
-    constexpr auto faults = std::to_array({link_fault::delayed, link_fault::reset, link_fault::one_way,
-                                           link_fault::silent, link_fault::repeated});
-    link.set_fault(faults[random_below(faults.size() - (may_repeat ? 0 : 1))]);
+void soak_run::inject_stutter(process& target, int pauses) {
+    target.paused = true;
+    target.child.signal(SIGSTOP);
+    run_after(random_time(20, 400), [this, &target, pauses] {
+        target.child.signal(SIGCONT);
+        target.paused = false;
+        if (pauses > 1) {
+            run_after(random_time(5, 150), [this, &target, pauses] { inject_stutter(target, pauses - 1); });
+        }
+    });
+}
+
+void soak_run::inject_server_fault(platform_server& server) {
+    print_fault("announcement or restart of " + server.id());
+    constexpr auto announcements =
+        std::to_array({announcement::limit, announcement::leaving, announcement::pause});
+    constexpr auto restarts =
+        std::to_array({restart_kind::new_id, restart_kind::same_id, restart_kind::other_service});
+    if (random_below(2) == 0) {
+        server.crash(random_time(10, 800), restarts[random_below(restarts.size())]);
+        return;
+    }
+    const announcement told = announcements[random_below(announcements.size())];
+    server.announce(told);
+    run_after(random_time(200, 2500), [&server, told] {
+        server.announce(announcement::none);
+        if (told == announcement::leaving) {
+            server.crash(200ms);
+        }
+    });
+}
+
+void soak_run::inject_link_fault(fault_proxy& link, link_fault repetition) {
+    const auto faults = std::to_array({link_fault::delayed, link_fault::reset, link_fault::one_way,
+                                       link_fault::silent, link_fault::unreachable, repetition});
+    link.set_fault(faults[random_below(faults.size() - (repetition == link_fault::none ? 1 : 0))]);
     run_after(random_time(200, 2500), [&link] { link.set_fault(link_fault::none); });
 }
 
@@ -507,24 +565,24 @@
 void soak_run::inject_fault() {
     process& target = *processes_[random_below(processes_.size())];
     platform_server& server = *servers_[random_below(servers_.size())];
-    switch (random_below(12)) {
+    switch (random_below(16)) {
     case 0:
     case 1:
         inject_process_fault(target);
         break;
     case 2:
         print_fault("fault on the connection to the store of " + target.name);
-        inject_link_fault(*target.store_link);
+        inject_link_fault(*target.store_link, link_fault::none);
         break;
     case 3:
         if (target.engine_link) {
             print_fault("fault on the connection to the engine of " + target.name);
-            inject_link_fault(*target.engine_link);
+            inject_link_fault(*target.engine_link, link_fault::repeated_responses);
         }
         break;
     case 4: {
         print_fault("fault on the connection to a plain server");
-        inject_link_fault(*server_links_[random_below(server_links_.size())], true);
+        inject_link_fault(*server_links_[random_below(server_links_.size())], link_fault::repeated);
         break;
     }
     case 5:
@@ -562,6 +620,24 @@
             server.set_delayed_orders(false);
         });
         break;
+    case 11:
+    case 12:
+        print_fault("fault on the connections of entries to " + target.name);
+        inject_link_fault(*target.entry_link, link_fault::repeated_responses);
+        break;
+    case 13:
+        print_fault("stutter of " + target.name);
+        inject_stutter(target, stutter_count);
+        if (random_below(2) == 0) {
+            print_fault("a plain server cannot be reached meanwhile");
+            fault_proxy& link = *server_links_[random_below(server_links_.size())];
+            link.set_fault(link_fault::unreachable);
+            run_after(random_time(500, 2500), [&link] { link.set_fault(link_fault::none); });
+        }
+        break;
+    case 14:
+        inject_server_fault(server);
+        break;
     default:
         print_fault("configuration change");
         write_configuration();
@@ -581,6 +657,7 @@
     store_.set_fault(store_fault::none);
     for (const auto& each : processes_) {
         each->store_link->set_fault(link_fault::none);
+        each->entry_link->set_fault(link_fault::none);
         if (each->engine_link) {
             each->engine_link->set_fault(link_fault::none);
         }
@@ -592,6 +669,7 @@
         server->set_response_faults(false);
         server->set_refusing(false);
         server->set_delayed_orders(false);
+        server->announce(announcement::none);
     });
 }
 
@@ -603,8 +681,10 @@
     // Far more tokens than the organisation may spend, so that only refusals keep it within its limit.
     const net::timer_handle small = loop_.every(55ms, [this] { send_random_request("key-small", "small"); });
     loop_.run_until([] { return false; }, 2s);
+    has_faults_ = true;
     inject_fault();
     loop_.run_until([] { return false; }, std::chrono::seconds{options_.seconds});
+    has_faults_ = false;
     clear_faults();
     timers_.clear();
     crowds_.clear();
--- a/soak/platform_server.cpp
+++ b/soak/platform_server.cpp
@@ -20,9 +20,14 @@
 /// Time between writes of a response that does not end.
 constexpr duration write_interval = 5ms;
 /// Outcomes of successive responses while response faults are on.
-constexpr std::array faulty_outcomes{response_outcome::dropped, response_outcome::truncated,
+constexpr std::array faulty_outcomes{response_outcome::dropped,  response_outcome::truncated,
                                      response_outcome::replayed, response_outcome::endless,
-                                     response_outcome::stalled};
+                                     response_outcome::stalled,  response_outcome::failed};
+
+/// The service of the route that the path belongs to.
+std::string_view service_of(std::string_view path) {
+    return path.starts_with("/e/") ? "engines" : path.starts_with("/l/") ? "lookups" : "orders";
+}
 
 std::string header(const net::http_request& request, std::string_view name) {
     return std::string{net::find_header(request.headers, name)};
@@ -63,7 +68,11 @@
         throw std::runtime_error(to_string(created.error()));
     }
     server_ = std::move(*created);
-    id_ = description_.id + "-" + std::to_string(++start_count_);
+    id_count_ += next_start_ == restart_kind::same_id ? 0 : 1;
+    id_ = description_.id + "-" + std::to_string(id_count_);
+    if (next_start_ == restart_kind::other_service) {
+        std::swap(description_.service, description_.other_service);
+    }
     ++incarnation_;
     started_at_ = loop_.now();
     runs_while_cold_.clear();
@@ -77,7 +86,11 @@
     if (no_runs_from_ && now >= *no_runs_from_) {
         checker_.add_violation(id_ + " runs " + attempt + " in an evacuated data centre", now);
     }
-    if (!description_.is_engine || start_count_ == 1 || now - started_at_ >= cold_time) {
+    if (service_of(request.path) != description_.service) {
+        checker_.add_violation(
+            id_ + " of " + description_.service + " runs " + attempt + " of another service", now);
+    }
+    if (!description_.is_engine || incarnation_ == 1 || now - started_at_ >= cold_time) {
         return;
     }
     // The excess that operators accept.
@@ -88,10 +101,13 @@
     }
 }
 
-void platform_server::crash(duration downtime) {
+void platform_server::crash(duration downtime, restart_kind kind) {
     if (!is_up()) {
         return;
     }
+    const bool has_other_service = !description_.other_service.empty();
+    next_start_ = kind == restart_kind::other_service && !has_other_service ? restart_kind::new_id : kind;
+    announce(announcement::none);
     loop_.post([stopped = std::shared_ptr<net::http_server>(std::move(server_))] {});
     sequence_ = 0;
     highest_fencing_number_ = 0;
@@ -204,8 +220,10 @@
         return;
     }
     if (refuses_ && ++refusable_count_ % 2 == 0) {
-        response->send(503, {{"x-samphiretray-attempt-id", attempt}, {"x-samphiretray-not-executed", "1"}},
-                       "");
+        net::http_headers headers{{"x-samphiretray-attempt-id", attempt},
+                                  {"x-samphiretray-not-executed", "1"}};
+        add_announcement(headers);
+        response->send(503, headers, "");
         return;
     }
     const auto counts = split(net::find_header(request.headers, "x-samphiretray-token-count"), ',');
@@ -226,8 +244,8 @@
         run_after(service_time, [this, response, attempt, id] { crash_on_prompt(response, attempt, id); });
         return;
     }
-    run_after(service_time, [this, response, attempt, outcome, id] {
-        if (id != id_ || !response->is_open()) {
+    run_after(service_time, [this, response, attempt, outcome, incarnation = incarnation_] {
+        if (incarnation != incarnation_ || !is_up() || !response->is_open()) {
             response->abort();
             return;
         }
@@ -257,16 +275,22 @@
     const std::string& sent_attempt = is_replay ? previous_attempt_ : attempt;
     const std::string body = expected_body(sent_attempt);
     const std::string_view first_half = std::string_view{body}.substr(0, body.size() / 2);
-    const net::http_headers headers{{"x-samphiretray-attempt-id", sent_attempt},
-                                    {"x-samphiretray-server-seal", "seal"}};
+    net::http_headers headers{{"x-samphiretray-attempt-id", sent_attempt},
+                              {"x-samphiretray-server-seal", "seal"}};
+    add_announcement(headers);
     previous_attempt_ = attempt;
     if (outcome == response_outcome::complete || outcome == response_outcome::replayed) {
         response->send(200, headers, body);
         return;
     }
+    if (outcome == response_outcome::failed) {
+        response->send(503, headers, "failed");
+        return;
+    }
     response->start(200, headers);
     switch (outcome) {
     case response_outcome::dropped:
+    case response_outcome::failed:
         break;
     case response_outcome::truncated:
         response->write(first_half);
@@ -286,6 +310,22 @@
     }
 }
 
+void platform_server::add_announcement(net::http_headers& headers) const {
+    switch (announcement_) {
+    case announcement::none:
+        break;
+    case announcement::limit:
+        headers.push_back({"server-limit", "20"});
+        break;
+    case announcement::leaving:
+        headers.push_back({"server-leaving", "1"});
+        break;
+    case announcement::pause:
+        headers.push_back({"retry-after", "0.2"});
+        break;
+    }
+}
+
 void platform_server::keep_writing(const std::shared_ptr<net::http_response>& response,
                                    const std::string& bytes) {
     if (!response->is_open()) {
--- a/soak/platform_server.h
+++ b/soak/platform_server.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace samphiretray::soak {
@@ -20,6 +21,8 @@
 struct server_description {
     std::string id;
     std::string service;
+    /// The service of every other start, whose servers then take over the address; empty for always the same.
+    std::string other_service;
     std::string data_centre;
     net::address listen;
     /// The address that it registers, and at which it is called; a fault proxy may stand between.
@@ -55,20 +58,33 @@
     endless,
     /// Sends half of the body, and then only SSE comment lines until the caller closes.
     stalled,
+    /// Fails with its own 503, which does not say that the request has not run.
+    failed,
 };
 
+/// What a server tells of itself in its responses.
+enum class announcement { none, limit, leaving, pause };
+
+/// How a server starts again after a crash.
+enum class restart_kind { new_id, same_id, other_service };
+
 /// Stand-in for a model server or plain service that follows the platform's protocol and reports each run and
 /// order to the invariant checker.
 class platform_server {
 public:
     platform_server(net::loop& events, server_description description, invariant_checker& checker);
 
-    /// Stops at once, and starts again after `downtime` under a new id; an engine then has nothing loaded.
-    void crash(duration downtime);
+    /// Stops at once, and starts again after `downtime`; an engine then has nothing loaded.
+    void crash(duration downtime, restart_kind kind = restart_kind::new_id);
     /// While on, responses fail in the ways of `response_outcome`, one after the other.
     void set_response_faults(bool on) noexcept { has_response_faults_ = on; }
     /// While on, every other request is refused as not run.
     void set_refusing(bool on) noexcept { refuses_ = on; }
+    /// What responses announce from now on; a server that pauses also refuses every other request as not run.
+    void announce(announcement told) noexcept {
+        announcement_ = told;
+        refuses_ = told == announcement::pause;
+    }
     /// While on, orders get no response and are carried out 1.5 s later.
     void set_delayed_orders(bool on) noexcept { delays_orders_ = on; }
     [[nodiscard]] bool is_up() const noexcept { return server_ != nullptr; }
@@ -81,6 +97,7 @@
 
 private:
     void listen();
+    void add_announcement(net::http_headers& headers) const;
     void handle_request(const net::http_request& request,
                         const std::shared_ptr<net::http_response>& response);
     void run_request(const net::http_request& request, const std::shared_ptr<net::http_response>& response);
@@ -100,7 +117,9 @@
     invariant_checker& checker_;
     std::unique_ptr<net::http_server> server_;
     std::string id_;
-    int start_count_ = 0;
+    /// Numbers the ids.
+    int id_count_ = 0;
+    restart_kind next_start_ = restart_kind::new_id;
     time_point started_at_;
     std::deque<time_point> runs_while_cold_;
     std::optional<time_point> no_runs_from_;
@@ -114,6 +133,7 @@
     /// Versions of the loaded adapters by name.
     std::map<std::string, std::uint64_t> adapters_;
     bool refuses_ = false;
+    announcement announcement_ = announcement::none;
     std::uint64_t refusable_count_ = 0;
     bool has_response_faults_ = false;
     std::size_t faulty_response_count_ = 0;
--- a/soak/platform_store.cpp
+++ b/soak/platform_store.cpp
@@ -144,6 +144,17 @@
     answer_watches();
 }
 
+std::string platform_store::translated(const std::string& key, const std::string& value) const {
+    std::string text = from_base64(value).value_or("");
+    for (const translation& each : translations_) {
+        const std::size_t at = key.starts_with(each.prefix) ? text.find(each.what) : std::string::npos;
+        if (at != std::string::npos) {
+            text.replace(at, each.what.size(), each.by);
+        }
+    }
+    return to_base64(text);
+}
+
 void platform_store::transact(const net::http_request& request, net::http_response& response) {
     const json body = json::parse(request.body);
     for (const json& put : body["puts"]) {
@@ -153,7 +164,7 @@
             return;
         }
         item& stored = content_.items[put["key"]];
-        stored = {put["value"], ++content_.revision, lease};
+        stored = {translated(put["key"], put["value"]), ++content_.revision, lease};
         content_.history.push_back({put["key"], content_.revision, false, stored.value});
     }
     answer_watches();
--- a/soak/platform_store.h
+++ b/soak/platform_store.h
@@ -30,6 +30,11 @@
     platform_store(net::loop& events, const net::address& listen);
 
     void set_fault(store_fault fault) noexcept { fault_ = fault; }
+    /// Replaces `what` in the values of the keys below `prefix` that processes write, as address translation
+    /// in front of them would.
+    void translate(const std::string& prefix, const std::string& what, const std::string& by) {
+        translations_.push_back({prefix, what, by});
+    }
     /// Drops the change history; a watch from an earlier revision is answered with 410.
     void compact();
     /// Keeps a copy of all keys, leases and revisions.
@@ -57,6 +62,11 @@
         bool removed = false;
         std::string value;
     };
+    struct translation {
+        std::string prefix;
+        std::string what;
+        std::string by;
+    };
     struct pending_watch {
         std::string prefix;
         std::uint64_t after_revision = 0;
@@ -82,6 +92,8 @@
     void list(const net::http_request& request, net::http_response& response);
     void watch(const net::http_request& request, const std::shared_ptr<net::http_response>& response);
     void transact(const net::http_request& request, net::http_response& response);
+    /// The value, in base64, with all translations of its key.
+    [[nodiscard]] std::string translated(const std::string& key, const std::string& value) const;
     /// The answer to a watch as JSON; sets `has_changes` if it holds a change.
     [[nodiscard]] std::string changes_after(const std::string& prefix, std::uint64_t after_revision,
                                             bool& has_changes) const;
@@ -96,6 +108,7 @@
     content copy_;
     std::uint64_t era_ = 1;
     store_fault fault_ = store_fault::none;
+    std::vector<translation> translations_;
     std::vector<pending_watch> watches_;
     /// Requests received while the store was silent.
     std::vector<std::shared_ptr<net::http_response>> unanswered_;
