--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -13,13 +13,12 @@
 constexpr double rate_tolerance = 0.1;
 constexpr double token_tolerance = 72'000;
 
-/// Statuses that promise that the attempt has not run and will not.
-bool promises_not_run(int status) {
+} // namespace
+
+bool promises_not_run(int status) noexcept {
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-} // namespace
-
 void invariant_checker::add_violation(const std::string& what, time_point now) {
     violations_.push_back(std::to_string(milliseconds_in(now - start_)) + " ms: " + what);
 }
@@ -30,6 +29,12 @@
     attempts_[name] = {kind, organisation, crashes_engines, now, 0, 0, false};
 }
 
+void invariant_checker::on_attempt_repeated(const std::string& refused, const std::string& name,
+                                            time_point now) {
+    const attempt& before = attempts_.at(refused);
+    attempts_[name] = {before.kind, before.organisation, before.crashes_engines, now, 0, 0, false, refused};
+}
+
 std::size_t invariant_checker::prompt_crashes(time_point since) const {
     return static_cast<std::size_t>(
         std::ranges::count_if(prompt_crashes_, [since](time_point each) { return each >= since; }));
@@ -48,6 +53,9 @@
     if (record.kind != request_kind::safe && record.runs > 1) {
         add_violation(name + " runs twice", now);
     }
+    if (!record.first.empty() && attempts_.at(record.first).runs > 0) {
+        add_violation(name + " runs twice, since it was refused as not run and had run", now);
+    }
     if (promises_not_run(record.status)) {
         add_violation(name + " runs after it was refused with " + std::to_string(record.status), now);
     }
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -13,6 +13,9 @@
 
 enum class request_kind { safe, at_most_once, stream };
 
+/// Statuses that promise that the attempt has not run and will not.
+[[nodiscard]] bool promises_not_run(int status) noexcept;
+
 /// How often, and when last, servers ran one attempt.
 struct attempt_runs {
     int runs = 0;
@@ -28,6 +31,8 @@
     /// `crashes_engines` if its prompt has the part on which engines crash; nobody expects an answer then.
     void on_attempt_sent(const std::string& attempt, request_kind kind, const std::string& organisation,
                          bool crashes_engines, time_point now);
+    /// The caller sends a refused attempt once more, under another name.
+    void on_attempt_repeated(const std::string& refused, const std::string& name, time_point now);
     /// An engine crashed on an attempt's prompt.
     void on_prompt_crash(time_point now) { prompt_crashes_.push_back(now); }
     /// A server starts to run an attempt; `credential_received` if the request still carries the caller's API
@@ -72,6 +77,8 @@
         /// HTTP status; 0 while there is no response, -1 if the call failed.
         int status = 0;
         bool complete = false;
+        /// The first attempt of a caller that came back.
+        std::string first = {};
     };
     /// Token limit of an organisation and the tokens of the attempts that servers ran in the last window.
     struct token_usage {
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -66,6 +66,9 @@
 /// Processes must exit this soon after SIGTERM.
 constexpr duration stop_timeout = 9s;
 constexpr duration call_timeout = 2s;
+constexpr std::string_view attempt_header = "x-samphiretray-attempt-id";
+/// Callers of the faulty phase come back once with what was refused as not run.
+constexpr duration return_pause = 30ms;
 /// One in so many requests of the faulty phase has a short deadline, or a caller that leaves soon.
 constexpr std::size_t hurried_one_in = 3;
 constexpr std::size_t leaving_one_in = 12;
@@ -120,6 +123,10 @@
     void register_servers();
     void check_processes();
     void send_random_request(const std::string& key, const std::string& organisation);
+    void send_attempt(const net::http_call& call, const std::string& attempt, bool comes_back);
+    /// Sends a request that was refused as not run once more, as a new attempt at any entry.
+    void come_back(net::http_call call, const std::string& refused);
+    [[nodiscard]] const process& random_entry();
     void poll_configuration(process& target);
     /// Injects a random fault, and schedules the next one until the fault phase ends.
     void inject_fault();
@@ -381,13 +388,17 @@
         });
 }
 
-void soak_run::send_random_request(const std::string& key, const std::string& organisation) {
-    std::vector<process*> entries;
+const process& soak_run::random_entry() {
+    std::vector<const process*> entries;
     for (const auto& each : processes_) {
         if (each->is_entry) {
             entries.push_back(each.get());
         }
     }
+    return *entries[random_below(entries.size())];
+}
+
+void soak_run::send_random_request(const std::string& key, const std::string& organisation) {
     const std::size_t drawn = random_below(10);
     const request_kind kind = drawn < 3   ? request_kind::safe
                               : drawn < 6 ? request_kind::at_most_once
@@ -395,7 +406,7 @@
     const std::uint64_t id = next_call_number_++;
     const std::string attempt = "a" + std::to_string(options_.seed) + "-" + std::to_string(id);
     net::http_call call;
-    call.peer = entries[random_below(entries.size())]->request_address;
+    call.peer = random_entry().request_address;
     call.method = "POST";
     const bool has_home = kind == request_kind::safe && random_below(2) == 0;
     const bool is_lookup = has_faults_ && kind == request_kind::at_most_once && random_below(4) == 0;
@@ -410,7 +421,7 @@
     const duration deadline = is_hurried ? random_time(30, 350) : duration{1800ms};
     call.timeout = leaves ? random_time(10, 300) : call_timeout;
     call.headers = {{"host", "soak.example"},
-                    {"x-samphiretray-attempt-id", attempt},
+                    {std::string{attempt_header}, attempt},
                     {"x-samphiretray-deadline-ms", std::to_string(milliseconds_in(deadline))},
                     {"x-samphiretray-credential", key},
                     {"x-samphiretray-token-count", organisation == "small" ? "5000,20" : "500,20"}};
@@ -426,18 +437,35 @@
                                     std::to_string(id) + ":20"});
     }
     checker_.on_attempt_sent(attempt, kind, organisation, crashes_engines, loop_.now());
-    open_calls_[id] =
-        client_->fetch(std::move(call), [this, id, attempt](const result<net::fetched_response>& answer) {
+    const bool may_come_back = has_faults_ && kind != request_kind::safe && organisation == "large";
+    send_attempt(std::move(call), attempt, may_come_back && !crashes_engines);
+}
+
+void soak_run::send_attempt(const net::http_call& call, const std::string& attempt, bool comes_back) {
+    const std::uint64_t id = next_call_number_++;
+    open_calls_[id] = client_->fetch(
+        call, [this, id, attempt, call, comes_back](const result<net::fetched_response>& answer) {
             if (answer) {
                 checker_.on_attempt_answered(attempt, answer->status, answer->body == expected_body(attempt),
                                              loop_.now());
             } else {
                 checker_.on_attempt_failed(attempt);
             }
+            if (comes_back && answer && promises_not_run(answer->status)) {
+                run_after(return_pause, [this, attempt, call] { come_back(call, attempt); });
+            }
             loop_.post([this, id] { open_calls_.erase(id); });
         });
 }
 
+void soak_run::come_back(net::http_call call, const std::string& refused) {
+    const std::string attempt = refused + "r";
+    std::ranges::find(call.headers, attempt_header, &net::http_header::name)->value = attempt;
+    call.peer = random_entry().request_address;
+    checker_.on_attempt_repeated(refused, attempt, loop_.now());
+    send_attempt(call, attempt, false);
+}
+
 void soak_run::inject_process_fault(process& target) {
     const std::size_t kind = random_below(3);
     if (kind == 0) {
