--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -743,7 +743,12 @@
     call.method = request->http.method;
     call.target = request->http.target;
     call.headers = Binding::forward_headers(request->http.headers, fields);
+    // The caller may have sent some.
+    remove_agent_headers(call.headers);
     if (via_agent) {
+        // The id is unique on each connection: all connections are of this process.
+        request->sending = std::to_string(request->id) + "-" + std::to_string(attempt);
+        add_sending(call.headers, request->sending);
         add_waiting_budget(call.headers, waiting_budget_of(*request, has_others));
         add_engine_start(call.headers, to->started_at);
         add_engine_cold(call.headers, rules_.cold_left(to->id, now));
@@ -795,8 +800,16 @@
 typename entry_gateway<Binding, Store>::answer_state
 entry_gateway<Binding, Store>::classify(const active_request& request, const answer_summary& head,
                                         const net::http_headers& headers) const {
-    if (!request.agent_host.empty() && read_refusal(headers)) {
-        return answer_state::agent_refused;
+    if (!request.agent_host.empty()) {
+        // Only responses that the agent's HTTP server makes itself, before it has read the request, name
+        // none.
+        const std::string_view sending = read_sending(headers);
+        if (!sending.empty() && sending != request.sending) {
+            return answer_state::invalid;
+        }
+        if (read_refusal(headers)) {
+            return answer_state::agent_refused;
+        }
     }
     switch (classify_answer(head, request.caller.attempt_id)) {
     case answer_class::mismatched:
@@ -806,8 +819,9 @@
     case answer_class::matching:
         break;
     }
-    return request.matched_route->kind == call_kind::streaming ? answer_state::relayed
-                                                               : answer_state::buffered;
+    return request.matched_route->kind == call_kind::streaming && !is_false_promise(request)
+               ? answer_state::relayed
+               : answer_state::buffered;
 }
 
 template <request_binding Binding, typename Store>
@@ -972,6 +986,11 @@
     return request.matched_route->kind == call_kind::safe || is_resumable(request);
 }
 
+template <request_binding Binding, typename Store>
+bool entry_gateway<Binding, Store>::is_false_promise(const active_request& request) {
+    return promises_not_run(request.status) && !is_retryable(request);
+}
+
 template <request_binding Binding, typename Store>
 bool entry_gateway<Binding, Store>::may_have_run(const active_request& request) {
     return request.may_have_run || (request.exchange && request.exchange->may_have_been_sent());
@@ -1000,6 +1019,11 @@
     }
     if (refused && !failure) {
         ejection_.abandoned(request->endpoint, now);
+        log_event(log_level::info, "attempt_refused",
+                  {{"request", request->caller.attempt_id},
+                   {"endpoint", request->endpoint},
+                   {"attempt", request->attempt},
+                   {"reason", name_of(*request->last_refusal)}});
         if (request->last_refusal == agent_refusal::engine_restarted) {
             // The endpoint's record predates the engine's restart. If it is written again, the endpoint
             // returns.
@@ -1345,6 +1369,10 @@
     } else {
         ejection_.succeeded(request->endpoint, now);
     }
+    if (is_false_promise(*request)) {
+        refuse(*request, 502, std::nullopt, "the endpoint failed");
+        return;
+    }
     remove_content_length(request->headers);
     request->response->send(request->status, request->headers, request->body);
     end(*request, failed ? request_outcome::endpoint_failed : request_outcome::answered, request->status, "");
@@ -1477,14 +1505,13 @@
                {"first_ms", first_ms},
                {"total_ms", milliseconds_in(now - request.arrived)}});
     discard_buffered(request);
+    // Cancelled at once: the exchange may fail to connect in this iteration of the loop, and the request
+    // would then be sent to another endpoint although its caller has been told that it will not run.
+    request.exchange.reset();
     const auto found = active_requests_.find(request.id);
     if (found != active_requests_.end()) {
-        // This may be called from a callback of the exchange or the timer, which must not be destroyed inside
-        // it.
-        loop_.post([kept = std::move(found->second)] {
-            kept->exchange.reset();
-            kept->deadline_timer.reset();
-        });
+        // This may be called from the action of the timer, which must not be destroyed inside it.
+        loop_.post([kept = std::move(found->second)] { kept->deadline_timer.reset(); });
         active_requests_.erase(found);
     }
 }
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -141,6 +141,8 @@
         std::string endpoint;
         net::address sent_to;
         std::string agent_host;
+        /// Identifies the current sending to an agent.
+        std::string sending;
         std::string adapter_version;
         std::unique_ptr<net::http_exchange> exchange;
         time_point sent_at;
@@ -243,6 +245,9 @@
     void retry_or_give_up(const request_pointer& request, bool forwarded, std::string_view cause);
     [[nodiscard]] static bool is_resumable(const active_request& request);
     [[nodiscard]] static bool is_retryable(const active_request& request);
+    /// Whether the status of an endpoint's own failure would tell the caller, wrongly, that a request that
+    /// may run only once has not run. It is not passed on.
+    [[nodiscard]] static bool is_false_promise(const active_request& request);
     /// False only if it is certain that no endpoint is running or has run the request.
     [[nodiscard]] static bool may_have_run(const active_request& request);
     void check_stalled_streams();
