Soak: three requests that crash every server that runs them

One safe call, one order and one stream, each sent again and again at any entry beside all other faults; each may crash at most three servers in the phase without faults. Nobody expects their answers.

--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -35,6 +35,15 @@
     attempts_[name] = {before.kind, before.organisation, before.crashes_engines, now, 0, 0, false, refused};
 }
 
+std::map<std::string, std::size_t> invariant_checker::request_crashes(time_point since) const {
+    std::map<std::string, std::size_t> counts;
+    for (const auto& [path, times] : request_crashes_) {
+        counts[path] = static_cast<std::size_t>(
+            std::ranges::count_if(times, [since](time_point each) { return each >= since; }));
+    }
+    return counts;
+}
+
 std::size_t invariant_checker::prompt_crashes(time_point since) const {
     return static_cast<std::size_t>(
         std::ranges::count_if(prompt_crashes_, [since](time_point each) { return each >= since; }));
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -35,6 +35,8 @@
     void on_attempt_repeated(const std::string& refused, const std::string& name, time_point now);
     /// An engine crashed on an attempt's prompt.
     void on_prompt_crash(time_point now) { prompt_crashes_.push_back(now); }
+    /// A server crashed on a deadly request to `path`.
+    void on_request_crash(const std::string& path, time_point now) { request_crashes_[path].push_back(now); }
     /// A server starts to run an attempt; `credential_received` if the request still carries the caller's API
     /// key.
     void on_attempt_run(const std::string& server, const std::string& attempt,
@@ -63,6 +65,8 @@
     [[nodiscard]] const std::vector<std::string>& violations() const noexcept { return violations_; }
     /// Number of crashes on a prompt from `since` on.
     [[nodiscard]] std::size_t prompt_crashes(time_point since) const;
+    /// The same on deadly requests, by path.
+    [[nodiscard]] std::map<std::string, std::size_t> request_crashes(time_point since) const;
     [[nodiscard]] std::size_t attempt_count() const noexcept { return attempts_.size(); }
     /// Fraction of the organisation's attempts sent from `since` on that got a complete response.
     [[nodiscard]] double answered_fraction(const std::string& organisation, time_point since) const;
@@ -91,6 +95,7 @@
     time_point start_;
     std::map<std::string, attempt> attempts_;
     std::vector<time_point> prompt_crashes_;
+    std::map<std::string, std::vector<time_point>> request_crashes_;
     /// Name of the first owner that sent an order, by engine.
     std::map<std::string, std::string> owners_;
     /// Newest reported version by process and incarnation.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
@@ -54,6 +55,11 @@
 constexpr std::size_t crashing_one_in = 20;
 /// Most crashes on it in the phase without faults, as the operators allow once it has crashed five engines.
 constexpr std::size_t max_late_prompt_crashes = 3;
+/// The deadly requests: one of each kind, sent again and again at any entry. Each may crash as many servers
+/// in the phase without faults.
+constexpr std::array deadly_paths{"/s/1", "/u/1", "/e/1"};
+constexpr std::size_t max_late_request_crashes = 3;
+constexpr duration deadly_interval = 150ms;
 constexpr duration store_copy_interval = 1500ms;
 /// An evacuation has to be in force this soon.
 constexpr duration evacuation_limit = 5s;
@@ -123,6 +129,8 @@
     void register_servers();
     void check_processes();
     void send_random_request(const std::string& key, const std::string& organisation);
+    /// Sends the next of the deadly requests.
+    void send_deadly_request();
     void send_attempt(const net::http_call& call, const std::string& attempt, bool comes_back);
     /// Sends a request that was refused as not run once more, as a new attempt at any entry.
     void come_back(net::http_call call, const std::string& refused);
@@ -701,6 +709,32 @@
     });
 }
 
+void soak_run::send_deadly_request() {
+    const std::uint64_t id = next_call_number_++;
+    const std::string attempt = "d" + std::to_string(options_.seed) + "-" + std::to_string(id);
+    const std::string path = deadly_paths[id % deadly_paths.size()];
+    const request_kind kind = path == "/s/1"   ? request_kind::safe
+                              : path == "/u/1" ? request_kind::at_most_once
+                                               : request_kind::stream;
+    net::http_call call;
+    call.peer = random_entry().request_address;
+    call.method = "POST";
+    call.target = path;
+    call.body = deadly_body;
+    call.timeout = call_timeout;
+    call.headers = {{"host", "soak.example"},
+                    {std::string{attempt_header}, attempt},
+                    {"x-samphiretray-deadline-ms", "1800"},
+                    {"x-samphiretray-credential", key_},
+                    {"x-samphiretray-token-count", "500,20"}};
+    if (kind == request_kind::stream) {
+        call.headers.push_back({"x-samphiretray-model", "m0"});
+        call.headers.push_back({"x-samphiretray-prompt-prefix", "system:50,document1:100,own:20"});
+    }
+    checker_.on_attempt_sent(attempt, kind, "large", true, loop_.now());
+    send_attempt(std::move(call), attempt, false);
+}
+
 int soak_run::run() {
     const net::timer_handle servers = loop_.every(100ms, [this] { register_servers(); });
     const net::timer_handle copied = loop_.every(store_copy_interval, [this] { store_.take_copy(); });
@@ -708,6 +742,7 @@
     const net::timer_handle large = loop_.every(9ms, [this] { send_random_request(key_, "large"); });
     // Far more tokens than the organisation may spend, so that only refusals keep it within its limit.
     const net::timer_handle small = loop_.every(55ms, [this] { send_random_request("key-small", "small"); });
+    const net::timer_handle deadly = loop_.every(deadly_interval, [this] { send_deadly_request(); });
     loop_.run_until([] { return false; }, 2s);
     has_faults_ = true;
     inject_fault();
@@ -748,6 +783,16 @@
                                    " engines crashed on a known prompt part in the calm end",
                                loop_.now());
     }
+    std::string request_crashes;
+    for (const auto& [path, count] : checker_.request_crashes({})) {
+        const std::size_t late = checker_.request_crashes(fault_free_since).at(path);
+        request_crashes += " " + path + " " + std::to_string(count) + " (" + std::to_string(late) + ")";
+        if (late > max_late_request_crashes) {
+            checker_.add_violation(std::to_string(late) + " servers crashed on the known request " + path +
+                                       " in the calm end",
+                                   loop_.now());
+        }
+    }
     for (const auto& each : processes_) {
         each->expected_to_end = true;
         each->child.signal(SIGTERM);
@@ -762,9 +807,10 @@
     }
     std::printf(
         "seed %llu: %zu requests, %.3f of the calm end answered, %zu crashes on a prompt (%zu in the calm "
-        "end), %zu violations; logs in %s\n",
+        "end), on requests%s, %zu violations; logs in %s\n",
         static_cast<unsigned long long>(options_.seed), checker_.attempt_count(), answered,
-        checker_.prompt_crashes({}), late_crashes, checker_.violations().size(), folder_.c_str());
+        checker_.prompt_crashes({}), late_crashes, request_crashes.c_str(), checker_.violations().size(),
+        folder_.c_str());
     for (const std::string& each : checker_.violations()) {
         std::printf("VIOLATION %s\n", each.c_str());
     }
--- a/soak/platform_server.cpp
+++ b/soak/platform_server.cpp
@@ -236,12 +236,15 @@
                              ? faulty_outcomes.at(faulty_response_count_++ % faulty_outcomes.size())
                              : response_outcome::complete;
     const std::string id = id_;
-    const bool crashes =
+    const bool is_deadly = request.body == deadly_body;
+    const bool crashes_on_prompt =
         description_.is_engine &&
         net::find_header(request.headers, "x-samphiretray-prompt-prefix").find(crashing_part) !=
             std::string_view::npos;
-    if (crashes) {
-        run_after(service_time, [this, response, attempt, id] { crash_on_prompt(response, attempt, id); });
+    if (is_deadly || crashes_on_prompt) {
+        run_after(service_time, [this, response, attempt, id, cause = is_deadly ? request.path : ""] {
+            crash_while_running(response, attempt, id, cause);
+        });
         return;
     }
     run_after(service_time, [this, response, attempt, outcome, incarnation = incarnation_] {
@@ -253,14 +256,20 @@
     });
 }
 
-void platform_server::crash_on_prompt(const std::shared_ptr<net::http_response>& response,
-                                      const std::string& attempt, const std::string& id) {
+void platform_server::crash_while_running(const std::shared_ptr<net::http_response>& response,
+                                          const std::string& attempt, const std::string& id,
+                                          const std::string& cause) {
     if (id != id_ || !is_up()) {
         response->abort();
         return;
     }
-    checker_.on_prompt_crash(loop_.now());
-    response->start(200, {{"x-samphiretray-attempt-id", attempt}, {"x-samphiretray-server-seal", "seal"}});
+    if (cause.empty()) {
+        checker_.on_prompt_crash(loop_.now());
+        response->start(200,
+                        {{"x-samphiretray-attempt-id", attempt}, {"x-samphiretray-server-seal", "seal"}});
+    } else {
+        checker_.on_request_crash(cause, loop_.now());
+    }
     response->abort();
     crash(prompt_crash_downtime);
 }
