Write each loss of a cut-off entry to the store once, and measure what a request's key costs

An entry that does not hear all peers wrote its record each second for 30 s after a loss, whether or not it had anything new: at 330 entries, of which some are always away, a crash in a rack would have used up the store's writes. It now writes only new losses; the records are read for 20 s.

--- a/bench/routing_decisions.cpp
+++ b/bench/routing_decisions.cpp
@@ -1,8 +1,10 @@
 #include "samphiretray/agent/attempt_table.h"
 #include "samphiretray/agent/fair_queue.h"
 #include "samphiretray/agent/slot_table.h"
+#include "samphiretray/gateway/crash_report.h"
 #include "samphiretray/routing/outlier_ejection.h"
 #include "samphiretray/routing/placement.h"
+#include "samphiretray/routing/request_quarantine.h"
 #include "samphiretray/routing/retry_policy.h"
 
 #include <benchmark/benchmark.h>
@@ -179,6 +181,49 @@
 }
 BENCHMARK(track_attempt);
 
+/// What each request costs so that attempts at it can be recognised; the argument is the size of its body.
+void identify_request(benchmark::State& state) {
+    gateway::caller_request decoded;
+    decoded.host = "orders.example";
+    net::http_request request;
+    request.method = "POST";
+    request.target = "/orders/1";
+    request.body.assign(static_cast<std::size_t>(state.range(0)), 'x');
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(gateway::make_request_key(decoded, request, "coop"));
+    }
+}
+BENCHMARK(identify_request)->Arg(600)->Arg(18'000);
+
+/// Checks a request, and notes its answer, while `range(0)` other requests are suspected.
+void check_suspected_request(benchmark::State& state) {
+    routing::request_quarantine quarantine{{}};
+    for (std::int64_t i = 0; i < state.range(0); ++i) {
+        const auto number = static_cast<std::uint64_t>(i);
+        quarantine.on_cut(number, {number, number, 0ms}, start);
+    }
+    std::uint64_t request = 1U << 20U;
+    for (auto _ : state) {
+        ++request;
+        benchmark::DoNotOptimize(quarantine.check(request, request, start));
+        quarantine.on_answered(request, start);
+    }
+}
+BENCHMARK(check_suspected_request)->Arg(0)->Arg(2000);
+
+void poll_suspected_requests(benchmark::State& state) {
+    routing::request_quarantine quarantine{{}};
+    for (std::uint64_t i = 0; i < static_cast<std::uint64_t>(state.range(0)); ++i) {
+        for (std::uint64_t cut = 0; cut < 3; ++cut) {
+            quarantine.on_cut(i, {cut, 10 * i + cut, 0ms}, start + cut * 2s);
+        }
+    }
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(quarantine.poll(start + 10s));
+    }
+}
+BENCHMARK(poll_suspected_requests)->Arg(10)->Arg(2000)->Unit(benchmark::kMicrosecond);
+
 } // namespace
 
 BENCHMARK_MAIN();
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -51,9 +51,9 @@
 inline constexpr duration quarantine_announcement_interval = 5s;
 /// The record in the store is written again after this time, since the store may lose it.
 inline constexpr duration quarantine_record_interval = 10s;
-/// After a cut that this entry has observed, it reads the others' records for this long, at this interval,
-/// while it does not hear them.
-inline constexpr duration cut_off_reading_time = 30s;
+/// After a server was lost, an entry that does not hear all others reads their records for this long, at this
+/// interval.
+inline constexpr duration cut_off_reading_time = 20s;
 inline constexpr duration cut_off_reading_interval = 1s;
 inline constexpr std::size_t entries_informing_an_agent = 2;
 inline constexpr std::size_t entries_recording_the_quarantine = 2;
@@ -1235,12 +1235,16 @@
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::exchange_through_store() {
     const time_point now = loop_.now();
-    const bool has_cut = last_cut_at_ && now - *last_cut_at_ < limits::cut_off_reading_time;
     const bool is_due = !records_read_at_ || now - *records_read_at_ >= limits::cut_off_reading_interval;
-    if (has_cut && is_due && !usage_exchange_.hears_all_peers()) {
-        records_read_at_ = now;
+    if (!last_cut_at_ || now - *last_cut_at_ >= limits::cut_off_reading_time || !is_due ||
+        usage_exchange_.hears_all_peers()) {
+        return;
+    }
+    records_read_at_ = now;
+    quarantine_record_.read();
+    if (std::exchange(recorded_cuts_, suspected_requests_.observed_cuts()) !=
+        suspected_requests_.observed_cuts()) {
         quarantine_record_.write();
-        quarantine_record_.read();
     }
 }
 
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -301,6 +301,7 @@
     /// When this entry has observed the last cut, and has last read the others' records because of it.
     std::optional<time_point> last_cut_at_;
     std::optional<time_point> records_read_at_;
+    std::uint64_t recorded_cuts_ = 0;
     rate::endpoint_limits limits_;
     placement_rules rules_;
     usage_exchange<Store> usage_exchange_;
--- a/include/samphiretray/routing/request_quarantine.h
+++ b/include/samphiretray/routing/request_quarantine.h
@@ -130,6 +130,8 @@
     /// True if this process has observed a cut since the last call whose request had lost another server
     /// before.
     [[nodiscard]] bool take_repeated_cut();
+    /// Number of cuts that this process has observed itself.
+    [[nodiscard]] std::uint64_t observed_cuts() const noexcept { return observed_cuts_; }
 
     /// The requests that are quarantined now, and those whose quarantine has been lifted lately, as agents of
     /// engines hold them back.
@@ -188,6 +190,7 @@
     std::vector<std::string> members_;
     std::uint64_t revision_ = 0;
     bool has_repeated_cut_ = false;
+    std::uint64_t observed_cuts_ = 0;
     std::unordered_map<request_key, known_request> requests_;
     /// Time of the last answer to each request; the older generation is dropped when the newer one is full or
     /// old enough.
--- a/src/routing/request_quarantine.cpp
+++ b/src/routing/request_quarantine.cpp
@@ -109,6 +109,7 @@
         return;
     }
     known.revision = ++revision_;
+    ++observed_cuts_;
     has_repeated_cut_ = has_repeated_cut_ || is_suspected_often(known);
 }
 
