--- a/tests/gateway/records_test.cpp
+++ b/tests/gateway/records_test.cpp
@@ -12,6 +12,7 @@
     add_engine_load(headers, {1200, 3, 40'000, 2, 1, 24'000, {"m/a1@1", "m/a7@2"}});
     add_refusal(headers, agent_refusal::engine_down);
     add_waiting_budget(headers, {350ms, 800ms, 3200ms});
+    add_sending(headers, "17-2");
     const auto load = read_engine_load(headers);
     REQUIRE(load);
     CHECK(load->backlog_tokens == 1200);
@@ -27,6 +28,7 @@
     CHECK(budget->max_queue_wait == 350ms);
     CHECK(budget->until_late == 800ms);
     CHECK(budget->until_abandoned == 3200ms);
+    CHECK(read_sending(headers) == "17-2");
     remove_agent_headers(headers);
     CHECK(headers.size() == 1);
 }
--- a/tests/platform/engine_agent_test.cpp
+++ b/tests/platform/engine_agent_test.cpp
@@ -544,6 +544,37 @@
     CHECK(connections_after("one", 3) == after_one + 1);
 }
 
+// Guards against "not run" for a request that an engine runs (REFUSED): without the sending, an entry cannot
+// tell a late copy of an earlier response on its connection from the response to this request.
+TEST_CASE("an agent repeats in each response the sending that it answers, and its engine does not see it") {
+    agent_fixture fixture;
+    fixture.start();
+    const auto sending_in_answer = [&fixture](const std::string& sending) {
+        const std::size_t answers = fixture.answers.size() + 1;
+        fixture.send_request("attempt " + sending, "", "", 5s, [&sending](net::http_headers& headers) {
+            gateway::add_sending(headers, sending);
+        });
+        fixture.wait_for_answers(answers);
+        REQUIRE(fixture.answers.back());
+        return std::string{gateway::read_sending(fixture.answers.back()->headers)};
+    };
+    CHECK(sending_in_answer("answered-1") == "answered-1");
+    CHECK(fixture.answers.back()->status == 200);
+    CHECK(gateway::read_sending(fixture.engine.requests.back().headers).empty());
+    fixture.engine.on_request = [](const auto&, const auto& response) { response->send(200, {}, ""); };
+    CHECK(sending_in_answer("unsigned-1") == "unsigned-1");
+    CHECK(fixture.answers.back()->status == 502);
+    fixture.engine.on_request = [](const net::http_request& request, const auto& response) {
+        const auto attempt = net::find_header(request.headers, "x-samphiretray-attempt-id");
+        response->send(421, {{"x-samphiretray-attempt-id", std::string{attempt}}}, "");
+    };
+    CHECK(sending_in_answer("misdirected-1") == "misdirected-1");
+    CHECK(fixture.answers.back()->status == 421);
+    fixture.agent.begin_evacuation("");
+    CHECK(sending_in_answer("evacuated-1") == "evacuated-1");
+    CHECK(fixture.answers.back()->status == 503);
+}
+
 // Guards against requests that wait at an agent and reach its engine after its data centre has been
 // evacuated.
 TEST_CASE("an agent of an evacuated data centre takes back what waits and refuses what comes") {
--- a/tests/platform/not_run_promise_test.cpp
+++ b/tests/platform/not_run_promise_test.cpp
@@ -100,3 +100,14 @@
     CHECK(status_of(fixture.send_and_wait("/u/1")) == 500);
     CHECK(status_of(fixture.send_and_wait("/e/1")) == 500);
 }
+
+// Guards against callers that set how long their request may wait at an agent, or which sending an agent
+// answers.
+TEST_CASE("headers between entries and agents are not taken from callers") {
+    entry_with_servers fixture;
+    fixture.register_all();
+    REQUIRE(status_of(fixture.send_and_wait("/u/1", {{"samphiretray-sending", "1-1"},
+                                                     {"samphiretray-waiting-budget-ms", "1,2,3"}})) == 200);
+    CHECK(gateway::read_sending(fixture.received[0][0].headers).empty());
+    CHECK_FALSE(gateway::read_waiting_budget(fixture.received[0][0].headers));
+}
