--- a/tests/platform/not_run_promise_test.cpp
+++ b/tests/platform/not_run_promise_test.cpp
@@ -27,6 +27,20 @@
     CHECK(fixture.received[1].size() == 1);
 }
 
+// The same for a call that fails before it connects, which is reported by an action that was posted before
+// the deadline came.
+TEST_CASE("a request that has been refused at its deadline is not sent on when its call cannot be made") {
+    entry_with_servers fixture;
+    fixture.entry->apply(entry_with_servers::make_state(3));
+    fixture.register_server(1);
+    fixture.entry->set_endpoints_complete();
+    REQUIRE(status_of(fixture.send_and_wait("/u/1")) == 200);
+    fixture.entry->update_endpoint({"i-0", "orders", {"no address", 1}, "north-a", 6, false, 1, {}});
+    CHECK(status_of(fixture.send_and_wait("/u/1", {{"x-samphiretray-deadline-ms", "0"}})) == 503);
+    fixture.events.run_until([] { return false; }, 50ms);
+    CHECK(fixture.received[1].size() == 1);
+}
+
 // Guards against "not run" for a request that an engine has begun (REFUSED): on the link between entry and
 // agent the refusal of an earlier request arrives once more, when the agent is running the next one.
 TEST_CASE("a copy of an agent's earlier refusal is not taken as a refusal of the next request") {
