--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -4,6 +4,7 @@
 #include "tests/support/raw_socket.h"
 
 #include <catch2/catch.hpp>
+#include <malloc.h>
 
 #include <optional>
 
@@ -386,3 +387,43 @@
     REQUIRE(fixture.wait([&] { return failure.has_value(); }));
     CHECK(failure->code == errc::too_large);
 }
+
+// Guards against an entry that stands still for ever: a call on a kept connection writes at once, and when it
+// was cancelled before the loop reported the write, the connection was freed while it was still in the loop's
+// list of callbacks to run. Found by the soak (seed 9102), in a process that ran late.
+TEST_CASE("a call that is cancelled in the iteration that has written its request leaves the loop intact") {
+    // Freed memory is overwritten, so that its use is seen.
+    ::mallopt(M_PERTURB, 165);
+    client_fixture fixture;
+    const auto get = [](const char* target) {
+        http_call call;
+        call.target = target;
+        return call;
+    };
+    for (int round = 0; round < 20; ++round) {
+        recorded_call first;
+        fixture.start(first, get("/first"));
+        auto connection = fixture.listener.accept(fixture.events);
+        REQUIRE(connection.receive_until(fixture.events, "/first"));
+        connection.send(fixture.events, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        REQUIRE(fixture.wait([&] { return first.ended; }));
+        recorded_call cancelled;
+        recorded_call next;
+        bool done = false;
+        const auto timer = fixture.events.after(1ms, [&] {
+            fixture.start(cancelled, get("/cancelled"));
+            cancelled.exchange.reset();
+            fixture.start(next, get("/next"));
+            done = true;
+        });
+        REQUIRE(fixture.wait([&] { return done; }));
+        CHECK(connection.receive_all(fixture.events));
+        auto other = fixture.listener.accept(fixture.events);
+        REQUIRE(other.receive_until(fixture.events, "/next"));
+        other.send(fixture.events, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        REQUIRE(fixture.wait([&] { return next.ended; }));
+        CHECK(next.status == 200);
+        CHECK_FALSE(cancelled.ended);
+    }
+    ::mallopt(M_PERTURB, 0);
+}
