--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -139,6 +139,8 @@
     write_progress request_writing_ = write_progress::not_started;
     bool head_received_ = false;
     bool ended_ = false;
+    /// The call itself, from its cancellation until the write of its request is reported.
+    std::shared_ptr<client_call> cancelled_while_writing_;
 };
 
 void client_call::start() {
@@ -201,8 +203,13 @@
 }
 
 void client_call::on_written(h2o_socket_t* socket, const char* failure) {
+    client_call& call = from_socket(socket);
     // After a failed write a response of the peer may still be unread, so only the read side ends the call.
-    from_socket(socket).request_writing_ = failure == nullptr ? write_progress::done : write_progress::failed;
+    call.request_writing_ = failure == nullptr ? write_progress::done : write_progress::failed;
+    if (const auto cancelled = std::exchange(call.cancelled_while_writing_, nullptr)) {
+        h2o_socket_close(std::exchange(call.socket_, nullptr));
+        return;
+    }
     update_polled_events(socket);
 }
 
@@ -345,9 +352,18 @@
     ended_ = true;
     timeout_timer_.reset();
     connect_timer_.reset();
-    if (socket_ != nullptr) {
+    if (socket_ == nullptr || cancelled_while_writing_) {
+        return;
+    }
+    if (request_writing_ != write_progress::in_progress) {
         h2o_socket_close(std::exchange(socket_, nullptr));
+        return;
     }
+    // h2o may already have listed the socket for `on_written`, and would use it after it has been freed. It
+    // also refers to the bytes of the request until then. The shutdown ends a write that is blocked.
+    cancelled_while_writing_ = shared_from_this();
+    h2o_socket_read_stop(socket_);
+    ::shutdown(h2o_socket_get_fd(socket_), SHUT_RDWR);
 }
 
 void client_call::on_timeout() {
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -427,3 +427,19 @@
     }
     ::mallopt(M_PERTURB, 0);
 }
+
+// Guards against connections that stay open when their call has been cancelled while the peer does not read.
+TEST_CASE("a call that is cancelled while the write of its request is blocked closes its connection") {
+    client_fixture fixture;
+    recorded_call call;
+    http_call request;
+    request.method = "POST";
+    request.body.assign(std::size_t{32} << 20U, 'x');
+    fixture.start(call, request);
+    auto peer = fixture.listener.accept(fixture.events);
+    fixture.events.run_until([] { return false; }, 50ms);
+    call.exchange.reset();
+    (void)peer.receive_all(fixture.events);
+    CHECK(peer.received.size() < request.body.size());
+    CHECK_FALSE(call.ended);
+}
