--- a/src/net/http_server_core.cpp
+++ b/src/net/http_server_core.cpp
@@ -220,6 +220,11 @@
     auto& connection = *static_cast<server_connection*>(socket->on_close.data);
     const auto response = std::make_shared<h2o_response>(connection, request);
     response->attach();
+    if (connection.is_refused) {
+        // h2o had not been reading, and takes up a body behind its interim response.
+        response->abort();
+        return;
+    }
     const std::string_view input{socket->input->bytes, socket->input->size};
     if (request->version < http_2 && has_ambiguous_length(input)) {
         ++refused_requests_;
@@ -387,6 +392,7 @@
 }
 
 void http_server_core::close_receiving(server_connection& connection) {
+    connection.is_refused = true;
     h2o_socket_t* socket = connection.socket;
     const int descriptor = h2o_socket_get_fd(socket);
     if (socket->input->size > 0) {
@@ -430,6 +436,8 @@
     for (server_connection* connection : connections_) {
         const bool idle = connection->active_requests == 0 && connection->idle_since <= idle_cutoff;
         if (idle && !has_unread_input(connection->socket)) {
+            // A request that comes before the shutdown takes effect is still read.
+            connection->is_refused = true;
             ::shutdown(h2o_socket_get_fd(connection->socket), SHUT_RDWR);
         }
     }
--- a/src/net/http_server_core.h
+++ b/src/net/http_server_core.h
@@ -40,6 +40,9 @@
     std::size_t unsent_bytes = 0;
     /// The read callback of h2o, while that of the server stands in its place.
     h2o_socket_cb read_callback = nullptr;
+    /// The client has been told, by a response or the end of the connection, that what it still sends is not
+    /// handled.
+    bool is_refused = false;
     /// Set by the close callback, for a caller that may have closed the connection.
     bool* was_closed = nullptr;
 };
--- a/tests/platform/not_run_promise_test.cpp
+++ b/tests/platform/not_run_promise_test.cpp
@@ -7,6 +7,14 @@
 using namespace samphiretray::platform;
 using namespace samphiretray::platform::testing;
 
+namespace {
+
+std::string with_length(const std::string& head, const std::string& body) {
+    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
 // Guards against "not run" for a request that runs later (REFUSED): the loop stood still beyond the deadline
 // of a request and the time limit of its connection attempt. The deadline refused it, and then the failed
 // attempt sent it to the next server.
@@ -125,3 +133,60 @@
     CHECK(gateway::read_sending(fixture.received[0][0].headers).empty());
     CHECK_FALSE(gateway::read_waiting_budget(fixture.received[0][0].headers));
 }
+
+// Guards against "not run" for a request that is then handled (REFUSED): the connection is closed for too
+// many bytes while the interim response to its head is being sent. The final 503 is sent too, and then the
+// body is taken up behind the interim response.
+TEST_CASE("a request that is refused with 503 behind its interim response reaches no handler") {
+    net::loop events;
+    net::http_server_options options;
+    options.listen = {"127.0.0.1", 0};
+    options.buffers = std::make_shared<net::buffer_budget>(
+        net::buffer_limits{.max_bytes = 2000, .reserved_bytes = 0, .small_bytes = 1000});
+    std::size_t handled = 0;
+    auto server = net::http_server::create(
+        events, options, [&](const net::http_request&, const std::shared_ptr<net::http_response>& response) {
+            ++handled;
+            response->send(200, {}, "done");
+        });
+    REQUIRE(server);
+    auto caller = net::testing::raw_socket::connect((*server)->local_address());
+    caller.send(events, with_length("POST /u/1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n",
+                                    std::string(3000, 'x')));
+    (void)caller.receive_all(events);
+    INFO(caller.received);
+    CHECK(caller.received.find(" 503 ") != std::string::npos);
+    CHECK(handled == 0);
+}
+
+// The same at an entry, with the limits of a process of 1 MB: small unfinished uploads hold nearly all bytes,
+// so that the large one is the only connection that may be closed.
+TEST_CASE("an order that is refused with 503 behind its interim response reaches no server") {
+    entry_with_servers fixture;
+    fixture.start_entry([](gateway::gateway_settings& settings) { settings.node.memory_mb = 1; });
+    fixture.entry->apply(entry_with_servers::make_state(3));
+    fixture.register_server(0);
+    fixture.entry->set_endpoints_complete();
+    // Leaves a connection to the server, on which an order is written at once.
+    REQUIRE(fixture.send_and_wait("/u/1")->status == 200);
+    const auto head = [](const std::string& attempt, const std::string& more, std::size_t length) {
+        return "POST /u/1 HTTP/1.1\r\nHost: a.example\r\nX-Samphiretray-Attempt-Id: " + attempt +
+               "\r\nX-Samphiretray-Credential: key\r\n" + more + "Content-Length: " + std::to_string(length) +
+               "\r\n\r\n";
+    };
+    std::vector<net::testing::raw_socket> uploads;
+    for (int i = 0; i < 24; ++i) {
+        uploads.push_back(net::testing::raw_socket::connect(fixture.listen));
+        uploads.back().send(fixture.events,
+                            head("u" + std::to_string(i), "", 50'000) + std::string(15'000, 'x'));
+    }
+    fixture.events.run_until([] { return false; }, 100ms);
+    auto caller = net::testing::raw_socket::connect(fixture.listen);
+    caller.send(fixture.events,
+                head("refused", "Expect: 100-continue\r\n", 60'000) + std::string(60'000, 'x'));
+    (void)caller.receive_all(fixture.events);
+    fixture.events.run_until([] { return false; }, 100ms);
+    INFO(caller.received);
+    CHECK(caller.received.find(" 503 ") != std::string::npos);
+    CHECK(fixture.received[0].size() == 1);
+}
