--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -35,6 +35,8 @@
 inline constexpr duration agent_stop_margin = 400ms;
 /// Refused attempts that an agent remembers; an entry sends one again within milliseconds, if at all.
 inline constexpr std::size_t max_refused_attempts = 256;
+/// Sendings that an agent remembers; a copy of one follows it within milliseconds, if at all.
+inline constexpr std::size_t max_known_sendings = 256;
 /// The engine runs on the same machine, so connecting is fast.
 inline constexpr duration engine_connect_timeout = 150ms;
 /// Longer than the idle timeout of the entries' HTTP clients, so that always the entry closes an idle
@@ -291,6 +293,13 @@
     request->response = std::move(response);
     request->arrived_at = loop_.now();
     requests_.emplace(request->id, request);
+    if (is_repeated_sending(request->http)) {
+        log_event(log_level::warning, "request_repeated",
+                  {{"peer", request->http.peer}, {"sending", read_sending(request->http.headers)}});
+        request->response->abort();
+        finish(request, "repeated");
+        return;
+    }
     auto decoded = Binding::decode_forwarded(request->http);
     if (!decoded) {
         net::http_headers headers;
@@ -329,6 +338,21 @@
     process_queue();
 }
 
+template <request_binding Binding, engine_control Engine>
+bool engine_agent<Binding, Engine>::is_repeated_sending(const net::http_request& request) {
+    const std::string_view sending = read_sending(request.headers);
+    if (sending.empty()) {
+        return false;
+    }
+    const std::uint64_t id = hash64(sending);
+    const bool is_known = std::ranges::find(known_sendings_, id) != known_sendings_.end();
+    known_sendings_.push_back(id);
+    if (known_sendings_.size() > limits::max_known_sendings) {
+        known_sendings_.pop_front();
+    }
+    return is_known;
+}
+
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::learn_engine_id(const agent_request& request) {
     if (report_ && read_engine_start(request.http.headers) == report_->started_at) {
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -128,6 +128,8 @@
     void start_loads();
     [[nodiscard]] agent::load_priorities make_load_priorities() const;
     void execute(std::vector<agent::slot_command> commands);
+    /// Whether the bytes of a request have come a second time; an entry sends nothing twice under one id.
+    [[nodiscard]] bool is_repeated_sending(const net::http_request& request);
     /// Entries know the id of the engine's incarnation, which its reports do not tell.
     void learn_engine_id(const agent_request& request);
     /// Whether the engine has refused the same attempt, so that a late copy of its refusal could be taken for
@@ -197,6 +199,8 @@
     routing::evacuations evacuations_;
     /// Ids (hashes) of the attempts that the engine has refused last.
     std::deque<std::uint64_t> refused_attempts_;
+    /// Ids (hashes) of the sendings that have come last.
+    std::deque<std::uint64_t> known_sendings_;
     /// The engine has asked for no requests until then.
     time_point paused_until_;
     /// When the engine said last in an answer that it is leaving.
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -746,8 +746,7 @@
     // The caller may have sent some.
     remove_agent_headers(call.headers);
     if (via_agent) {
-        // The id is unique on each connection: all connections are of this process.
-        request->sending = std::to_string(request->id) + "-" + std::to_string(attempt);
+        request->sending = incarnation_ + "-" + std::to_string(request->id) + "-" + std::to_string(attempt);
         add_sending(call.headers, request->sending);
         add_waiting_budget(call.headers, waiting_budget_of(*request, has_others));
         add_engine_start(call.headers, to->started_at);
