Test that operators see a quarantined request and can release it

The page and the release at the control address had no test. The case reads the page at one entry, releases the request there, and finds it lifted at all three.

--- a/tests/fleet/deadly_request_test.cpp
+++ b/tests/fleet/deadly_request_test.cpp
@@ -1,5 +1,7 @@
 #include "tests/fleet/small_fleet.h"
 
+#include <nlohmann/json.hpp>
+
 using namespace samphiretray;
 using platform::testing::hang_limit;
 using platform::testing::small_fleet;
@@ -83,6 +85,20 @@
         return answer && answer->status == 200;
     }
 
+    std::string control(std::size_t entry, const std::string& method, const std::string& target) {
+        net::http_call call;
+        call.peer = control_address(entry);
+        call.method = method;
+        call.target = target;
+        std::optional<result<net::fetched_response>> answer;
+        const auto exchange = client->fetch(std::move(call), [&answer](result<net::fetched_response> each) {
+            answer.emplace(std::move(each));
+        });
+        REQUIRE(events.run_until([&] { return answer.has_value(); }, hang_limit));
+        REQUIRE(*answer);
+        return (*answer)->body;
+    }
+
     std::size_t crash_count = 0;
 };
 
@@ -169,3 +185,28 @@
         CHECK(fleet.is_served(entry, path, deadly, "other key"));
     }
 }
+
+// Guards against a quarantine that operators can neither see nor end after they have mended the servers.
+TEST_CASE("operators see a quarantined request and release it at one entry for all") {
+    fleet_with_deadly_request fleet;
+    fleet.crash_three_servers("/u/1");
+    REQUIRE(is_refusal_with_time(fleet.ask_to(0, "/u/1", deadly)));
+    const auto shown = nlohmann::json::parse(fleet.control(0, "GET", "/quarantine"));
+    REQUIRE(shown["requests"].size() == 1);
+    const auto& request = shown["requests"][0];
+    CHECK(request["phase"] == "quarantined");
+    CHECK(request["cuts"] >= 3);
+    CHECK(request["organisation"] == "coop");
+    CHECK(request["route"] == "/u/");
+    const std::string release = "/quarantine/release?request=" + request["request"].get<std::string>();
+    CHECK(fleet.control(0, "GET", release).find("POST") != std::string::npos);
+    CHECK(fleet.control(0, "POST", "/quarantine/release?request=12") == "no such request\n");
+    CHECK(fleet.control(0, "POST", release) == "released\n");
+    fleet.run_for(1s);
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+        CHECK(nlohmann::json::parse(fleet.control(entry, "GET", "/quarantine"))["requests"].empty());
+    }
+    const std::size_t before = fleet.crash_count;
+    (void)fleet.ask_to(1, "/u/1", deadly);
+    CHECK(fleet.crash_count == before + 1);
+}
