--- a/src/routing/request_quarantine.cpp
+++ b/src/routing/request_quarantine.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <iterator>
 #include <ranges>
-#include <set>
 #include <utility>
 
 namespace samphiretray::routing {
@@ -164,9 +163,9 @@
                                                                      time_point now) const {
     cut_list counted = counted_cuts(known);
     std::erase_if(counted, [&](const known_cut& each) { return each.at + settings_.settle_time > now; });
-    std::set<std::uint64_t> attempts;
-    std::ranges::transform(counted, std::inserter(attempts, attempts.end()), &known_cut::attempt);
-    if (counted.size() < settings_.min_cuts || attempts.size() < settings_.min_attempts) {
+    const bool is_one_attempt = std::ranges::all_of(
+        counted, [&](const known_cut& each) { return each.attempt == counted.front().attempt; });
+    if (counted.size() < settings_.min_cuts || (is_one_attempt && settings_.min_attempts > 1)) {
         return std::nullopt;
     }
     std::uint32_t relapses = 0;
