--- a/include/samphiretray/base/hash.h
+++ b/include/samphiretray/base/hash.h
@@ -14,8 +14,8 @@
 /// SHA-256 of `text` as 64 lower-case hexadecimal digits.
 [[nodiscard]] std::string sha256_hex(std::string_view text);
 
-/// The first 64 bits of the SHA-256 of `parts`, each followed by a zero byte. Nobody can make up a text with
-/// the digest of another one, as with `hash64`.
+/// The first 64 bits of the SHA-256 of `parts`, each followed by a zero byte. Unlike with
+/// `hash64`, nobody can make up a text with the digest of another one.
 [[nodiscard]] std::uint64_t digest64(std::initializer_list<std::string_view> parts);
 
 /// HMAC-SHA-256 of `text` with the key `secret` as 64 lower-case hexadecimal digits.
--- a/include/samphiretray/routing/request_quarantine.h
+++ b/include/samphiretray/routing/request_quarantine.h
@@ -49,7 +49,8 @@
     /// Cuts by one server within this time are one crash. Later ones are further crashes: the server may have
     /// come back under the same name.
     duration same_crash_time = 1s;
-    /// A cut counts only after this time, in which other processes may report that the request was answered.
+    /// A cut counts towards the first quarantine only after this time, in which other processes may report
+    /// that the request was answered.
     duration settle_time = 600ms;
     /// A cut does not count if the request was answered this long before it, or later.
     duration harmless_before = 10s;
@@ -60,8 +61,9 @@
     /// which of them is to blame.
     duration shared_quarantine_time = 3s;
     /// After a quarantine, each process that may probe sends one attempt in each slot. One process may probe
-    /// in the first slot, and twice as many in each further one.
-    duration probe_slot = 2s;
+    /// in the first slot, and twice as many in each further one. Processes hear of a lost probe within one or
+    /// two seconds; a shorter slot lets several more send theirs meanwhile.
+    duration probe_slot = 8s;
     /// Processes that are assumed to probe while no other one is known.
     std::size_t assumed_members = 64;
     /// Cuts are forgotten after this time.
--- a/src/routing/request_quarantine.cpp
+++ b/src/routing/request_quarantine.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <iterator>
 #include <ranges>
+#include <set>
 #include <utility>
 
 namespace samphiretray::routing {
@@ -161,13 +162,19 @@
 
 std::optional<request_quarantine::verdict> request_quarantine::judge(const known_request& known,
                                                                      time_point now) const {
-    cut_list counted = counted_cuts(known);
-    std::erase_if(counted, [&](const known_cut& each) { return each.at + settings_.settle_time > now; });
-    const bool is_one_attempt = std::ranges::all_of(
-        counted, [&](const known_cut& each) { return each.attempt == counted.front().attempt; });
-    if (counted.size() < settings_.min_cuts || (is_one_attempt && settings_.min_attempts > 1)) {
+    const cut_list counted = counted_cuts(known);
+    std::set<std::uint64_t> attempts;
+    std::size_t settled = 0;
+    for (const known_cut& each : counted) {
+        if (each.at + settings_.settle_time <= now) {
+            attempts.insert(each.attempt);
+            ++settled;
+        }
+    }
+    if (settled < settings_.min_cuts || attempts.size() < settings_.min_attempts) {
         return std::nullopt;
     }
+    // A relapse counts at once, so that no further probe is sent while it settles.
     std::uint32_t relapses = 0;
     for (std::size_t i = settings_.min_cuts; i < counted.size(); ++i) {
         relapses += counted[i].at - counted[i - 1].at >= settings_.shared_quarantine_time ? 1 : 0;
--- a/tests/routing/request_quarantine_test.cpp
+++ b/tests/routing/request_quarantine_test.cpp
@@ -67,12 +67,31 @@
     CHECK_FALSE(is_held(quarantine, sound, start + 4s));
 }
 
-TEST_CASE("losses that one attempt has met are not enough") {
-    request_quarantine quarantine{{}};
+// Guards against a sound request that is held back because its one attempt was sent on each time its server
+// ended for another reason.
+TEST_CASE("losses that one attempt has met are not enough, nor those of fewer attempts than are set") {
+    request_quarantine_settings settings;
+    settings.min_attempts = GENERATE(2U, 3U);
+    request_quarantine quarantine{settings};
     for (std::uint64_t i = 0; i < 4; ++i) {
-        quarantine.on_cut(sound, {100 + i, 200, 0ms}, start + i * 2s);
+        quarantine.on_cut(sound, {100 + i, 200 + i % (settings.min_attempts - 1), 0ms}, start + i * 2s);
     }
     CHECK_FALSE(is_held(quarantine, sound, start + 10s));
+    quarantine.on_cut(sound, {104, 300, 0ms}, start + 11s);
+    CHECK(is_held(quarantine, sound, start + 12s));
+}
+
+// Guards against further probes that are sent while the loss of the first one settles (BUDGET).
+TEST_CASE("a lost probe begins the next quarantine at once") {
+    request_quarantine quarantine{{}};
+    quarantine.set_members("entry-0", {"entry-0"});
+    lose_servers(quarantine, 3, {deadly});
+    const time_point probing = start + 2s + 30s;
+    REQUIRE_FALSE(is_held(quarantine, deadly, probing, 300));
+    quarantine.on_cut(deadly, {103, 300, 0ms}, probing + 100ms);
+    const duration next_slot = request_quarantine_settings{}.probe_slot;
+    CHECK(quarantine.quarantined(probing + 101ms).front().phase == request_phase::quarantined);
+    CHECK(is_held(quarantine, deadly, probing + next_slot, 301));
 }
 
 TEST_CASE("cuts by one server at one moment are one loss, later ones are further losses") {
@@ -144,14 +163,15 @@
         }
         return count;
     };
-    CHECK(probing_in(1s) == 1);
-    CHECK(probing_in(3s) == 2);
-    CHECK(probing_in(5s) == 4);
-    CHECK(probing_in(9s) == 16);
+    const duration slot = request_quarantine_settings{}.probe_slot;
+    CHECK(probing_in(slot / 2) == 1);
+    CHECK(probing_in(slot * 3 / 2) == 2);
+    CHECK(probing_in(slot * 5 / 2) == 4);
+    CHECK(probing_in(slot * 9 / 2) == 16);
     request_quarantine alone{{}};
     lose_servers(alone, 3, {deadly});
-    CHECK(is_held(alone, deadly, start + 32s + 11s));
-    CHECK_FALSE(is_held(alone, deadly, start + 32s + 13s));
+    CHECK(is_held(alone, deadly, start + 32s + slot * 11 / 2));
+    CHECK_FALSE(is_held(alone, deadly, start + 32s + slot * 13 / 2));
 }
 
 // Guards against a caller that shuts out another one's request by losing servers while that one runs.
