Move decisions and pages of the quarantine out of the gateways into modules

No behaviour changes. The two quarantines share routing/recent_answers, which stood twice, and agents remember refused attempts and sendings in one base/recent_ids instead of two copies of a bounded queue.

--- a/include/samphiretray/gateway/crash_exchange.h
+++ b/include/samphiretray/gateway/crash_exchange.h
@@ -68,8 +68,8 @@
     /// agent that was restarted since does not know what its engine was running, and one that does not answer
     /// cannot say.
     void report_own(const inquiry& ended, std::optional<std::uint64_t> engine_started_at);
-    /// The engine of these answers has crashed while it ran their requests.
-    void report_cut_runs(const inquiry& ended);
+    /// The engine has crashed while it ran the request of this answer.
+    void report_cut_run(const cut_answer& cut, const inquiry& ended);
     /// What this entry knows, as sent to agents.
     [[nodiscard]] std::string message_text() const;
     [[nodiscard]] net::http_call make_call(const std::string& host, std::string_view path,
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -33,10 +33,6 @@
 inline constexpr std::uint64_t fencing_numbers_per_agent = 1U << 16U;
 /// A graceful shutdown ends this long before the process would be killed.
 inline constexpr duration agent_stop_margin = 400ms;
-/// Refused attempts that an agent remembers; an entry sends one again within milliseconds, if at all.
-inline constexpr std::size_t max_refused_attempts = 256;
-/// Sendings that an agent remembers; a copy of one follows it within milliseconds, if at all.
-inline constexpr std::size_t max_known_sendings = 256;
 /// The engine runs on the same machine, so connecting is fast.
 inline constexpr duration engine_connect_timeout = 150ms;
 /// Longer than the idle timeout of the entries' HTTP clients, so that always the entry closes an idle
@@ -345,11 +341,8 @@
         return false;
     }
     const std::uint64_t id = hash64(sending);
-    const bool is_known = std::ranges::find(known_sendings_, id) != known_sendings_.end();
-    known_sendings_.push_back(id);
-    if (known_sendings_.size() > limits::max_known_sendings) {
-        known_sendings_.pop_front();
-    }
+    const bool is_known = known_sendings_.contains(id);
+    known_sendings_.note(id);
     return is_known;
 }
 
@@ -362,15 +355,12 @@
 
 template <request_binding Binding, engine_control Engine>
 bool engine_agent<Binding, Engine>::has_been_refused(const agent_request& request) const {
-    return std::ranges::find(refused_attempts_, request.shared.id) != refused_attempts_.end();
+    return refused_attempts_.contains(request.shared.id);
 }
 
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::note_engine_refusal(const agent_request& request) {
-    refused_attempts_.push_back(request.shared.id);
-    if (refused_attempts_.size() > limits::max_refused_attempts) {
-        refused_attempts_.pop_front();
-    }
+    refused_attempts_.note(request.shared.id);
 }
 
 template <request_binding Binding, engine_control Engine>
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -6,6 +6,7 @@
 #include "samphiretray/agent/load_priorities.h"
 #include "samphiretray/agent/slot_table.h"
 #include "samphiretray/agent/work_time_estimator.h"
+#include "samphiretray/base/recent_ids.h"
 #include "samphiretray/gateway/agent_protocol.h"
 #include "samphiretray/gateway/answer_classification.h"
 #include "samphiretray/gateway/binding.h"
@@ -27,7 +28,6 @@
 #include "samphiretray/routing/request_quarantine.h"
 
 #include <concepts>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -78,6 +78,10 @@
     [[nodiscard]] net::address listen_address() const { return server_->local_address(); }
 
 private:
+    /// Refused attempts and sendings that are remembered: an entry sends an attempt again, and a copy follows
+    /// a sending, within milliseconds, if at all.
+    static constexpr std::size_t max_recent_ids = 256;
+
     struct agent_request {
         std::uint64_t id = 0;
         forwarded_request forwarded;
@@ -198,9 +202,9 @@
     rate::cold_window cold_window_;
     routing::evacuations evacuations_;
     /// Ids (hashes) of the attempts that the engine has refused last.
-    std::deque<std::uint64_t> refused_attempts_;
+    recent_ids refused_attempts_{max_recent_ids};
     /// Ids (hashes) of the sendings that have come last.
-    std::deque<std::uint64_t> known_sendings_;
+    recent_ids known_sendings_{max_recent_ids};
     /// The engine has asked for no requests until then.
     time_point paused_until_;
     /// When the engine said last in an answer that it is leaving.
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -8,8 +8,6 @@
 #include "samphiretray/gateway/quarantine_record-inl.h"
 #include "samphiretray/gateway/usage_exchange-inl.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <ranges>
 #include <utility>
@@ -51,10 +49,6 @@
 inline constexpr duration quarantine_announcement_interval = 5s;
 /// The record in the store is written again after this time, since the store may lose it.
 inline constexpr duration quarantine_record_interval = 10s;
-/// After a server was lost, an entry that does not hear all others reads their records for this long, at this
-/// interval.
-inline constexpr duration cut_off_reading_time = 20s;
-inline constexpr duration cut_off_reading_interval = 1s;
 inline constexpr std::size_t entries_informing_an_agent = 2;
 inline constexpr std::size_t entries_recording_the_quarantine = 2;
 /// Most endpoints tried for one request, whatever the route allows; those whose agents refused count.
@@ -649,10 +643,8 @@
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::hold_back_quarantined(active_request& request, duration wait) {
     held_back_requests_counter_.add({});
-    refused_origin& origin = refused_origins_[request.key];
-    origin.organisation = request.owner == nullptr ? "" : request.owner->name;
-    origin.route = request.matched_route->name;
-    ++origin.refused;
+    quarantine_page_.on_refused(request.key, request.owner == nullptr ? "" : request.owner->name,
+                                request.matched_route->name);
     log_event(log_level::info, "request_held_back",
               {{"request", request.caller.attempt_id},
                {"request_hash", to_hex(request.key)},
@@ -1103,7 +1095,7 @@
                          {request.key, request.shared.parts},
                          request.shared.id,
                          incarnation_hash(request)};
-        last_cut_at_ = loop_.now();
+        record_schedule_.on_cut(loop_.now());
     }
     if (!request.agent_host.empty()) {
         crash_exchange_.on_interrupted(request.agent_host, std::move(cut));
@@ -1119,7 +1111,7 @@
 /// the request, and three servers in a row without an answer are evidence enough.
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::on_cut(const active_request& request) {
-    last_cut_at_ = loop_.now();
+    record_schedule_.on_cut(loop_.now());
     suspected_requests_.on_cut(request.key, {incarnation_hash(request), request.shared.id, 0ms}, loop_.now());
     log_event(log_level::info, "request_cut",
               {{"request", request.caller.attempt_id},
@@ -1172,9 +1164,6 @@
     if (is_changed || is_record_due) {
         record_quarantine();
     }
-    if (suspected_requests_.take_repeated_cut()) {
-        quarantine_record_.write();
-    }
     exchange_through_store();
     for (const routing::quarantine_change& each : changes) {
         const std::string_view phase = each.phase ? name_of(*each.phase) : "harmless";
@@ -1201,7 +1190,7 @@
                    {"cuts", each.cuts},
                    {"suspects", suspected_requests_.suspect_count()}});
         if (!each.phase) {
-            refused_origins_.erase(each.request);
+            quarantine_page_.forget(each.request);
         }
     }
     if (!changes.empty()) {
@@ -1233,16 +1222,13 @@
 
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::exchange_through_store() {
-    const time_point now = loop_.now();
-    const bool is_due = !records_read_at_ || now - *records_read_at_ >= limits::cut_off_reading_interval;
-    if (!last_cut_at_ || now - *last_cut_at_ >= limits::cut_off_reading_time || !is_due ||
-        usage_exchange_.hears_all_peers()) {
-        return;
+    const auto work = record_schedule_.next(usage_exchange_.hears_all_peers(),
+                                            suspected_requests_.observed_cuts(), loop_.now());
+    if (work.read) {
+        quarantine_record_.read();
     }
-    records_read_at_ = now;
-    quarantine_record_.read();
-    if (std::exchange(recorded_cuts_, suspected_requests_.observed_cuts()) !=
-        suspected_requests_.observed_cuts()) {
+    const bool has_repeated_cut = suspected_requests_.take_repeated_cut();
+    if (work.write || has_repeated_cut) {
         quarantine_record_.write();
     }
 }
@@ -1645,25 +1631,6 @@
            "}";
 }
 
-template <request_binding Binding, typename Store>
-std::string entry_gateway<Binding, Store>::quarantine_text() const {
-    nlohmann::json requests = nlohmann::json::array();
-    for (const routing::quarantined_request& each : suspected_requests_.quarantined(loop_.now())) {
-        nlohmann::json entry{{"request", to_hex(each.request)},
-                             {"phase", name_of(each.phase)},
-                             {"cuts", each.cuts},
-                             {"last_cut_ms", milliseconds_in(each.last_cut_age)},
-                             {"time_left_ms", milliseconds_in(each.time_left)}};
-        if (const auto origin = refused_origins_.find(each.request); origin != refused_origins_.end()) {
-            entry["organisation"] = origin->second.organisation;
-            entry["route"] = origin->second.route;
-            entry["refused"] = origin->second.refused;
-        }
-        requests.push_back(std::move(entry));
-    }
-    return nlohmann::json{{"vm", settings_.node.vm}, {"requests", std::move(requests)}}.dump() + "\n";
-}
-
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::on_release(const net::http_request& request,
                                                net::http_response& response) {
@@ -1709,7 +1676,9 @@
     } else if (request.path == "/status") {
         response->send(200, {{"content-type", "application/json"}}, status_text());
     } else if (request.path == "/quarantine") {
-        response->send(200, {{"content-type", "application/json"}}, quarantine_text());
+        response->send(
+            200, {{"content-type", "application/json"}},
+            quarantine_page_.text(settings_.node.vm, suspected_requests_.quarantined(loop_.now())));
     } else if (request.path == "/quarantine/release") {
         on_release(request, *response);
     } else {
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -8,7 +8,9 @@
 #include "samphiretray/gateway/endpoint_directory.h"
 #include "samphiretray/gateway/event_stream_parser.h"
 #include "samphiretray/gateway/placement_rules.h"
+#include "samphiretray/gateway/quarantine_page.h"
 #include "samphiretray/gateway/quarantine_record.h"
+#include "samphiretray/gateway/record_schedule.h"
 #include "samphiretray/gateway/relay.h"
 #include "samphiretray/gateway/routing_table.h"
 #include "samphiretray/gateway/settings.h"
@@ -168,12 +170,6 @@
     };
     using request_pointer = std::shared_ptr<active_request>;
 
-    struct refused_origin {
-        std::string organisation;
-        std::string route;
-        std::uint64_t refused = 0;
-    };
-
     [[nodiscard]] status start_servers();
     void on_request(net::http_request&& http, std::shared_ptr<net::http_response>&& response);
     [[nodiscard]] bool accept(const request_pointer& request);
@@ -266,8 +262,6 @@
     void on_control_request(const net::http_request& request,
                             const std::shared_ptr<net::http_response>& response);
     [[nodiscard]] std::string status_text() const;
-    /// The quarantined requests, for operators.
-    [[nodiscard]] std::string quarantine_text() const;
     void on_release(const net::http_request& request, net::http_response& response);
     [[nodiscard]] usage_report report_for(const net::http_request& request) const;
     void refresh_endpoint(const endpoint& value);
@@ -296,12 +290,8 @@
     rate::fleet_rate_limiter usage_;
     routing::crash_quarantine quarantine_;
     routing::request_quarantine suspected_requests_;
-    /// Where attempts at quarantined requests come from, as far as this entry has refused any.
-    std::map<routing::request_key, refused_origin> refused_origins_;
-    /// When this entry has observed the last cut, and has last read the others' records because of it.
-    std::optional<time_point> last_cut_at_;
-    std::optional<time_point> records_read_at_;
-    std::uint64_t recorded_cuts_ = 0;
+    quarantine_page quarantine_page_;
+    record_schedule record_schedule_;
     rate::endpoint_limits limits_;
     placement_rules rules_;
     usage_exchange<Store> usage_exchange_;
--- a/include/samphiretray/routing/crash_quarantine.h
+++ b/include/samphiretray/routing/crash_quarantine.h
@@ -2,6 +2,7 @@
 
 #include "samphiretray/base/name_table.h"
 #include "samphiretray/base/time.h"
+#include "samphiretray/routing/recent_answers.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -114,7 +115,9 @@
 /// which it arrives does not matter.
 class crash_quarantine {
 public:
-    explicit crash_quarantine(crash_quarantine_settings settings) : settings_(settings) {}
+    explicit crash_quarantine(crash_quarantine_settings settings)
+        : settings_(settings),
+          answers_(settings.max_answered_parts, 4 * (settings.harmless_before + settings.settle_time)) {}
 
     /// Names of this process and of all processes that may send a probe request. Before the first call this
     /// process sends none.
@@ -177,8 +180,6 @@
     };
     using suspicions = std::map<part_key, suspicion>;
 
-    [[nodiscard]] std::optional<time_point> last_answer(part_key part) const;
-    void note_answer(part_key part, time_point began_at, time_point now);
     void note_harmless(part_key part, suspect& known, time_point at);
     [[nodiscard]] bool is_suspected(part_key part, const known_crash& crash) const;
     void add_suspects(const std::set<part_key>& parts);
@@ -204,10 +205,8 @@
     std::uint64_t revision_ = 0;
     std::map<std::string, known_crash> crashes_;
     std::unordered_map<part_key, suspect> suspects_;
-    /// Start of the last answer on each part; the older generation is dropped when the newer one is full.
-    std::unordered_map<part_key, time_point> answered_;
-    std::unordered_map<part_key, time_point> answered_before_;
-    std::optional<time_point> generation_started_;
+    /// An older answer cannot clear anything of a crash that is still to be reported.
+    recent_answers answers_;
     std::unordered_map<part_key, rule> rules_;
     std::map<part_key, quarantine_phase> reported_phases_;
     /// Parts whose quarantine was lifted, and when.
--- a/include/samphiretray/routing/request_quarantine.h
+++ b/include/samphiretray/routing/request_quarantine.h
@@ -3,6 +3,7 @@
 #include "samphiretray/base/name_table.h"
 #include "samphiretray/base/time.h"
 #include "samphiretray/routing/crash_quarantine.h"
+#include "samphiretray/routing/recent_answers.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -104,7 +105,9 @@
 /// Processes exchange evidence, which only accumulates, so the order in which it arrives does not matter.
 class request_quarantine {
 public:
-    explicit request_quarantine(request_quarantine_settings settings) : settings_(settings) {}
+    explicit request_quarantine(request_quarantine_settings settings)
+        : settings_(settings),
+          answers_(settings.max_answered, settings.harmless_before + settings.settle_time) {}
 
     /// Names of this process and of all processes that may send a probe.
     void set_members(std::string own_name, std::vector<std::string> all_names);
@@ -167,8 +170,6 @@
     };
     using cut_list = std::vector<known_cut>;
 
-    [[nodiscard]] std::optional<time_point> last_answer(request_key request) const;
-    void note_answer(request_key request, time_point now);
     void clear(known_request& known, time_point at);
     [[nodiscard]] bool counts(const known_request& known, const known_cut& cut) const;
     [[nodiscard]] cut_list counted_cuts(const known_request& known) const;
@@ -194,11 +195,8 @@
     bool has_repeated_cut_ = false;
     std::uint64_t observed_cuts_ = 0;
     std::unordered_map<request_key, known_request> requests_;
-    /// Time of the last answer to each request; the older generation is dropped when the newer one is full or
-    /// old enough.
-    std::unordered_map<request_key, time_point> answered_;
-    std::unordered_map<request_key, time_point> answered_before_;
-    std::optional<time_point> generation_started_;
+    /// An older answer cannot clear anything of a crash that is still to be reported.
+    recent_answers answers_;
     std::map<request_key, request_phase> reported_phases_;
     /// Requests whose quarantine was lifted, and when.
     std::map<request_key, time_point> lifted_;
--- a/src/gateway/crash_exchange.cpp
+++ b/src/gateway/crash_exchange.cpp
@@ -60,11 +60,9 @@
     return all;
 }
 
-void crash_exchange::report_cut_runs(const inquiry& ended) {
+void crash_exchange::report_cut_run(const cut_answer& cut, const inquiry& ended) {
     const time_point now = loop_.now();
-    for (const cut_answer& each : ended.cut_answers) {
-        requests_.on_cut(each.request.id, {each.server, each.attempt, now - ended.began_at}, now);
-    }
+    requests_.on_cut(cut.request.id, {cut.server, cut.attempt, now - ended.began_at}, now);
 }
 
 net::http_call crash_exchange::make_call(const std::string& host, std::string_view path,
@@ -108,7 +106,8 @@
                   {{"at", host}, {"attempt", kept->attempts}, {"failure", to_string(message.error())}});
     }
     if (is_explained) {
-        report_cut_runs(*kept);
+        std::ranges::for_each(kept->cut_answers,
+                              [&](const cut_answer& each) { report_cut_run(each, *kept); });
     }
     if (is_explained || kept->cut_answers.empty()) {
         return;
@@ -129,7 +128,7 @@
     for (const cut_answer& each : ended.cut_answers) {
         const bool has_gone_on = engine_started_at && *engine_started_at <= each.engine_started_at;
         if (!has_gone_on) {
-            requests_.on_cut(each.request.id, {each.server, each.attempt, now - ended.began_at}, now);
+            report_cut_run(each, ended);
             quarantine_.on_crash({crashed_engine_name(each.engine, each.engine_started_at),
                                   now - ended.began_at,
                                   {each.request}},
--- a/src/routing/crash_quarantine.cpp
+++ b/src/routing/crash_quarantine.cpp
@@ -52,28 +52,6 @@
     members_ = std::move(all_names);
 }
 
-std::optional<time_point> crash_quarantine::last_answer(part_key part) const {
-    for (const auto* generation : {&answered_, &answered_before_}) {
-        if (const auto found = generation->find(part); found != generation->end()) {
-            return found->second;
-        }
-    }
-    return std::nullopt;
-}
-
-void crash_quarantine::note_answer(part_key part, time_point began_at, time_point now) {
-    // An answer that began earlier cannot clear a part of any crash that is still to be reported.
-    const duration useful_for = settings_.harmless_before + settings_.settle_time;
-    const bool is_full = answered_.size() >= settings_.max_answered_parts;
-    if (is_full || now - generation_started_.value_or(now) > 4 * useful_for) {
-        answered_before_ = std::exchange(answered_, {});
-        generation_started_ = now;
-    }
-    generation_started_ = generation_started_.value_or(now);
-    time_point& last = answered_[part];
-    last = std::max(last, began_at);
-}
-
 /// Other processes are told only of parts that more than one crash has in common.
 void crash_quarantine::note_harmless(part_key part, suspect& known, time_point at) {
     const bool was_suspected =
@@ -89,7 +67,7 @@
 
 void crash_quarantine::on_answered(std::span<const part_key> parts, time_point began_at, time_point now) {
     for (const part_key part : parts) {
-        note_answer(part, began_at, now);
+        answers_.note(part, began_at, now);
         if (const auto found = suspects_.find(part); found != suspects_.end()) {
             note_harmless(part, found->second, began_at);
         }
@@ -109,7 +87,7 @@
     for (const part_key part : parts) {
         suspect& known = suspects_[part];
         ++known.crashes;
-        if (const auto answered = last_answer(part)) {
+        if (const auto answered = answers_.last(part)) {
             known.harmless_at = std::max(known.harmless_at.value_or(*answered), *answered);
         }
         if (known.crashes > 1 && known.harmless_at) {
--- a/src/routing/request_quarantine.cpp
+++ b/src/routing/request_quarantine.cpp
@@ -22,27 +22,6 @@
     members_ = std::move(all_names);
 }
 
-std::optional<time_point> request_quarantine::last_answer(request_key request) const {
-    for (const auto* generation : {&answered_, &answered_before_}) {
-        if (const auto found = generation->find(request); found != generation->end()) {
-            return found->second;
-        }
-    }
-    return std::nullopt;
-}
-
-void request_quarantine::note_answer(request_key request, time_point now) {
-    // An older answer cannot clear a request of a cut that is still to be reported.
-    const duration useful_for = settings_.harmless_before + settings_.settle_time;
-    const bool is_full = answered_.size() >= settings_.max_answered;
-    if (is_full || now - generation_started_.value_or(now) > useful_for) {
-        answered_before_ = std::exchange(answered_, {});
-        generation_started_ = now;
-    }
-    generation_started_ = generation_started_.value_or(now);
-    answered_.insert_or_assign(request, now);
-}
-
 bool request_quarantine::counts(const known_request& known, const known_cut& cut) const {
     return !known.answered_at || *known.answered_at + settings_.harmless_before < cut.at;
 }
@@ -91,7 +70,7 @@
         drop_least_suspected();
     }
     known_request& added = requests_[request];
-    added.answered_at = last_answer(request);
+    added.answered_at = answers_.last(request);
     return added;
 }
 
@@ -115,7 +94,7 @@
 }
 
 void request_quarantine::on_answered(request_key request, time_point now) {
-    note_answer(request, now);
+    answers_.note(request, now, now);
     if (const auto found = requests_.find(request); found != requests_.end()) {
         clear(found->second, now);
     }
