--- a/include/samphiretray/net/loop.h
+++ b/include/samphiretray/net/loop.h
@@ -2,6 +2,7 @@
 
 #include "samphiretray/base/time.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -28,7 +29,8 @@
     /// The monotonic time now.
     [[nodiscard]] time_point now() const noexcept { return monotonic_clock::now(); }
 
-    /// Calls `action` once after `delay` (resolution 1 ms) unless the handle is destroyed first.
+    /// Calls `action` once after `delay` (resolution 1 ms) unless the handle is destroyed first. Sockets that
+    /// were ready when the time came are served first, however late the loop is.
     [[nodiscard]] timer_handle after(duration delay, std::function<void()> action);
 
     /// Calls `action` every `interval` (at least 1 ms) until the handle is destroyed.
@@ -52,6 +54,12 @@
     bool run_until(const std::function<bool()>& done, duration limit);
     void stop() noexcept;
 
+    /// How often the sockets have been polled.
+    [[nodiscard]] std::uint64_t polls() const noexcept;
+    /// The longest time since the last call by which a timer ran late. What arrives at a socket waits as
+    /// long.
+    [[nodiscard]] duration take_longest_timer_delay() noexcept;
+
     /// The underlying h2o event loop, for the sources in src/net.
     [[nodiscard]] st_h2o_evloop_t* native() noexcept;
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -120,6 +120,9 @@
     void end(std::optional<error> failure);
     void on_timeout();
     void on_connect_timeout();
+    /// The limit that was exceeded, and how often the loop has looked at the sockets meanwhile: few polls in
+    /// a long time show that this process was late, not its peer.
+    [[nodiscard]] std::string describe_limit(duration limit) const;
     [[nodiscard]] bool is_active() const noexcept { return socket_ != nullptr && !ended_; }
 
     loop& events_;
@@ -134,6 +137,7 @@
     body_decoder decoder_;
     std::size_t parsed_input_size_ = 0;
     std::uint32_t interim_responses_ = 0;
+    std::uint64_t polls_at_start_ = events_.polls();
     bool read_enabled_ = true;
     bool connected_ = false;
     write_progress request_writing_ = write_progress::not_started;
@@ -366,17 +370,21 @@
     ::shutdown(h2o_socket_get_fd(socket_), SHUT_RDWR);
 }
 
+std::string client_call::describe_limit(duration limit) const {
+    return std::to_string(milliseconds_in(limit)) + " ms, " +
+           std::to_string(events_.polls() - polls_at_start_) + " polls";
+}
+
 void client_call::on_timeout() {
     const auto self = shared_from_this();
-    const std::string limit = std::to_string(milliseconds_in(call_.timeout)) + " ms";
+    const std::string limit = describe_limit(call_.timeout);
     fail(errc::timeout, connected_ ? step::receive : step::connect,
          connected_ ? "no whole response within " + limit : "no connection within " + limit);
 }
 
 void client_call::on_connect_timeout() {
     const auto self = shared_from_this();
-    fail(errc::timeout, step::connect,
-         "no connection within " + std::to_string(milliseconds_in(call_.connect_timeout)) + " ms");
+    fail(errc::timeout, step::connect, "no connection within " + describe_limit(call_.connect_timeout));
 }
 
 class exchange_handle final : public http_exchange {
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -63,16 +63,20 @@
         }
     }
 
-    void run(time_point now) {
-        while (!entries_.empty() && entries_.begin()->first <= now) {
-            const auto entry = entries_.begin()->second;
+    /// Runs the timers that were due at `due`, and returns the longest delay of one.
+    duration run(time_point due) {
+        duration longest_delay{0};
+        while (!entries_.empty() && entries_.begin()->first <= due) {
+            const auto [deadline, entry] = *entries_.begin();
             entries_.erase(entry->position);
             entry->linked = false;
+            longest_delay = std::max(longest_delay, due - deadline);
             (void)run_guarded("timer", entry->action);
             if (entry->interval > duration::zero() && !entry->cancelled) {
-                link(now + entry->interval, entry);
+                link(due + entry->interval, entry);
             }
         }
+        return longest_delay;
     }
 
     /// Removes all timers and destroys their actions without running them.
@@ -120,6 +124,8 @@
     std::map<int, std::function<void()>> signal_actions;
     h2o_socket_t* signal_reader = nullptr;
     bool stopped = false;
+    std::uint64_t polls = 0;
+    duration longest_timer_delay{0};
 
     void run_posted() {
         const auto actions = std::exchange(posted, {});
@@ -143,11 +149,22 @@
             std::clamp<std::int64_t>(rounded, 0, std::numeric_limits<std::int32_t>::max()));
     }
 
+    void poll(std::int32_t wait_ms) {
+        h2o_evloop_run(native, wait_ms);
+        ++polls;
+    }
+
     void run_once(time_point limit) {
         // Waiting comes first, so that the callers can check the effects of all callbacks before the next
         // wait.
-        h2o_evloop_run(native, wait_time(limit));
-        timers->run(monotonic_clock::now());
+        poll(wait_time(limit));
+        const time_point now = monotonic_clock::now();
+        if (timers->next_deadline(time_point::max()) <= now) {
+            // What a timer guards may have become ready while the callbacks of the first poll ran; the delay
+            // of this process must not count as its peer's.
+            poll(0);
+            longest_timer_delay = std::max(longest_timer_delay, timers->run(now));
+        }
         run_posted();
     }
 
@@ -258,6 +275,14 @@
     implementation_->stopped = true;
 }
 
+std::uint64_t loop::polls() const noexcept {
+    return implementation_->polls;
+}
+
+duration loop::take_longest_timer_delay() noexcept {
+    return std::exchange(implementation_->longest_timer_delay, duration::zero());
+}
+
 st_h2o_evloop_t* loop::native() noexcept {
     return implementation_->native;
 }
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -6,7 +6,9 @@
 #include <catch2/catch.hpp>
 #include <malloc.h>
 
+#include <functional>
 #include <optional>
+#include <thread>
 
 using namespace samphiretray;
 using namespace samphiretray::net;
@@ -443,3 +445,57 @@
     CHECK(peer.received.size() < request.body.size());
     CHECK_FALSE(call.ended);
 }
+
+namespace {
+
+/// Blocks the loop in a callback of a socket, that is between a poll and the timers of the same iteration.
+void block_loop(client_fixture& fixture, duration time, const std::function<void()>& before) {
+    bool done = false;
+    auto server =
+        http_server::create(fixture.events, {{"127.0.0.1", 0}},
+                            [&](const http_request&, const std::shared_ptr<http_response>& response) {
+                                before();
+                                std::this_thread::sleep_for(time);
+                                response->send(200, {}, "");
+                                done = true;
+                            });
+    REQUIRE(server);
+    recorded_call trigger;
+    http_call request;
+    request.peer = (*server)->local_address();
+    fixture.start(trigger, request);
+    REQUIRE(fixture.wait([&] { return done; }));
+    fixture.expect_end(trigger);
+}
+
+} // namespace
+
+TEST_CASE("a connection that is open in time is used although the loop is late to look at it") {
+    // Guards against the delay of this process counting as its peer's.
+    client_fixture fixture;
+    recorded_call call;
+    http_call request;
+    request.connect_timeout = 30ms;
+    block_loop(fixture, 80ms, [&] { fixture.start(call, request); });
+    INFO((call.failure ? to_string(*call.failure) : ""));
+    CHECK_FALSE(call.ended);
+    auto peer = fixture.listener.accept(fixture.events);
+    CHECK(peer.receive_until(fixture.events, "\r\n\r\n"));
+}
+
+TEST_CASE("an answer that has come in time is read although the loop is late to look at it") {
+    // Guards against the delay of this process counting as its peer's.
+    client_fixture fixture;
+    recorded_call call;
+    http_call request;
+    request.timeout = 150ms;
+    fixture.start(call, request);
+    auto peer = fixture.listener.accept(fixture.events);
+    REQUIRE(peer.receive_until(fixture.events, "\r\n\r\n"));
+    block_loop(fixture, 200ms,
+               [&] { peer.send(fixture.events, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); });
+    fixture.expect_end(call);
+    INFO((call.failure ? to_string(*call.failure) : ""));
+    CHECK_FALSE(call.failure);
+    CHECK(call.body == "ok");
+}
