--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -104,6 +104,11 @@
     control_ = std::move(*admin);
     poll();
     tick_timer_ = loop_.every(limits::agent_tick_interval, [this] {
+        if (const auto late_by = loop_watch_.observe(loop_.take_longest_timer_delay(), loop_.now())) {
+            log_event(
+                log_level::warning, "loop_late",
+                {{"longest_ms", milliseconds_in(*late_by)}, {"connections", server_->open_connections()}});
+        }
         for (const std::string& each : evacuations_.expire(loop_.now())) {
             if (each == settings_.node.data_centre) {
                 on_evacuation_ended();
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -17,6 +17,7 @@
 #include "samphiretray/gateway/settings.h"
 #include "samphiretray/net/http_client.h"
 #include "samphiretray/net/http_server.h"
+#include "samphiretray/observe/loop_watch.h"
 #include "samphiretray/observe/metrics.h"
 #include "samphiretray/ports/engine.h"
 #include "samphiretray/rate/cold_start.h"
@@ -238,6 +239,7 @@
     net::timer_handle tick_timer_;
     observe::metrics metrics_;
     buffer_metrics buffer_metrics_{metrics_};
+    observe::loop_watch loop_watch_{metrics_};
     observe::counter_family& requests_total_;
     observe::counter_family& orders_total_;
     observe::counter_family& crashes_total_;
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -194,6 +194,7 @@
     front.idle_timeout = caller_limits{}.idle_timeout + limits::idle_timeout_margin;
     front.buffers = buffers_;
     front.max_connections = max_caller_connections(settings_.node.max_descriptors);
+    front.link_bytes_per_s = settings_.node.link_mbps * bytes_per_s_of_mbps;
     front.overload_headers = {{"retry-after", retry_after_text(limits::retry_after_elsewhere)}};
     auto callers = net::http_server::create(
         loop_, front, [this](net::http_request http, std::shared_ptr<net::http_response> response) {
@@ -1507,6 +1508,19 @@
 
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::on_tick() {
+    if (const auto late_by = loop_watch_.observe(loop_.take_longest_timer_delay(), loop_.now())) {
+        log_event(log_level::warning, "loop_late",
+                  {{"longest_ms", milliseconds_in(*late_by)},
+                   {"connections", caller_server_->open_connections()},
+                   {"requests", active_requests_.size()}});
+    }
+    if (link_watch_.observe(caller_server_->link_use(), caller_server_->accept_pauses(), loop_.now())) {
+        log_event(log_level::warning, "link_busy",
+                  {{"link_use", caller_server_->link_use()},
+                   {"accept_pauses", caller_server_->accept_pauses()},
+                   {"connections", caller_server_->open_connections()},
+                   {"requests", active_requests_.size()}});
+    }
     const auto expired = directory_.expire(loop_.now());
     for (const std::string& id : expired) {
         log_event(log_level::info, "endpoint_expired", {{"endpoint", id}});
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -17,6 +17,8 @@
 #include "samphiretray/gateway/usage_exchange.h"
 #include "samphiretray/net/http_client.h"
 #include "samphiretray/net/http_server.h"
+#include "samphiretray/observe/link_watch.h"
+#include "samphiretray/observe/loop_watch.h"
 #include "samphiretray/observe/metrics.h"
 #include "samphiretray/rate/fleet_rate_limiter.h"
 #include "samphiretray/routing/crash_quarantine.h"
@@ -315,6 +317,8 @@
     net::timer_handle tick_timer_;
     observe::metrics metrics_;
     buffer_metrics buffer_metrics_{metrics_};
+    observe::loop_watch loop_watch_{metrics_};
+    observe::link_watch link_watch_{metrics_};
     observe::counter_family& ended_requests_;
     observe::counter_family& retry_counter_;
     observe::counter_family& quarantine_counter_;
--- a/include/samphiretray/gateway/settings.h
+++ b/include/samphiretray/gateway/settings.h
@@ -28,8 +28,14 @@
     std::uint32_t memory_mb = 256;
     /// File descriptors that the process may have open; the bound of connections is derived from it.
     std::uint32_t max_descriptors = 4096;
+    /// What the VM's link carries in each direction, in megabits (10^6 bits) a second; 0 if that is not
+    /// known. Callers' connections are accepted no faster than their requests fit.
+    double link_mbps = 0;
 };
 
+/// Bytes a second in a megabit a second.
+inline constexpr double bytes_per_s_of_mbps = 1e6 / 8;
+
 struct gateway_settings {
     node_settings node;
     /// Address for requests of callers.
--- a/include/samphiretray/net/http_server.h
+++ b/include/samphiretray/net/http_server.h
@@ -65,6 +65,9 @@
     /// Open connections; 0 for any number. At the limit, a new one takes the place of the one that
     /// `choose_displaced` names, or is closed if there is none.
     std::size_t max_connections = 0;
+    /// What the link of this process carries in one direction. New connections are accepted only as fast as
+    /// their requests fit (`intake_pacer`); 0 accepts all.
+    double link_bytes_per_s = 0;
     /// Headers of the 503 for requests that have not run because the budget is used up.
     http_headers overload_headers = {};
 };
@@ -94,6 +97,10 @@
     [[nodiscard]] virtual std::uint64_t refused_requests() const noexcept = 0;
     /// Number of connections that were closed because of `max_connections`.
     [[nodiscard]] virtual std::uint64_t displaced_connections() const noexcept = 0;
+    /// How often accepting has paused because of `link_bytes_per_s`.
+    [[nodiscard]] virtual std::uint64_t accept_pauses() const noexcept = 0;
+    /// Part of the link that received bytes have filled in the last second; 0 without `link_bytes_per_s`.
+    [[nodiscard]] virtual double link_use() const noexcept = 0;
 };
 
 } // namespace samphiretray::net
--- /dev/null
+++ b/include/samphiretray/net/intake_pacer.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "samphiretray/base/time.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace samphiretray::net {
+
+/// Paces the connections that a process accepts by what its link can carry.
+///
+/// Bytes that clients send beyond that queue up on the way to the process, in front of the answers of the
+/// store, its peers and the servers, and are read only after their senders have left. A connection that is
+/// not accepted costs no more than its opening packets, and its client tries another process.
+class intake_pacer {
+public:
+    /// Part of the link that clients and answers may fill together.
+    static constexpr double usable_fraction = 0.8;
+    /// The bytes of so much time may come at once.
+    static constexpr duration burst_time = 100ms;
+    /// A larger debt is forgiven, so that a burst of answers does not shut callers out for long.
+    static constexpr duration max_debt_time = 500ms;
+
+    /// `link_bytes_per_s` is what the link carries in one direction; 0 accepts everything.
+    explicit intake_pacer(double link_bytes_per_s = 0);
+
+    /// `total` counts all bytes that the process has received on any connection.
+    void on_received(std::uint64_t total, time_point now);
+    /// A connection has been accepted. Its request has not come yet, so the mean of the earlier ones is
+    /// charged.
+    void on_accepted(time_point now);
+    /// Time until the next connection may be accepted.
+    [[nodiscard]] duration wait(time_point now);
+
+    /// Connections that may wait to be accepted: the system completes their handshakes, and their requests
+    /// come over the link.
+    [[nodiscard]] int backlog() const;
+    [[nodiscard]] double mean_request_bytes() const noexcept { return mean_request_bytes_; }
+    /// Bytes received in the last whole second, as a fraction of what the link carries.
+    [[nodiscard]] double link_use() const noexcept { return link_use_; }
+
+private:
+    /// A token bucket of bytes.
+    struct bucket {
+        double level = 0;
+        void refill(double bytes, double burst);
+        void take(double bytes, double max_debt);
+    };
+
+    void refill(time_point now);
+    void measure(time_point now);
+
+    double bytes_per_s_;
+    bucket received_;
+    bucket expected_;
+    std::uint64_t total_ = 0;
+    std::uint64_t accepted_ = 0;
+    /// Of requests and of the answers that are received for them, for each accepted connection.
+    double mean_request_bytes_ = 4096;
+    std::optional<time_point> refilled_at_;
+    std::optional<time_point> measured_at_;
+    std::uint64_t measured_total_ = 0;
+    std::uint64_t measured_accepted_ = 0;
+    double link_use_ = 0;
+};
+
+} // namespace samphiretray::net
--- a/include/samphiretray/net/loop.h
+++ b/include/samphiretray/net/loop.h
@@ -2,6 +2,7 @@
 
 #include "samphiretray/base/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -60,6 +61,11 @@
     /// long.
     [[nodiscard]] duration take_longest_timer_delay() noexcept;
 
+    /// Counts bytes that a connection of this process has received.
+    void count_received(std::size_t bytes) noexcept;
+    /// All bytes that have been counted.
+    [[nodiscard]] std::uint64_t received_bytes() const noexcept;
+
     /// The underlying h2o event loop, for the sources in src/net.
     [[nodiscard]] st_h2o_evloop_t* native() noexcept;
 
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -22,6 +22,7 @@
     fields.read("drain_limit", target.drain_limit, 0ms, 3600s);
     fields.read("memory_mb", target.memory_mb, 32, 1'048'576);
     fields.read("max_descriptors", target.max_descriptors, 64, 1'048'576);
+    fields.read("link_mbps", target.link_mbps, 0.0, 1e6);
 }
 
 void read_regions(json_fields& fields, gateway_settings& target) {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -238,6 +238,7 @@
         self->on_peer_closed(false);
         return;
     }
+    self->events_.count_received(socket->bytes_read);
     if (!self->head_received_) {
         self->read_head();
     }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -36,6 +36,8 @@
     [[nodiscard]] std::uint64_t displaced_connections() const noexcept override {
         return core_->displaced_connections();
     }
+    [[nodiscard]] std::uint64_t accept_pauses() const noexcept override { return core_->accept_pauses(); }
+    [[nodiscard]] double link_use() const noexcept override { return core_->link_use(); }
 
 private:
     std::shared_ptr<http_server_core> core_;
@@ -65,7 +67,8 @@
         return loaded.error();
     }
     auto new_listener =
-        listener::create(events, listen, [core](h2o_socket_t* socket) { core->add_connection(socket); });
+        listener::create(events, listen, [core](h2o_socket_t* socket) { core->add_connection(socket); },
+                         {core->backlog(), [core] { return core->wait_before_accept(); }});
     if (!new_listener) {
         return new_listener.error();
     }
--- a/src/net/http_server_core.cpp
+++ b/src/net/http_server_core.cpp
@@ -184,7 +184,16 @@
     return success();
 }
 
+duration http_server_core::wait_before_accept() {
+    const time_point now = events_.now();
+    pacer_.on_received(events_.received_bytes(), now);
+    const duration wait = pacer_.wait(now);
+    accept_pauses_ += wait > duration::zero() ? 1 : 0;
+    return wait;
+}
+
 void http_server_core::add_connection(h2o_socket_t* socket) {
+    pacer_.on_accepted(events_.now());
     if (options_.max_connections > 0 && connections_.size() >= options_.max_connections) {
         ++displaced_connections_;
         if (!displace_connection()) {
@@ -306,6 +315,7 @@
 void http_server_core::on_read(h2o_socket_t* socket, const char* failure) {
     auto& connection = *static_cast<server_connection*>(socket->on_close.data);
     const auto core = connection.core;
+    core->events_.count_received(failure == nullptr ? socket->bytes_read : 0);
     bool was_closed = false;
     connection.was_closed = &was_closed;
     const std::size_t read_before = connection.account.bytes();
--- a/src/net/http_server_core.h
+++ b/src/net/http_server_core.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "samphiretray/net/http_server.h"
+#include "samphiretray/net/intake_pacer.h"
 
 #include "listener.h"
 #include "tls.h"
@@ -56,6 +57,9 @@
     http_server_core(const http_server_core&) = delete;
     http_server_core& operator=(const http_server_core&) = delete;
 
+    /// Time until a connection may be accepted.
+    [[nodiscard]] duration wait_before_accept();
+    [[nodiscard]] int backlog() const { return pacer_.backlog(); }
     void add_connection(h2o_socket_t* socket);
     void begin_graceful_shutdown();
     void set_limits(std::size_t max_body_bytes, duration idle_timeout);
@@ -73,6 +77,8 @@
     [[nodiscard]] std::size_t open_connections() const noexcept { return connections_.size(); }
     [[nodiscard]] std::uint64_t refused_requests() const noexcept { return refused_requests_; }
     [[nodiscard]] std::uint64_t displaced_connections() const noexcept { return displaced_connections_; }
+    [[nodiscard]] std::uint64_t accept_pauses() const noexcept { return accept_pauses_; }
+    [[nodiscard]] double link_use() const noexcept { return pacer_.link_use(); }
     [[nodiscard]] bool is_shutting_down() const noexcept { return context_.shutdown_requested != 0; }
     /// Loads the certificate files, if any are set; on an error the old certificate stays in use.
     [[nodiscard]] status load_certificates();
@@ -109,8 +115,10 @@
 
     std::uint64_t refused_requests_ = 0;
     std::uint64_t displaced_connections_ = 0;
+    std::uint64_t accept_pauses_ = 0;
     loop& events_;
     http_server_options options_;
+    intake_pacer pacer_{options_.link_bytes_per_s};
     http_handler handler_;
     h2o_globalconf_t config_{};
     h2o_context_t context_{};
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -30,7 +30,7 @@
                       std::string{call} + ": " + std::strerror(errno));
 }
 
-result<int> open_listening_socket(const address& listen) {
+result<int> open_listening_socket(const address& listen, int backlog) {
     const auto target = to_socket_address(listen);
     if (!target) {
         return make_error(errc::connection_failed, step::connect, to_string(listen),
@@ -47,7 +47,7 @@
         log_event(log_level::debug, "receive_buffer_not_limited", {{"errno", errno}});
     }
     const bool bound = ::bind(descriptor, target->get(), target->length) == 0;
-    if (!bound || ::listen(descriptor, SOMAXCONN) != 0) {
+    if (!bound || ::listen(descriptor, backlog) != 0) {
         error failure = listen_error(listen, bound ? "listen" : "bind");
         ::close(descriptor);
         return failure;
@@ -58,18 +58,19 @@
 } // namespace
 
 result<std::unique_ptr<listener>> listener::create(loop& events, const address& listen,
-                                                   std::function<void(st_h2o_socket_t*)> on_accept) {
-    const auto descriptor = open_listening_socket(listen);
+                                                   std::function<void(st_h2o_socket_t*)> on_accept,
+                                                   listener_options options) {
+    const auto descriptor = open_listening_socket(listen, options.backlog);
     if (!descriptor) {
         return descriptor.error();
     }
-    std::unique_ptr<listener> created{new listener(events, std::move(on_accept))};
+    std::unique_ptr<listener> created{new listener(events, std::move(on_accept), std::move(options))};
     created->start(*descriptor);
     return created;
 }
 
-listener::listener(loop& events, std::function<void(st_h2o_socket_t*)> on_accept)
-    : events_(events), on_accept_(std::move(on_accept)) {}
+listener::listener(loop& events, std::function<void(st_h2o_socket_t*)> on_accept, listener_options options)
+    : events_(events), on_accept_(std::move(on_accept)), options_(std::move(options)) {}
 
 listener::~listener() {
     stop();
@@ -89,11 +90,16 @@
 
 void listener::accept_pending() {
     for (int i = 0; i < max_accepts_per_iteration && socket_ != nullptr; ++i) {
+        const duration wait = options_.wait_before_accept ? options_.wait_before_accept() : duration::zero();
+        if (wait > duration::zero()) {
+            pause_accepting(wait);
+            return;
+        }
         errno = 0;
         h2o_socket_t* accepted = h2o_evloop_socket_accept(socket_);
         if (accepted == nullptr) {
             if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
-                pause_accepting();
+                pause_accepting(descriptor_shortage_pause);
             }
             return;
         }
@@ -101,9 +107,9 @@
     }
 }
 
-void listener::pause_accepting() {
+void listener::pause_accepting(duration pause) {
     h2o_socket_read_stop(socket_);
-    resume_timer_ = events_.after(descriptor_shortage_pause, [this] {
+    resume_timer_ = events_.after(pause, [this] {
         h2o_socket_read_start(socket_, [](h2o_socket_t* socket, const char*) {
             static_cast<listener*>(socket->data)->accept_pending();
         });
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -125,6 +125,7 @@
     h2o_socket_t* signal_reader = nullptr;
     bool stopped = false;
     std::uint64_t polls = 0;
+    std::uint64_t received_bytes = 0;
     duration longest_timer_delay{0};
 
     void run_posted() {
@@ -283,6 +284,14 @@
     return std::exchange(implementation_->longest_timer_delay, duration::zero());
 }
 
+void loop::count_received(std::size_t bytes) noexcept {
+    implementation_->received_bytes += bytes;
+}
+
+std::uint64_t loop::received_bytes() const noexcept {
+    return implementation_->received_bytes;
+}
+
 st_h2o_evloop_t* loop::native() noexcept {
     return implementation_->native;
 }
