--- a/include/samphiretray/gateway/agent_protocol.h
+++ b/include/samphiretray/gateway/agent_protocol.h
@@ -63,6 +63,11 @@
 void add_engine_start(net::http_headers& headers, std::uint64_t started_at);
 [[nodiscard]] std::optional<std::uint64_t> read_engine_start(const net::http_headers& headers);
 
+/// Version of the engine's software as the entry knows it; nothing is added if it is empty.
+void add_software_version(net::http_headers& headers, std::string_view version);
+/// Empty if none is named.
+[[nodiscard]] std::string_view read_software_version(const net::http_headers& headers);
+
 /// How much longer the engine is cold, as far as the entry knows; nothing is added if it is not.
 void add_engine_cold(net::http_headers& headers, duration left);
 [[nodiscard]] std::optional<duration> read_engine_cold(const net::http_headers& headers);
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -7,6 +7,7 @@
 #include "samphiretray/gateway/crash_report.h"
 #include "samphiretray/gateway/endpoint_directory.h"
 #include "samphiretray/gateway/engine_agent.h"
+#include "samphiretray/gateway/origin_exchange.h"
 
 #include <algorithm>
 #include <ranges>
@@ -322,6 +323,9 @@
                                           shared_part_ids(request->forwarded.caller.prefix));
     request->key =
         make_request_key(request->forwarded.caller, request->http, request->forwarded.fields.organisation);
+    request->stream = routing::make_stream_key(request->forwarded.fields.organisation,
+                                               stream_attempt_of(request->forwarded.caller));
+    request->software_version = read_software_version(request->http.headers);
     learn_engine_id(*request);
     if (const auto left = read_engine_cold(request->http.headers)) {
         cold_.on_report(*left, request->arrived_at);
@@ -512,6 +516,9 @@
     if (request->exchange->ends_at_close() && names_event_stream(headers)) {
         request->events.emplace();
     }
+    if (is_event_stream(call_kind::streaming, code, headers) && !request->software_version.empty()) {
+        request->first_event.emplace();
+    }
     net::http_headers response_headers = headers;
     remove_agent_headers(response_headers);
     add_sending(response_headers, read_sending(request->http.headers));
@@ -546,6 +553,10 @@
     }
     request->longest_pause = std::max(request->longest_pause, loop_.now() - request->last_byte_at);
     request->last_byte_at = loop_.now();
+    if (request->first_event && request->first_event->append(bytes)) {
+        request->first_event.reset();
+        note_stream(*request);
+    }
     relay(*request->response, *request->exchange, bytes);
     if (request->events) {
         (void)request->events->append(bytes, loop_.now());
@@ -558,6 +569,12 @@
     }
 }
 
+template <request_binding Binding, engine_control Engine>
+void engine_agent<Binding, Engine>::note_stream(agent_request& request) {
+    request.is_stream_known = true;
+    stream_origins_.note(request.stream, {settings_.service, request.software_version}, loop_.now());
+}
+
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::on_end(const request_pointer& request,
                                            const std::optional<error>& failure) {
@@ -692,6 +709,10 @@
         return;
     }
     const time_point now = loop_.now();
+    if (request->is_stream_known) {
+        // Its caller may take the stream up from now on.
+        note_stream(*request);
+    }
     admission_.remove(request->id);
     if (request->pin) {
         slots_->unpin(*request->pin, now);
@@ -1101,6 +1122,9 @@
                                                net::http_response& response) {
     if (request.path == crashes_path || request.path == announcements_path) {
         on_crash_message(request, response);
+    } else if (request.path == stream_origins_path) {
+        response.send(200, {{"content-type", "application/json"}},
+                      answer_origin_query(request.query, stream_origins_, loop_.now()));
     } else if (request.path == "/metrics") {
         buffer_metrics_.update(*buffers_, *server_);
         response.send(200, {{"content-type", "text/plain; version=0.0.4"}}, metrics_.text());
@@ -1108,6 +1132,7 @@
         response.send(200, {{"content-type", "application/json"}},
                       "{\"vm\":\"" + settings_.node.vm +
                           "\",\"revision\":0,\"requests\":" + std::to_string(requests_.size()) +
+                          ",\"known_streams\":" + std::to_string(stream_origins_.size()) +
                           ",\"engine_up\":" + (is_engine_up() ? "true" : "false") +
                           ",\"engine_cold\":" + (cold_.is_cold(loop_.now()) ? "true" : "false") +
                           ",\"evacuated\":" + (is_evacuated() ? "true" : "false") + "}");
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -12,9 +12,11 @@
 #include "samphiretray/gateway/binding.h"
 #include "samphiretray/gateway/buffer_metrics.h"
 #include "samphiretray/gateway/event_stream_parser.h"
+#include "samphiretray/gateway/first_event_detector.h"
 #include "samphiretray/gateway/model.h"
 #include "samphiretray/gateway/relay.h"
 #include "samphiretray/gateway/settings.h"
+#include "samphiretray/gateway/stream_continuation.h"
 #include "samphiretray/net/http_client.h"
 #include "samphiretray/net/http_server.h"
 #include "samphiretray/observe/loop_watch.h"
@@ -27,6 +29,7 @@
 #include "samphiretray/routing/held_parts.h"
 #include "samphiretray/routing/prefix_cache_model.h"
 #include "samphiretray/routing/request_quarantine.h"
+#include "samphiretray/routing/stream_origins.h"
 
 #include <concepts>
 #include <map>
@@ -110,6 +113,13 @@
         duration longest_pause{0};
         /// Set for an event stream that ends with its connection: only its events tell whether it is whole.
         std::optional<event_stream_parser> events;
+        /// Identifies the stream that the request begins or goes on with.
+        routing::stream_key stream = 0;
+        /// Version of the engine's software, for the incarnation that the request is meant for.
+        std::string software_version;
+        /// Set for an answer whose events are passed on, until the first one has been.
+        std::optional<first_event_detector> first_event;
+        bool is_stream_known = false;
         std::optional<agent::slot_pin> pin;
         std::unique_ptr<net::http_exchange> exchange;
     };
@@ -148,6 +158,8 @@
     /// Closes the engine connection after a response that does not belong to the request.
     void on_mismatched_response(const request_pointer& request, int code, const answer_summary& head);
     void on_data(const request_pointer& request, std::string_view bytes);
+    /// Remembers which version of the engine's software has begun the stream.
+    void note_stream(agent_request& request);
     void on_end(const request_pointer& request, const std::optional<error>& failure);
     /// Ends a response after the engine has broken off its answer, or has sent none.
     void on_interrupted_answer(const request_pointer& request, std::string_view cause);
@@ -216,6 +228,8 @@
     /// The quarantined parts and requests that entries have announced.
     routing::held_parts held_parts_;
     routing::prefix_cache_model prefixes_{0};
+    /// The streams that the engine has begun or gone on with.
+    routing::stream_origins stream_origins_;
     std::map<std::string, std::uint64_t> released_versions_;
     std::unordered_map<std::uint64_t, request_pointer> requests_;
     std::uint64_t next_id_ = 1;
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -139,6 +139,7 @@
                        .listen = settings_.control_listen},
                       usage_, quarantine_, suspected_requests_, limits_),
       crash_exchange_(events, *http_, quarantine_, suspected_requests_, settings_.agent_control_port),
+      origin_exchange_(events, *http_),
       quarantine_record_(events, store, settings_.node.vm, quarantine_, suspected_requests_),
       ended_requests_(metrics_.counter(
           {"samphiretray_requests_total", "Requests by kind and outcome", {"kind", "outcome"}})),
@@ -155,6 +156,12 @@
       held_back_requests_counter_(metrics_.counter({"samphiretray_held_back_attempts_total",
                                                     "Attempts refused because their request is quarantined",
                                                     {}})),
+      continued_streams_counter_(
+          metrics_.counter({"samphiretray_continued_streams_total",
+                            "Requests that go on with a stream, by what is known of it",
+                            {"origin"}})),
+      known_streams_gauge_(metrics_.gauge(
+          {"samphiretray_known_stream_requests", "Streams whose software version is remembered", {}})),
       first_byte_seconds_(metrics_.histogram({"samphiretray_first_byte_seconds",
                                               "Time from the request to the first byte of its answer",
                                               {"kind"}},
@@ -430,7 +437,11 @@
         }
     });
     retries_.request_started(request->service, request->service, request->arrived);
-    dispatch(request);
+    if (request->matched_route->kind == call_kind::streaming && request->caller.continues_stream) {
+        find_origin(request);
+    } else {
+        dispatch(request);
+    }
 }
 
 template <request_binding Binding, typename Store>
@@ -468,8 +479,9 @@
     if (!authenticate(*request)) {
         return false;
     }
-    request->key = make_request_key(request->caller, request->http,
-                                    request->owner == nullptr ? "" : request->owner->name);
+    const std::string_view organisation = request->owner == nullptr ? "" : request->owner->name;
+    request->key = make_request_key(request->caller, request->http, organisation);
+    request->stream = routing::make_stream_key(organisation, stream_attempt_of(request->caller));
     return admit(*request);
 }
 
@@ -535,7 +547,12 @@
         (!paused && ejection_.usable(each->id, now) ? usable : avoided).push_back(each->id);
     }
     // If all endpoints are paused or ejected, one that fails some of its requests is better than none.
-    return usable.empty() ? avoided : usable;
+    std::vector<std::string> chosen = usable.empty() ? avoided : usable;
+    if (request.possible_origin) {
+        // Other processes may have noted an event of the attempt that failed.
+        prefer_version(chosen, *request.possible_origin, directory_);
+    }
+    return chosen;
 }
 
 template <request_binding Binding, typename Store>
@@ -546,7 +563,9 @@
                                                  request.caller.host, request.http.path);
     auto found = directory_.available(request.service, loop_.now());
     std::erase_if(found, [&](const endpoint* each) {
-        return rules_.is_evacuated(*each) || !rules_.is_at_home(*each, homes);
+        const bool is_other_version =
+            request.origin && !routing::may_continue(*request.origin, each->service, each->software_version);
+        return is_other_version || rules_.is_evacuated(*each) || !rules_.is_at_home(*each, homes);
     });
     return found;
 }
@@ -574,6 +593,9 @@
 
 template <request_binding Binding, typename Store>
 std::string_view entry_gateway<Binding, Store>::unplaced_cause(const active_request& request) const {
+    if (request.origin && is_version_gone(request)) {
+        return "stream_version_gone";
+    }
     if (request.last_refusal) {
         return name_of(*request.last_refusal);
     }
@@ -589,6 +611,104 @@
                                               : "all_refused";
 }
 
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::find_origin(const request_pointer& request) {
+    if (const auto known = stream_origins_.find(request->stream, loop_.now())) {
+        continue_stream(request, known, 0);
+        return;
+    }
+    const std::weak_ptr<active_request> weak = request;
+    const bool is_sought =
+        !request->caller.resumed_attempt_id.empty() &&
+        origin_exchange_.find(
+            request->stream, processes_knowing(*request),
+            [this, weak](const std::optional<routing::stream_origin>& origin, std::size_t asked) {
+                if (const auto self = weak.lock(); self && !self->ended) {
+                    continue_stream(self, origin, asked);
+                }
+            });
+    if (!is_sought) {
+        continue_stream(request, std::nullopt, 0);
+    }
+}
+
+template <request_binding Binding, typename Store>
+std::vector<net::address>
+entry_gateway<Binding, Store>::processes_knowing(const active_request& request) const {
+    origin_sources sources{settings_.node.data_centre, settings_.agent_control_port, {}, {}, peers_};
+    std::vector<std::string> ids;
+    for (const endpoint* each : directory_.all()) {
+        const service* configured = table_->find_service(each->service);
+        if (serves(*request.matched_route, each->service) && configured != nullptr && configured->engine) {
+            ids.push_back(each->id);
+            sources.agent_hosts.push_back(each->address.host);
+        }
+    }
+    for (const routing::choice_candidate& each :
+         choice_.order(make_choice_request(request), ids, loop_.now())) {
+        sources.likely_agent_hosts.push_back(directory_.find(each.id)->address.host);
+    }
+    return order_origin_sources(sources);
+}
+
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::continue_stream(const request_pointer& request,
+                                                    const std::optional<routing::stream_origin>& origin,
+                                                    std::size_t asked) {
+    request->origin = origin;
+    const bool is_routed = origin && serves(*request->matched_route, origin->service);
+    if (is_routed) {
+        request->service = origin->service;
+        const service* known = table_->find_service(request->service);
+        request->is_engine = known != nullptr && known->engine.has_value();
+    }
+    const bool is_gone = origin && (!is_routed || is_version_gone(*request));
+    const std::string_view outcome = !origin ? "unknown" : is_gone ? "gone" : asked == 0 ? "own" : "found";
+    continued_streams_counter_.add({outcome});
+    log_event(log_level::info, "stream_taken_up",
+              {{"request", request->caller.attempt_id},
+               {"resumes", request->caller.resumed_attempt_id},
+               {"origin", outcome},
+               {"service", origin ? origin->service : std::string{}},
+               {"software_version", origin ? origin->software_version : std::string{}},
+               {"asked", asked},
+               {"waited_ms", milliseconds_in(loop_.now() - request->arrived)}});
+    if (!origin) {
+        // The processes that know the stream may have been out of reach.
+        refuse(*request, 503, limits::default_retry_after, "stream_origin_unknown");
+    } else if (is_gone) {
+        // No time to wait is named: the stream cannot go on, and its caller may begin it anew.
+        refuse(*request, 503, std::nullopt, "stream_version_gone");
+    } else {
+        stream_origins_.note(request->stream, *origin, loop_.now());
+        dispatch(request);
+    }
+}
+
+template <request_binding Binding, typename Store>
+bool entry_gateway<Binding, Store>::is_version_gone(const active_request& request) const {
+    const auto all = directory_.all();
+    return std::ranges::none_of(all, [&](const endpoint* each) {
+        return !each->draining &&
+               routing::may_continue(*request.origin, each->service, each->software_version);
+    });
+}
+
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::note_origin(active_request& request) {
+    if (!request.origin) {
+        request.origin = {request.service, request.software_version};
+        note_stream(request);
+    }
+}
+
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::note_stream(const active_request& request) {
+    if (request.origin && !request.origin->software_version.empty()) {
+        stream_origins_.note(request.stream, *request.origin, loop_.now());
+    }
+}
+
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::dispatch(const request_pointer& request) {
     if (const auto wait = suspected_requests_.check(request->key, request->shared.id, loop_.now())) {
@@ -606,8 +726,11 @@
     }
     auto candidates = choice_.order(make_choice_request(*request), usable_endpoints(*request), loop_.now());
     // Without its agent, an engine can serve only models and adapters that are already loaded.
-    std::erase_if(candidates, [this](const routing::choice_candidate& each) {
-        return !each.resident && is_agent_down(directory_.find(each.id)->address.host);
+    // Nor is it noticed without an agent that the engine has been restarted under its id, perhaps with other
+    // software, so no stream goes on there.
+    const bool needs_agent = request->is_engine && request->origin.has_value();
+    std::erase_if(candidates, [&](const routing::choice_candidate& each) {
+        return (needs_agent || !each.resident) && is_agent_down(directory_.find(each.id)->address.host);
     });
     if (candidates.empty() || request->tried_endpoints.size() >= limits::max_tried_endpoints) {
         give_up(*request, unplaced_cause(*request));
@@ -710,6 +833,7 @@
     request->endpoint = to->id;
     request->agent_host = via_agent ? to->address.host : "";
     request->engine_started_at = to->started_at;
+    request->software_version = to->software_version;
     request->state = answer_state::awaiting_head;
     request->body_started = false;
     discard_buffered(*request);
@@ -743,6 +867,7 @@
         add_sending(call.headers, request->sending);
         add_waiting_budget(call.headers, waiting_budget_of(*request, has_others));
         add_engine_start(call.headers, to->started_at);
+        add_software_version(call.headers, to->software_version);
         add_engine_cold(call.headers, rules_.cold_left(to->id, now));
     }
     call.body = request->http.body;
@@ -907,6 +1032,7 @@
     }
     const std::string events = request->events.append(bytes, loop_.now());
     if (!events.empty()) {
+        note_origin(*request);
         relay(*request->response, *request->exchange, events);
     }
     const bool fits = count_buffered(*request, request->events.incomplete_event().size());
@@ -1373,6 +1499,9 @@
                                                      std::string_view cause) {
     const time_point now = loop_.now();
     request->tried_endpoints.push_back(request->endpoint);
+    if (forwarded && !request->software_version.empty()) {
+        request->possible_origin = {request->service, request->software_version};
+    }
     const bool retryable = is_retryable(*request);
     const routing::failed_attempt failed{request->service,
                                          request->service,
@@ -1495,6 +1624,8 @@
                {"first_ms", first_ms},
                {"total_ms", milliseconds_in(now - request.arrived)}});
     discard_buffered(request);
+    // Its caller may take the stream up from now on.
+    note_stream(request);
     // Cancelled at once: the exchange may fail to connect in this iteration of the loop, and the request
     // would then be sent to another endpoint although its caller has been told that it will not run.
     request.exchange.reset();
@@ -1639,6 +1770,7 @@
            ",\"quarantined_parts\":" + std::to_string(quarantine_.quarantined_count(loop_.now())) +
            ",\"quarantined_requests\":" +
            std::to_string(suspected_requests_.quarantined(loop_.now()).size()) +
+           ",\"known_streams\":" + std::to_string(stream_origins_.size()) +
            ",\"limited_endpoints\":" + std::to_string(limits_.limited_count()) +
            ",\"cold_endpoints\":" + std::to_string(rules_.cold_count(loop_.now())) + ",\"evacuated\":\"" +
            join(rules_.evacuated(), ",") + "\"" + ",\"requests\":" + std::to_string(active_requests_.size()) +
@@ -1686,7 +1818,11 @@
         response->send(200, {{"content-type", "application/json"}}, encode(report_for(request)));
     } else if (request.path == "/metrics") {
         buffer_metrics_.update(*buffers_, *caller_server_);
+        known_streams_gauge_.set({}, static_cast<double>(stream_origins_.size()));
         response->send(200, {{"content-type", "text/plain; version=0.0.4"}}, metrics_.text());
+    } else if (request.path == stream_origins_path) {
+        response->send(200, {{"content-type", "application/json"}},
+                       answer_origin_query(request.query, stream_origins_, loop_.now()));
     } else if (request.path == "/status") {
         response->send(200, {{"content-type", "application/json"}}, status_text());
     } else if (request.path == "/quarantine") {
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -7,6 +7,7 @@
 #include "samphiretray/gateway/crash_exchange.h"
 #include "samphiretray/gateway/endpoint_directory.h"
 #include "samphiretray/gateway/event_stream_parser.h"
+#include "samphiretray/gateway/origin_exchange.h"
 #include "samphiretray/gateway/placement_rules.h"
 #include "samphiretray/gateway/quarantine_page.h"
 #include "samphiretray/gateway/quarantine_record.h"
@@ -14,6 +15,7 @@
 #include "samphiretray/gateway/relay.h"
 #include "samphiretray/gateway/routing_table.h"
 #include "samphiretray/gateway/settings.h"
+#include "samphiretray/gateway/stream_continuation.h"
 #include "samphiretray/gateway/usage_exchange.h"
 #include "samphiretray/net/http_client.h"
 #include "samphiretray/net/http_server.h"
@@ -26,6 +28,7 @@
 #include "samphiretray/routing/outlier_ejection.h"
 #include "samphiretray/routing/request_quarantine.h"
 #include "samphiretray/routing/retry_policy.h"
+#include "samphiretray/routing/stream_origins.h"
 
 #include <map>
 #include <memory>
@@ -141,8 +144,18 @@
         std::optional<agent_refusal> last_refusal;
         std::optional<duration> refusal_wait;
 
+        /// Identifies the stream that the request begins or goes on with.
+        routing::stream_key stream = 0;
+        /// Where the stream has begun: set for a request that goes on with one, or once an event has been
+        /// passed on. Only servers of this version may go on with it.
+        std::optional<routing::stream_origin> origin;
+        /// Where an attempt that brought no event may have begun it.
+        std::optional<routing::stream_origin> possible_origin;
+
         std::uint64_t attempt = 0;
         std::string endpoint;
+        /// Version of the endpoint's software when the attempt was sent.
+        std::string software_version;
         net::address sent_to;
         std::string agent_host;
         /// Identifies the current sending to an agent.
@@ -177,6 +190,17 @@
     [[nodiscard]] bool accept(const request_pointer& request);
     [[nodiscard]] bool authenticate(active_request& request);
     [[nodiscard]] bool admit(active_request& request);
+    /// Finds out where the stream has begun that the request goes on with, and dispatches the request.
+    void find_origin(const request_pointer& request);
+    void continue_stream(const request_pointer& request, const std::optional<routing::stream_origin>& origin,
+                         std::size_t asked);
+    /// The processes that may know the stream, the most likely ones first.
+    [[nodiscard]] std::vector<net::address> processes_knowing(const active_request& request) const;
+    /// An event of the current attempt is passed on.
+    void note_origin(active_request& request);
+    void note_stream(const active_request& request);
+    /// Whether servers of the version that began the request's stream are known.
+    [[nodiscard]] bool is_version_gone(const active_request& request) const;
     void dispatch(const request_pointer& request);
     /// Why no endpoint takes the request.
     [[nodiscard]] std::string_view unplaced_cause(const active_request& request) const;
@@ -298,6 +322,9 @@
     placement_rules rules_;
     usage_exchange<Store> usage_exchange_;
     crash_exchange crash_exchange_;
+    /// The streams that this entry has passed on.
+    routing::stream_origins stream_origins_;
+    origin_exchange origin_exchange_;
     quarantine_record<Store> quarantine_record_;
     std::vector<peer_entry> peers_;
     std::optional<time_point> quarantine_announced_at_;
@@ -325,6 +352,8 @@
     observe::counter_family& held_back_counter_;
     observe::counter_family& request_quarantine_counter_;
     observe::counter_family& held_back_requests_counter_;
+    observe::counter_family& continued_streams_counter_;
+    observe::gauge_family& known_streams_gauge_;
     observe::histogram_family& first_byte_seconds_;
     observe::histogram_family& request_seconds_;
 };
--- a/include/samphiretray/gateway/model.h
+++ b/include/samphiretray/gateway/model.h
@@ -19,6 +19,8 @@
 
 /// The header by which a request continues an event stream (HTML standard, server-sent events).
 inline constexpr std::string_view last_event_id_header = "last-event-id";
+/// With it, the header that names the attempt that brought the first event of that stream.
+inline constexpr std::string_view resumes_header = "resumes";
 
 enum class call_kind {
     /// May be retried at any time, since it may run more than once.
@@ -131,6 +133,10 @@
     std::uint64_t sequence = 0;
     /// How much longer it stays cold, if its record says so.
     std::optional<duration> cold_left = {};
+    /// Version of its software; empty if that is not known, or if records of one incarnation differ in it.
+    std::string software_version = {};
+    /// Records of this incarnation have named more than one version.
+    bool has_conflicting_versions = false;
 };
 
 /// The latest released version of an adapter, which is named "model/adapter".
@@ -149,6 +155,10 @@
 struct caller_request {
     /// Unique for each attempt; a caller that retries a request sends a new id.
     std::string attempt_id;
+    /// The request goes on with a stream whose first event this attempt has brought; empty if none is named.
+    std::string resumed_attempt_id;
+    /// The request goes on with a stream, after an event that the caller has received.
+    bool continues_stream = false;
     /// The caller's API key.
     std::string api_key;
     /// Lower case, without port.
--- a/src/gateway/agent_protocol.cpp
+++ b/src/gateway/agent_protocol.cpp
@@ -19,9 +19,10 @@
 constexpr std::string_view engine_cold_header = "samphiretray-engine-cold-ms";
 constexpr std::string_view work_time_header = "samphiretray-engine-work-time";
 constexpr std::string_view sending_header = "samphiretray-sending";
+constexpr std::string_view software_version_header = "samphiretray-software-version";
 constexpr std::array agent_headers{work_time_header,   budget_header,       load_header,
                                    refusal_header,     engine_start_header, refusal_wait_header,
-                                   engine_cold_header, sending_header};
+                                   engine_cold_header, sending_header,      software_version_header};
 /// The header lists backlog tokens, running requests, reserved KV memory, free slots, wanted adapters and
 /// reading rate, followed by the names of resident adapters.
 constexpr std::size_t load_number_count = 6;
@@ -63,6 +64,16 @@
     return parse_number<std::uint64_t>(net::find_header(headers, engine_start_header));
 }
 
+void add_software_version(net::http_headers& headers, std::string_view version) {
+    if (!version.empty()) {
+        headers.push_back({std::string{software_version_header}, std::string{version}});
+    }
+}
+
+std::string_view read_software_version(const net::http_headers& headers) {
+    return net::find_header(headers, software_version_header);
+}
+
 void add_engine_cold(net::http_headers& headers, duration left) {
     if (left > duration::zero()) {
         headers.push_back({std::string{engine_cold_header}, milliseconds_text(left)});
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -24,6 +24,14 @@
     departed_.erase(value.id);
     const auto found = endpoints_.find(value.id);
     const bool is_new_incarnation = found == endpoints_.end() || found->second.started_at != value.started_at;
+    if (!is_new_incarnation) {
+        // Software does not change while it runs, so one of the records is wrong.
+        const endpoint& known = found->second;
+        value.has_conflicting_versions =
+            known.has_conflicting_versions ||
+            (!known.software_version.empty() && known.software_version != value.software_version);
+        value.software_version = value.has_conflicting_versions ? "" : value.software_version;
+    }
     endpoints_.insert_or_assign(value.id, std::move(value));
     return is_new_incarnation;
 }
--- /dev/null
+++ b/src/gateway/stream_continuation.cpp
@@ -0,0 +1,57 @@
+#include "samphiretray/gateway/stream_continuation.h"
+
+#include <algorithm>
+#include <ranges>
+#include <set>
+
+namespace samphiretray::gateway {
+
+std::string_view stream_attempt_of(const caller_request& caller) {
+    return caller.continues_stream ? caller.resumed_attempt_id : caller.attempt_id;
+}
+
+bool serves(const route& from, std::string_view service) {
+    return std::ranges::find(from.services, service, &weighted_service::service) != from.services.end();
+}
+
+std::vector<net::address> order_origin_sources(const origin_sources& sources) {
+    std::vector<net::address> ordered;
+    std::set<net::address> known;
+    const auto add = [&](const net::address& target) {
+        if (known.insert(target).second) {
+            ordered.push_back(target);
+        }
+    };
+    const auto add_agents = [&](const std::vector<std::string>& hosts) {
+        if (sources.agent_control_port != 0) {
+            std::ranges::for_each(hosts, [&](const std::string& host) {
+                add({host, sources.agent_control_port});
+            });
+        }
+    };
+    const auto add_entries = [&](bool is_local) {
+        for (const peer_entry& each : sources.entries) {
+            if ((each.data_centre == sources.data_centre) == is_local) {
+                add(each.at);
+            }
+        }
+    };
+    add_agents(sources.likely_agent_hosts);
+    add_entries(true);
+    add_agents(sources.agent_hosts);
+    add_entries(false);
+    return ordered;
+}
+
+void prefer_version(std::vector<std::string>& endpoints, const routing::stream_origin& origin,
+                    const endpoint_directory& directory) {
+    const auto is_same = [&](const std::string& id) {
+        const endpoint* known = directory.find(id);
+        return known != nullptr && routing::may_continue(origin, known->service, known->software_version);
+    };
+    if (std::ranges::any_of(endpoints, is_same)) {
+        std::erase_if(endpoints, [&](const std::string& id) { return !is_same(id); });
+    }
+}
+
+} // namespace samphiretray::gateway
--- a/tests/fleet/small_fleet.h
+++ b/tests/fleet/small_fleet.h
@@ -111,6 +111,7 @@
     std::string name;
     std::string id;
     std::vector<std::string> former_ids;
+    std::string software_version = "v1";
     std::uint64_t born = 0;
     std::unique_ptr<net::http_server> server;
     net::timer_handle restart;
@@ -130,6 +131,7 @@
         }
 
         std::string host;
+        std::string software_version = "v1";
         fake_engine engine;
         std::unique_ptr<engine_client> client;
         std::unique_ptr<agent_type> agent;
@@ -197,6 +199,7 @@
             value.data_centre = "north-a";
             value.slots = 8;
             value.started_at = engines[i]->engine.born;
+            value.software_version = engines[i]->software_version;
             entry.update_endpoint(value);
         }
         for (const auto& each : plain_servers) {
@@ -209,6 +212,7 @@
             value.data_centre = "north-a";
             value.slots = 8;
             value.started_at = each->born;
+            value.software_version = each->software_version;
             entry.update_endpoint(value);
         }
     }
--- a/tests/platform/entry_gateway_test.cpp
+++ b/tests/platform/entry_gateway_test.cpp
@@ -312,6 +312,13 @@
 TEST_CASE("an interrupted resumable stream continues at another endpoint after its last complete event") {
     entry_with_servers fixture;
     fixture.register_all();
+    // The caller itself goes on with a stream that another attempt has begun.
+    fixture.responders[0] = [](const auto& request, const auto& response) {
+        send_signed(request, response, 200, "id: 0\n\n");
+    };
+    fixture.send_request("/r/1", {}, "key", "order", "attempt-0");
+    REQUIRE(status_of(fixture.wait_for_outcome()) == 200);
+    fixture.received[0].clear();
     fixture.responders[0] = [](const auto& request, const auto& response) {
         auto headers = signed_headers(request);
         headers.push_back({"x-run", "first"});
@@ -325,7 +332,7 @@
         response->write("id: 3\ndata: c\n\n");
         response->finish();
     };
-    const auto& answer = fixture.send_and_wait("/r/1", {{"last-event-id", "0"}});
+    const auto& answer = fixture.send_and_wait("/r/1", {{"last-event-id", "0"}, {"resumes", "attempt-0"}});
     REQUIRE(answer);
     CHECK(answer->body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
     CHECK(net::find_header(answer->headers, "x-run") == "first");
--- a/tests/platform/entry_with_servers.h
+++ b/tests/platform/entry_with_servers.h
@@ -154,12 +154,12 @@
     void register_only(const net::address& server, const std::vector<std::string>& ids) {
         entry->apply(make_state(3));
         for (const std::string& id : ids) {
-            entry->update_endpoint({id, "orders", server, "north-a", 6, false, 1, {}});
+            entry->update_endpoint({id, "orders", server, "north-a", 6, false, 1, {}, 0, {}, "v1"});
         }
         entry->set_endpoints_complete();
     }
 
-    void register_server(std::size_t i, bool draining = false) {
+    void register_server(std::size_t i, bool draining = false, const std::string& version = "v1") {
         gateway::endpoint server;
         server.id = "i-" + std::to_string(i);
         server.service = "orders";
@@ -167,6 +167,7 @@
         server.data_centre = i == 0 ? "north-a" : "south-a";
         server.slots = 6;
         server.draining = draining;
+        server.software_version = version;
         entry->update_endpoint(server);
     }
 
