--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -5,6 +5,7 @@
 #include "soak/invariant_checker.h"
 #include "soak/platform_server.h"
 #include "soak/platform_store.h"
+#include "soak/stream_callers.h"
 #include "tests/overload/crowd.h"
 #include "tests/process/child_process.h"
 
@@ -72,6 +73,9 @@
 /// Processes must exit this soon after SIGTERM.
 constexpr duration stop_timeout = 9s;
 constexpr duration call_timeout = 2s;
+constexpr duration stream_interval = 60ms;
+/// The first entry accepts connections as if its link carried no more than this.
+constexpr double thin_link_mbps = 40;
 constexpr std::string_view attempt_header = "x-samphiretray-attempt-id";
 /// Callers of the faulty phase come back once with what was refused as not run.
 constexpr duration return_pause = 30ms;
@@ -140,6 +144,7 @@
     void inject_fault();
     void run_after(duration delay, std::function<void()> action);
     void inject_process_fault(process& target);
+    void kill_all_entries();
     /// Lets the process run and stand still in turn, so that its timers run late and together.
     void inject_stutter(process& target, int pauses);
     void inject_server_fault(platform_server& server);
@@ -179,6 +184,8 @@
     std::string withdrawn_key_;
     bool stopping_ = false;
     bool has_faults_ = false;
+    stream_callers streams_{loop_, *client_, checker_, [this] { return random_entry().request_address; },
+                            "s" + std::to_string(options_.seed)};
 };
 
 soak_run::soak_run(options parsed)
@@ -252,6 +259,7 @@
                     {"control_listen", net::to_string(added->control_address)},
                     {"agent_port", options_.port + agent_port_offset},
                     {"agent_control_port", options_.port + control_port_offset},
+                    {"link_mbps", index == 0 ? thin_link_mbps : 0},
                     {"data_centres", json::array({{{"name", home_data_centre}, {"region", "north"}},
                                                   {{"name", other_data_centre}, {"region", "south"}}})}},
                    home_data_centre);
@@ -305,6 +313,9 @@
                     {"timeoutMs", 1500}, {"targetLatencyMs", 300},     {"priority", 1}};
     };
     json home = make_route("/h/", "safe", "orders", 2);
+    json resumable = make_route("/r/", "streaming", "engines", 3);
+    resumable["resumable"] = true;
+    resumable["timeoutMs"] = 2800;
     home["allowedRegions"] = json::array({"north"});
     const json engine{{"slots", 16},
                       {"kvCapacityTokens", 100'000},
@@ -315,7 +326,7 @@
         {"routes",
          json::array({make_route("/s/", "safe", "orders", 2), make_route("/u/", "unsafe", "orders", 2),
                       make_route("/l/", "unsafe", "lookups", 2), make_route("/e/", "streaming", "engines", 2),
-                      home})},
+                      home, resumable})},
         {"services", json::array({{{"name", "engines"},
                                    {"engine", engine},
                                    {"coldS", std::chrono::duration<double>(cold_time).count()},
@@ -495,6 +506,16 @@
     }
 }
 
+void soak_run::kill_all_entries() {
+    print_fault("kill all entries");
+    for (const auto& each : processes_) {
+        if (each->is_entry) {
+            each->expected_to_end = true;
+            each->child.kill();
+        }
+    }
+}
+
 void soak_run::inject_stutter(process& target, int pauses) {
     target.paused = true;
     target.child.signal(SIGSTOP);
@@ -601,7 +622,7 @@
 void soak_run::inject_fault() {
     process& target = *processes_[random_below(processes_.size())];
     platform_server& server = *servers_[random_below(servers_.size())];
-    switch (random_below(16)) {
+    switch (random_below(17)) {
     case 0:
     case 1:
         inject_process_fault(target);
@@ -674,6 +695,9 @@
     case 14:
         inject_server_fault(server);
         break;
+    case 15:
+        kill_all_entries();
+        break;
     default:
         print_fault("configuration change");
         write_configuration();
@@ -743,6 +767,7 @@
     // Far more tokens than the organisation may spend, so that only refusals keep it within its limit.
     const net::timer_handle small = loop_.every(55ms, [this] { send_random_request("key-small", "small"); });
     const net::timer_handle crashing = loop_.every(crashing_interval, [this] { send_crashing_request(); });
+    const net::timer_handle streams = loop_.every(stream_interval, [this] { streams_.begin(key_, "large"); });
     loop_.run_until([] { return false; }, 2s);
     has_faults_ = true;
     inject_fault();
@@ -811,6 +836,13 @@
         static_cast<unsigned long long>(options_.seed), checker_.attempt_count(), answered,
         checker_.prompt_crashes({}), late_crashes, request_crashes.c_str(), checker_.violations().size(),
         folder_.c_str());
+    const stream_callers::counts& streams = streams_.totals();
+    std::printf("streams: %zu begun, %zu whole, %zu taken up, of which %zu went on", streams.begun,
+                streams.whole, streams.taken_up, streams.went_on);
+    for (const auto& [cause, count] : streams.not_continued) {
+        std::printf(", %s: %zu", cause.c_str(), count);
+    }
+    std::printf("\n");
     for (const std::string& each : checker_.violations()) {
         std::printf("VIOLATION %s\n", each.c_str());
     }
--- a/soak/platform_server.cpp
+++ b/soak/platform_server.cpp
@@ -2,6 +2,8 @@
 
 #include "samphiretray/base/text.h"
 
+#include "soak/stream_callers.h"
+
 #include <array>
 #include <stdexcept>
 
@@ -17,6 +19,8 @@
 constexpr duration prompt_crash_downtime = 400ms;
 constexpr duration order_delay = 1500ms;
 constexpr int event_count = 4;
+/// Time between the events of a resumable stream.
+constexpr duration event_interval = 40ms;
 /// Time between writes of a response that does not end.
 constexpr duration write_interval = 5ms;
 /// Outcomes of successive responses while response faults are on.
@@ -26,7 +30,9 @@
 
 /// The service of the route that the path belongs to.
 std::string_view service_of(std::string_view path) {
-    return path.starts_with("/e/") ? "engines" : path.starts_with("/l/") ? "lookups" : "orders";
+    return path.starts_with("/e/") || path.starts_with(resumable_prefix) ? "engines"
+           : path.starts_with("/l/")                                     ? "lookups"
+                                                                         : "orders";
 }
 
 std::string header(const net::http_request& request, std::string_view name) {
@@ -124,7 +130,7 @@
     return json{{"service", description_.service},
                 {"address", net::to_string(description_.advertised)},
                 {"zone", description_.data_centre},
-                {"version", "v1"},
+                {"version", software_version()},
                 {"slots", 16},
                 {"state", "ready"},
                 {"seq", sequence_},
@@ -247,6 +253,14 @@
         });
         return;
     }
+    if (request.path.starts_with(resumable_prefix)) {
+        const auto last = parse_number<std::size_t>(header(request, "last-event-id")).value_or(0);
+        response->start(200, {{"x-samphiretray-attempt-id", attempt},
+                              {"x-samphiretray-server-seal", "seal"},
+                              {"content-type", "text/event-stream"}});
+        write_stream(response, last + 1, outcome != response_outcome::complete);
+        return;
+    }
     run_after(service_time, [this, response, attempt, outcome, incarnation = incarnation_] {
         if (incarnation != incarnation_ || !is_up() || !response->is_open()) {
             response->abort();
@@ -335,6 +349,22 @@
     }
 }
 
+void platform_server::write_stream(const std::shared_ptr<net::http_response>& response, std::size_t event,
+                                   bool has_fault) {
+    if (event > resumable_event_count) {
+        response->finish();
+        return;
+    }
+    response->write("id: " + std::to_string(event) + "\ndata: " + software_version() + "\n\n");
+    run_after(event_interval, [this, response, event, has_fault, incarnation = incarnation_] {
+        if (has_fault || incarnation != incarnation_ || !is_up() || !response->is_open()) {
+            response->abort();
+            return;
+        }
+        write_stream(response, event + 1, false);
+    });
+}
+
 void platform_server::keep_writing(const std::shared_ptr<net::http_response>& response,
                                    const std::string& bytes) {
     if (!response->is_open()) {
--- a/soak/platform_server.h
+++ b/soak/platform_server.h
@@ -109,6 +109,12 @@
     void handle_order(const net::http_request& request, const std::shared_ptr<net::http_response>& response);
     void send_response(const std::shared_ptr<net::http_response>& response, const std::string& attempt,
                        response_outcome outcome);
+    /// Writes the events of a resumable stream from `event` on. With a fault it breaks off after the next
+    /// one.
+    void write_stream(const std::shared_ptr<net::http_response>& response, std::size_t event, bool has_fault);
+    /// Version of the software of this incarnation. A server that starts under another id has the other
+    /// version.
+    [[nodiscard]] std::string software_version() const { return id_count_ % 2 == 0 ? "v2" : "v1"; }
     /// Writes `bytes` again and again until the caller closes the connection.
     void keep_writing(const std::shared_ptr<net::http_response>& response, const std::string& bytes);
     /// Returns the HTTP status of the response.
