--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -465,7 +465,7 @@
     }
     request->matched_route = table_->match(request->caller.host, request->http.path);
     if (request->matched_route == nullptr) {
-        refuse(*request, 404, std::nullopt, "no_route");
+        deny(*request, 404, "no_route");
         return false;
     }
     const duration timeout = std::min(request->caller.time_left.value_or(limits::default_timeout),
@@ -495,12 +495,29 @@
                         : table_->find_organisation_by_key(sha256_hex(request.caller.api_key));
     request.caller.api_key.clear();
     if (request.owner == nullptr) {
-        refuse(request, 401, std::nullopt, "unknown_key");
+        deny(request, 401, "unknown_key");
         return false;
     }
     return true;
 }
 
+template <request_binding Binding, typename Store>
+void entry_gateway<Binding, Store>::deny(active_request& request, int code, std::string_view cause) {
+    const contact_state contact{configuration_age_ ? configuration_age_() : duration::zero(), peers_.size(),
+                                usage_.active_peer_count(loop_.now())};
+    if (may_deny(contact)) {
+        refuse(request, code, std::nullopt, cause);
+        return;
+    }
+    log_event(log_level::warning, "configuration_outdated",
+              {{"request", request.caller.attempt_id},
+               {"cause", cause},
+               {"version", table_->version()},
+               {"age_ms", milliseconds_in(contact.configuration_age)},
+               {"peers", contact.peers}});
+    refuse(request, 503, limits::retry_after_elsewhere, "configuration_outdated");
+}
+
 template <request_binding Binding, typename Store>
 bool entry_gateway<Binding, Store>::admit(active_request& request) {
     request.service =
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -5,6 +5,7 @@
 #include "samphiretray/gateway/binding.h"
 #include "samphiretray/gateway/buffer_metrics.h"
 #include "samphiretray/gateway/crash_exchange.h"
+#include "samphiretray/gateway/denial_policy.h"
 #include "samphiretray/gateway/endpoint_directory.h"
 #include "samphiretray/gateway/event_stream_parser.h"
 #include "samphiretray/gateway/origin_exchange.h"
@@ -84,6 +85,10 @@
     /// All endpoints have been reported once; the entry is not ready before.
     void set_endpoints_complete();
 
+    /// `age` returns the time since the configuration was last known to be current, zero while calls to the
+    /// store succeed.
+    void set_configuration_age(std::function<duration()> age) { configuration_age_ = std::move(age); }
+
     /// Calls `action` with the other registered entries whenever they change.
     void on_peers_changed(std::function<void(const std::vector<peer_entry>&)> action) {
         on_peers_ = std::move(action);
@@ -189,6 +194,8 @@
     void on_request(net::http_request&& http, std::shared_ptr<net::http_response>&& response);
     [[nodiscard]] bool accept(const request_pointer& request);
     [[nodiscard]] bool authenticate(active_request& request);
+    /// Refuses a request for a route or with a key that the configuration lacks.
+    void deny(active_request& request, int code, std::string_view cause);
     [[nodiscard]] bool admit(active_request& request);
     /// Finds out where the stream has begun that the request goes on with, and dispatches the request.
     void find_origin(const request_pointer& request);
@@ -330,6 +337,7 @@
     std::optional<time_point> quarantine_announced_at_;
     std::optional<time_point> quarantine_recorded_at_;
     std::function<void(const std::vector<peer_entry>&)> on_peers_;
+    std::function<duration()> configuration_age_;
     std::map<std::string, net::http_handler> peer_handlers_;
     /// Hosts of agents that could not be connected to.
     std::map<std::string, time_point> agents_down_until_;
