--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -479,7 +479,7 @@
     if (!authenticate(*request)) {
         return false;
     }
-    const std::string_view organisation = request->owner == nullptr ? "" : request->owner->name;
+    const std::string organisation = request->owner == nullptr ? "" : request->owner->name;
     request->key = make_request_key(request->caller, request->http, organisation);
     request->stream = routing::make_stream_key(organisation, stream_attempt_of(request->caller));
     return admit(*request);
--- a/tests/gateway/origin_search_test.cpp
+++ b/tests/gateway/origin_search_test.cpp
@@ -79,6 +79,16 @@
     rc::check([] {
         origin_search search;
         std::vector<origin_search::query> open;
+        // Odd streams are known to all processes, even ones to none.
+        const auto answer = [&search](const origin_search::query& query) {
+            std::vector<known_stream> known;
+            for (const auto stream : query.streams) {
+                if (stream % 2 == 1) {
+                    known.push_back({stream, older});
+                }
+            }
+            search.on_answer(query.target, known);
+        };
         std::multiset<routing::stream_key> wanted;
         const auto drain = [&] {
             for (auto& each : search.take_queries()) {
@@ -87,7 +97,6 @@
             for (const auto& each : search.take_results()) {
                 RC_ASSERT(wanted.erase(each.stream) == 1U);
                 RC_ASSERT((!each.origin || *each.origin == older));
-                // Odd streams are known to all processes, even ones to none.
                 RC_ASSERT(each.origin.has_value() == (each.stream % 2 == 1));
             }
         };
@@ -102,26 +111,14 @@
             } else if (!open.empty()) {
                 const auto query = open[static_cast<std::size_t>(step) % open.size()];
                 std::erase_if(open, [&](const auto& each) { return each.target == query.target; });
-                std::vector<known_stream> known;
-                for (const auto stream : query.streams) {
-                    if (stream % 2 == 1) {
-                        known.push_back({stream, older});
-                    }
-                }
-                search.on_answer(query.target, known);
+                answer(query);
             }
             drain();
         }
         while (!open.empty()) {
             const auto query = open.back();
             open.pop_back();
-            std::vector<known_stream> known;
-            for (const auto stream : query.streams) {
-                if (stream % 2 == 1) {
-                    known.push_back({stream, older});
-                }
-            }
-            search.on_answer(query.target, known);
+            answer(query);
             drain();
         }
         RC_ASSERT(wanted.empty());
