--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -1516,7 +1516,8 @@
                                                      std::string_view cause) {
     const time_point now = loop_.now();
     request->tried_endpoints.push_back(request->endpoint);
-    if (forwarded && !request->software_version.empty()) {
+    if (forwarded && request->matched_route->kind == call_kind::streaming &&
+        !request->software_version.empty()) {
         request->possible_origin = {request->service, request->software_version};
     }
     const bool retryable = is_retryable(*request);
--- a/include/samphiretray/net/http_server.h
+++ b/include/samphiretray/net/http_server.h
@@ -100,7 +100,7 @@
     /// How often accepting has paused because of `link_bytes_per_s`.
     [[nodiscard]] virtual std::uint64_t accept_pauses() const noexcept = 0;
     /// Part of the link that received bytes have filled in the last second; 0 without `link_bytes_per_s`.
-    [[nodiscard]] virtual double link_use() const noexcept = 0;
+    [[nodiscard]] virtual double link_use() const = 0;
 };
 
 } // namespace samphiretray::net
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -37,7 +37,7 @@
         return core_->displaced_connections();
     }
     [[nodiscard]] std::uint64_t accept_pauses() const noexcept override { return core_->accept_pauses(); }
-    [[nodiscard]] double link_use() const noexcept override { return core_->link_use(); }
+    [[nodiscard]] double link_use() const override { return core_->link_use(); }
 
 private:
     std::shared_ptr<http_server_core> core_;
--- a/src/net/http_server_core.h
+++ b/src/net/http_server_core.h
@@ -78,7 +78,10 @@
     [[nodiscard]] std::uint64_t refused_requests() const noexcept { return refused_requests_; }
     [[nodiscard]] std::uint64_t displaced_connections() const noexcept { return displaced_connections_; }
     [[nodiscard]] std::uint64_t accept_pauses() const noexcept { return accept_pauses_; }
-    [[nodiscard]] double link_use() const noexcept { return pacer_.link_use(); }
+    [[nodiscard]] double link_use() {
+        pacer_.on_received(events_.received_bytes(), events_.now());
+        return pacer_.link_use();
+    }
     [[nodiscard]] bool is_shutting_down() const noexcept { return context_.shutdown_requested != 0; }
     /// Loads the certificate files, if any are set; on an error the old certificate stays in use.
     [[nodiscard]] status load_certificates();
