Decide in a module whether a stream can go on, and say which failure four cases guard against

classify_continuation (gateway/stream_continuation) takes the decision out of entry_gateway-inl.h, with a test without a network; set_service replaces two copies of the choice of a request's service. The log event stream_taken_up and the metric name the outcome as 'continuation': unknown, gone or possible. What callers get is unchanged.

--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -159,7 +159,7 @@
       continued_streams_counter_(
           metrics_.counter({"samphiretray_continued_streams_total",
                             "Requests that go on with a stream, by what is known of it",
-                            {"origin"}})),
+                            {"continuation"}})),
       known_streams_gauge_(metrics_.gauge(
           {"samphiretray_known_stream_requests", "Streams whose software version is remembered", {}})),
       first_byte_seconds_(metrics_.histogram({"samphiretray_first_byte_seconds",
@@ -519,11 +519,16 @@
 }
 
 template <request_binding Binding, typename Store>
-bool entry_gateway<Binding, Store>::admit(active_request& request) {
-    request.service =
-        routing_table::choose_service(*request.matched_route, hash64(request.caller.attempt_id));
-    const service* known = table_->find_service(request.service);
+void entry_gateway<Binding, Store>::set_service(active_request& request, const std::string& name) {
+    request.service = name;
+    const service* known = table_->find_service(name);
     request.is_engine = known != nullptr && known->engine.has_value();
+}
+
+template <request_binding Binding, typename Store>
+bool entry_gateway<Binding, Store>::admit(active_request& request) {
+    set_service(request,
+                routing_table::choose_service(*request.matched_route, hash64(request.caller.attempt_id)));
     if (request.owner == nullptr) {
         return true;
     }
@@ -610,7 +615,7 @@
 
 template <request_binding Binding, typename Store>
 std::string_view entry_gateway<Binding, Store>::unplaced_cause(const active_request& request) const {
-    if (request.origin && is_version_gone(request)) {
+    if (request.origin && is_version_gone(*request.origin, directory_)) {
         return "stream_version_gone";
     }
     if (request.last_refusal) {
@@ -672,43 +677,32 @@
 void entry_gateway<Binding, Store>::continue_stream(const request_pointer& request,
                                                     const std::optional<routing::stream_origin>& origin,
                                                     std::size_t asked) {
-    request->origin = origin;
-    const bool is_routed = origin && serves(*request->matched_route, origin->service);
-    if (is_routed) {
-        request->service = origin->service;
-        const service* known = table_->find_service(request->service);
-        request->is_engine = known != nullptr && known->engine.has_value();
-    }
-    const bool is_gone = origin && (!is_routed || is_version_gone(*request));
-    const std::string_view outcome = !origin ? "unknown" : is_gone ? "gone" : asked == 0 ? "own" : "found";
-    continued_streams_counter_.add({outcome});
+    const continuation outcome = classify_continuation(origin, *request->matched_route, directory_);
+    continued_streams_counter_.add({name_of(outcome)});
     log_event(log_level::info, "stream_taken_up",
               {{"request", request->caller.attempt_id},
                {"resumes", request->caller.resumed_attempt_id},
-               {"origin", outcome},
+               {"continuation", name_of(outcome)},
                {"service", origin ? origin->service : std::string{}},
                {"software_version", origin ? origin->software_version : std::string{}},
                {"asked", asked},
                {"waited_ms", milliseconds_in(loop_.now() - request->arrived)}});
-    if (!origin) {
+    switch (outcome) {
+    case continuation::unknown:
         // The processes that know the stream may have been out of reach.
         refuse(*request, 503, limits::default_retry_after, "stream_origin_unknown");
-    } else if (is_gone) {
+        return;
+    case continuation::gone:
         // No time to wait is named: the stream cannot go on, and its caller may begin it anew.
         refuse(*request, 503, std::nullopt, "stream_version_gone");
-    } else {
-        stream_origins_.note(request->stream, *origin, loop_.now());
-        dispatch(request);
+        return;
+    case continuation::possible:
+        break;
     }
-}
-
-template <request_binding Binding, typename Store>
-bool entry_gateway<Binding, Store>::is_version_gone(const active_request& request) const {
-    const auto all = directory_.all();
-    return std::ranges::none_of(all, [&](const endpoint* each) {
-        return !each->draining &&
-               routing::may_continue(*request.origin, each->service, each->software_version);
-    });
+    request->origin = origin;
+    set_service(*request, origin->service);
+    note_stream(*request);
+    dispatch(request);
 }
 
 template <request_binding Binding, typename Store>
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -196,6 +196,7 @@
     [[nodiscard]] bool authenticate(active_request& request);
     /// Refuses a request for a route or with a key that the configuration lacks.
     void deny(active_request& request, int code, std::string_view cause);
+    void set_service(active_request& request, const std::string& name);
     [[nodiscard]] bool admit(active_request& request);
     /// Finds out where the stream has begun that the request goes on with, and dispatches the request.
     void find_origin(const request_pointer& request);
@@ -205,9 +206,8 @@
     [[nodiscard]] std::vector<net::address> processes_knowing(const active_request& request) const;
     /// An event of the current attempt is passed on.
     void note_origin(active_request& request);
+    /// Remembers where the request's stream has begun, if its version is known.
     void note_stream(const active_request& request);
-    /// Whether servers of the version that began the request's stream are known.
-    [[nodiscard]] bool is_version_gone(const active_request& request) const;
     void dispatch(const request_pointer& request);
     /// Why no endpoint takes the request.
     [[nodiscard]] std::string_view unplaced_cause(const active_request& request) const;
--- a/include/samphiretray/gateway/stream_continuation.h
+++ b/include/samphiretray/gateway/stream_continuation.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "samphiretray/base/name_table.h"
 #include "samphiretray/gateway/endpoint_directory.h"
 #include "samphiretray/gateway/usage_exchange.h"
 #include "samphiretray/net/address.h"
 #include "samphiretray/routing/stream_origins.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +21,20 @@
 /// Whether the route sends requests to the service.
 [[nodiscard]] bool serves(const route& from, std::string_view service);
 
+/// What becomes of a request that goes on with a stream.
+enum class continuation {
+    /// Nobody knows where the stream has begun.
+    unknown,
+    /// The route has left the service, or no server of the version is left that does not drain.
+    gone,
+    possible,
+};
+[[nodiscard]] continuation classify_continuation(const std::optional<routing::stream_origin>& origin,
+                                                 const route& from, const endpoint_directory& directory);
+
+/// Whether no server of the version that began the stream is left, but draining ones.
+[[nodiscard]] bool is_version_gone(const routing::stream_origin& origin, const endpoint_directory& directory);
+
 /// Who may know where a stream has begun.
 struct origin_sources {
     std::string data_centre;
@@ -40,3 +56,15 @@
                     const endpoint_directory& directory);
 
 } // namespace samphiretray::gateway
+
+namespace samphiretray {
+
+template <>
+inline constexpr auto name_table<gateway::continuation> =
+    std::to_array<std::pair<gateway::continuation, std::string_view>>({
+        {gateway::continuation::unknown, "unknown"},
+        {gateway::continuation::gone, "gone"},
+        {gateway::continuation::possible, "possible"},
+    });
+
+} // namespace samphiretray
--- a/src/gateway/stream_continuation.cpp
+++ b/src/gateway/stream_continuation.cpp
@@ -14,6 +14,22 @@
     return std::ranges::find(from.services, service, &weighted_service::service) != from.services.end();
 }
 
+bool is_version_gone(const routing::stream_origin& origin, const endpoint_directory& directory) {
+    const auto all = directory.all();
+    return std::ranges::none_of(all, [&origin](const endpoint* each) {
+        return !each->draining && routing::may_continue(origin, each->service, each->software_version);
+    });
+}
+
+continuation classify_continuation(const std::optional<routing::stream_origin>& origin, const route& from,
+                                   const endpoint_directory& directory) {
+    if (!origin) {
+        return continuation::unknown;
+    }
+    const bool is_gone = !serves(from, origin->service) || is_version_gone(*origin, directory);
+    return is_gone ? continuation::gone : continuation::possible;
+}
+
 std::vector<net::address> order_origin_sources(const origin_sources& sources) {
     std::vector<net::address> ordered;
     std::set<net::address> known;
--- a/tests/gateway/origin_search_test.cpp
+++ b/tests/gateway/origin_search_test.cpp
@@ -126,7 +126,29 @@
     });
 }
 
+TEST_CASE("a stream goes on only where its route still leads and a server of its version does not drain") {
+    // Guards against a stream that is sent to another service or version, or that waits for a server that
+    // leaves.
+    route from;
+    from.services = {{"assistants", 1}};
+    endpoint_directory directory;
+    endpoint server;
+    server.id = "i-1";
+    server.service = older.service;
+    server.software_version = older.software_version;
+    directory.update(server);
+    CHECK(classify_continuation(std::nullopt, from, directory) == continuation::unknown);
+    CHECK(classify_continuation(older, from, directory) == continuation::possible);
+    CHECK(classify_continuation(routing::stream_origin{"assistants", "v2"}, from, directory) ==
+          continuation::gone);
+    CHECK(classify_continuation(older, route{}, directory) == continuation::gone);
+    server.draining = true;
+    directory.update(server);
+    CHECK(classify_continuation(older, from, directory) == continuation::gone);
+}
+
 TEST_CASE("agents of likely engines come before entries of the data centre, and each process once") {
+    // Guards against queries that ask the processes last that most likely know the stream, or ask one twice.
     origin_sources sources{"north-a",
                            7,
                            {"10.0.0.2"},
@@ -139,6 +161,7 @@
 }
 
 TEST_CASE("answers about streams survive the wire, and nothing else is taken for one") {
+    // Guards against a version that is read from an answer that is none.
     routing::stream_origins known;
     known.note(0xAB, older, time_point{1s});
     const std::string text =
--- a/tests/net/intake_pacer_test.cpp
+++ b/tests/net/intake_pacer_test.cpp
@@ -65,6 +65,7 @@
 }
 
 TEST_CASE("without a known link nothing is paced") {
+    // Guards against deployments without the setting that turn callers away.
     intake_pacer pacer;
     const auto bytes = play(pacer, 2);
     CHECK(bytes.back() > thin_link * 10);
@@ -78,6 +79,8 @@
 }
 
 TEST_CASE("a server accepts connections no faster than its link carries their requests") {
+    // Guards against a server that does not follow its pacer, and against connections that are never
+    // accepted.
     loop events;
     std::size_t handled = 0;
     http_server_options options;
