--- a/tests/routing/request_quarantine_test.cpp
+++ b/tests/routing/request_quarantine_test.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <algorithm>
+#include <ctime>
 #include <random>
 #include <set>
 
@@ -318,3 +320,43 @@
         RC_ASSERT(sound_held * 100 <= sound_sent);
     });
 }
+
+namespace {
+
+/// Processor time of merging `count` requests that are not known yet into a table that is full.
+double full_table_merge_seconds(std::size_t capacity, std::size_t count) {
+    request_quarantine_settings settings;
+    settings.max_requests = capacity;
+    request_quarantine quarantine{settings};
+    std::uint64_t next = 0;
+    const auto evidence_of = [&next](std::size_t requests) {
+        request_evidence evidence;
+        for (std::size_t i = 0; i < requests; ++i, ++next) {
+            evidence.requests.push_back({next, {{next, next, 0ms}}, std::nullopt});
+        }
+        return evidence;
+    };
+    const auto fill = evidence_of(capacity);
+    quarantine.merge(fill, start);
+    const auto more = evidence_of(count);
+    const std::clock_t began = std::clock();
+    quarantine.merge(more, start + 1s);
+    return static_cast<double>(std::clock() - began) / CLOCKS_PER_SEC;
+}
+
+} // namespace
+
+// Guards against an event loop that stands still for seconds while servers close thousands of connections:
+// each request that displaced another one cost a search of the whole table.
+TEST_CASE("taking up evidence costs about as much in a large table as in a small one") {
+    const auto shortest = [](std::size_t capacity) {
+        double best = 1e9;
+        for (int i = 0; i < 5; ++i) {
+            best = std::min(best, full_table_merge_seconds(capacity, 2000));
+        }
+        return best;
+    };
+    constexpr double resolution_s = 0.002;
+    // A search of the whole table costs 64 times as much.
+    CHECK(shortest(8192) < 8 * (shortest(128) + resolution_s));
+}
