--- a/include/samphiretray/routing/request_quarantine.h
+++ b/include/samphiretray/routing/request_quarantine.h
@@ -9,8 +9,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace samphiretray::routing {
@@ -132,6 +134,8 @@
     /// Evidence that is newer than `revision` of this process, or all of it if that is 0: what this process
     /// has observed itself, and what concerns requests that have lost more than one server.
     [[nodiscard]] request_evidence evidence_after(std::uint64_t revision, time_point now) const;
+    /// Of all evidence, that for the `max_requests` requests that have lost the most servers.
+    [[nodiscard]] request_evidence strongest_evidence(std::size_t max_requests, time_point now) const;
     /// True if this process has observed a cut since the last call whose request had lost another server
     /// before.
     [[nodiscard]] bool take_repeated_cut();
@@ -152,6 +156,12 @@
         std::uint64_t attempt = 0;
         time_point at;
     };
+    /// How strongly a request is suspected: by its counted cuts, then by the time of the last of them.
+    struct suspicion {
+        std::size_t cuts = 0;
+        time_point last_cut;
+        auto operator<=>(const suspicion&) const = default;
+    };
     struct known_request {
         /// In the order of time.
         std::vector<known_cut> cuts;
@@ -162,6 +172,8 @@
         bool shares_servers = false;
         std::optional<std::uint64_t> probed_slot;
         std::uint64_t probe_attempt = 0;
+        /// As in `by_suspicion_`.
+        suspicion indexed;
     };
     struct verdict {
         std::size_t cuts = 0;
@@ -173,6 +185,9 @@
     void clear(known_request& known, time_point at);
     [[nodiscard]] bool counts(const known_request& known, const known_cut& cut) const;
     [[nodiscard]] cut_list counted_cuts(const known_request& known) const;
+    [[nodiscard]] suspicion suspicion_of(const known_request& known) const;
+    /// To be called after each change of the request's cuts or of its last answer.
+    void update_index(request_key request, known_request& known);
     [[nodiscard]] bool is_suspected_often(const known_request& known) const;
     /// Returns false if the crash is known already.
     bool add_cut(known_request& known, const known_cut& cut) const;
@@ -195,6 +210,8 @@
     bool has_repeated_cut_ = false;
     std::uint64_t observed_cuts_ = 0;
     std::unordered_map<request_key, known_request> requests_;
+    /// The keys of `requests_`, the least suspected first: a full table displaces one without a search.
+    std::set<std::pair<suspicion, request_key>> by_suspicion_;
     /// An older answer cannot clear anything of a crash that is still to be reported.
     recent_answers answers_;
     std::map<request_key, request_phase> reported_phases_;
--- a/src/routing/request_quarantine.cpp
+++ b/src/routing/request_quarantine.cpp
@@ -33,12 +33,31 @@
     return counted;
 }
 
+request_quarantine::suspicion request_quarantine::suspicion_of(const known_request& known) const {
+    suspicion found;
+    for (const known_cut& each : known.cuts) {
+        if (counts(known, each)) {
+            found = {found.cuts + 1, each.at};
+        }
+    }
+    return found;
+}
+
+void request_quarantine::update_index(request_key request, known_request& known) {
+    const suspicion current = suspicion_of(known);
+    if (current != known.indexed) {
+        by_suspicion_.erase({known.indexed, request});
+        known.indexed = current;
+        by_suspicion_.insert({current, request});
+    }
+}
+
 bool request_quarantine::is_suspected_often(const known_request& known) const {
-    return counted_cuts(known).size() >= repeated;
+    return suspicion_of(known).cuts >= repeated;
 }
 
 void request_quarantine::clear(known_request& known, time_point at) {
-    const bool was_suspected = !counted_cuts(known).empty();
+    const bool was_suspected = suspicion_of(known).cuts > 0;
     known.answered_at = std::max(known.answered_at.value_or(at), at);
     if (was_suspected && (known.revision > 0 || known.cuts.size() >= repeated)) {
         known.revision = ++revision_;
@@ -71,16 +90,16 @@
     }
     known_request& added = requests_[request];
     added.answered_at = answers_.last(request);
+    by_suspicion_.insert({added.indexed, request});
     return added;
 }
 
 /// Requests that callers make up are lost with one server each, so they never displace one that has lost
 /// more.
 void request_quarantine::drop_least_suspected() {
-    requests_.erase(std::ranges::min_element(requests_, {}, [this](const auto& each) {
-        const cut_list counted = counted_cuts(each.second);
-        return std::pair{counted.size(), counted.empty() ? time_point{} : counted.back().at};
-    }));
+    const auto least = by_suspicion_.begin();
+    requests_.erase(least->second);
+    by_suspicion_.erase(least);
 }
 
 void request_quarantine::on_cut(request_key request, const cut_run& cut, time_point now) {
@@ -88,6 +107,7 @@
     if (!add_cut(known, {cut.server, cut.attempt, now - cut.age})) {
         return;
     }
+    update_index(request, known);
     known.revision = ++revision_;
     ++observed_cuts_;
     has_repeated_cut_ = has_repeated_cut_ || is_suspected_often(known);
@@ -97,6 +117,7 @@
     answers_.note(request, now, now);
     if (const auto found = requests_.find(request); found != requests_.end()) {
         clear(found->second, now);
+        update_index(request, found->second);
     }
 }
 
@@ -108,6 +129,7 @@
     // Unlike an answer, the release does not excuse cuts that follow it.
     found->second.revision = ++revision_;
     clear(found->second, now - settings_.harmless_before);
+    update_index(request, found->second);
     return true;
 }
 
@@ -121,6 +143,7 @@
         if (each.answered) {
             clear(known, now - *each.answered);
         }
+        update_index(each.request, known);
         // Others may not know of an answer that this process has seen.
         const bool is_worth_telling = is_suspected_often(known) || known.answered_at;
         if (is_changed && known.cuts.size() >= repeated && is_worth_telling) {
@@ -134,13 +157,19 @@
         const known_request& known = each.second;
         const bool is_old = known.cuts.empty() || now - known.cuts.back().at > settings_.memory;
         const bool is_cleared = known.answered_at && now - *known.answered_at > settings_.answered_memory &&
-                                counted_cuts(known).empty();
+                                suspicion_of(known).cuts == 0;
+        if (is_old || is_cleared) {
+            by_suspicion_.erase({known.indexed, each.first});
+        }
         return is_old || is_cleared;
     });
 }
 
 std::optional<request_quarantine::verdict> request_quarantine::judge(const known_request& known,
                                                                      time_point now) const {
+    if (known.cuts.size() < settings_.min_cuts) {
+        return std::nullopt;
+    }
     const cut_list counted = counted_cuts(known);
     std::set<std::uint64_t> attempts;
     std::size_t settled = 0;
@@ -259,7 +288,7 @@
 
 bool request_quarantine::may_repeat(request_key request) const {
     const auto found = requests_.find(request);
-    return found == requests_.end() || counted_cuts(found->second).size() < settings_.min_cuts;
+    return found == requests_.end() || suspicion_of(found->second).cuts < settings_.min_cuts;
 }
 
 suspected_request request_quarantine::evidence_of(request_key request, const known_request& known,
@@ -284,6 +313,20 @@
     return evidence;
 }
 
+request_evidence request_quarantine::strongest_evidence(std::size_t max_requests, time_point now) const {
+    request_evidence evidence{revision_, {}};
+    for (const request_key request : by_suspicion_ | std::views::reverse | std::views::values) {
+        const known_request& known = requests_.at(request);
+        if (evidence.requests.size() == max_requests) {
+            break;
+        }
+        if (known.revision > 0) {
+            evidence.requests.push_back(evidence_of(request, known, now));
+        }
+    }
+    return evidence;
+}
+
 bool request_quarantine::take_repeated_cut() {
     return std::exchange(has_repeated_cut_, false);
 }
