--- a/include/samphiretray/routing/request_quarantine.h
+++ b/include/samphiretray/routing/request_quarantine.h
@@ -77,6 +77,9 @@
     duration answered_memory = 60s;
     std::size_t max_requests = 2048;
     std::size_t max_cuts_per_request = 8;
+    /// Most requests in one piece of evidence, which has about 10 kB then. Servers under load close thousands
+    /// of connections, and an entry with a link of 10 Mbit/s answers twenty queries for evidence a second.
+    std::size_t max_told = 128;
     /// Most requests with a recent answer in each of two generations.
     std::size_t max_answered = 4096;
 };
@@ -131,11 +134,11 @@
     /// False if an attempt that has just been cut must not be sent to another server.
     [[nodiscard]] bool may_repeat(request_key request) const;
 
-    /// Evidence that is newer than `revision` of this process, or all of it if that is 0: what this process
-    /// has observed itself, and what concerns requests that have lost more than one server.
+    /// Evidence that is newer than `revision` of this process, or any if that is 0: what this process has
+    /// observed itself, and what concerns requests that have lost more than one server. Names at most
+    /// `max_told` requests, those that are suspected most, and passes over the others until they lose another
+    /// server.
     [[nodiscard]] request_evidence evidence_after(std::uint64_t revision, time_point now) const;
-    /// Of all evidence, that for the `max_requests` requests that have lost the most servers.
-    [[nodiscard]] request_evidence strongest_evidence(std::size_t max_requests, time_point now) const;
     /// True if this process has observed a cut since the last call whose request had lost another server
     /// before.
     [[nodiscard]] bool take_repeated_cut();
--- a/src/routing/request_quarantine.cpp
+++ b/src/routing/request_quarantine.cpp
@@ -305,24 +305,17 @@
 
 request_evidence request_quarantine::evidence_after(std::uint64_t revision, time_point now) const {
     request_evidence evidence{revision_, {}};
-    for (const auto& [request, known] : requests_) {
-        if (known.revision > revision) {
-            evidence.requests.push_back(evidence_of(request, known, now));
-        }
+    if (revision == revision_) {
+        return evidence;
     }
-    return evidence;
-}
-
-request_evidence request_quarantine::strongest_evidence(std::size_t max_requests, time_point now) const {
-    request_evidence evidence{revision_, {}};
     for (const request_key request : by_suspicion_ | std::views::reverse | std::views::values) {
         const known_request& known = requests_.at(request);
-        if (evidence.requests.size() == max_requests) {
-            break;
-        }
-        if (known.revision > 0) {
+        if (known.revision > revision) {
             evidence.requests.push_back(evidence_of(request, known, now));
         }
+        if (evidence.requests.size() == settings_.max_told) {
+            break;
+        }
     }
     return evidence;
 }
--- a/tests/routing/request_quarantine_test.cpp
+++ b/tests/routing/request_quarantine_test.cpp
@@ -360,3 +360,19 @@
     // A search of the whole table costs 64 times as much.
     CHECK(shortest(8192) < 8 * (shortest(128) + resolution_s));
 }
+
+// Guards against reports whose transfer fills the link of a thin entry while servers close thousands of
+// connections: they were too long to arrive before their timeout, and the next one was longer.
+TEST_CASE(
+    "one piece of evidence names a bounded number of requests and those that lost the most servers first") {
+    request_quarantine quarantine{{}};
+    lose_servers(quarantine, 2, {crashing});
+    for (request_key i = 1000; i < 3000; ++i) {
+        quarantine.on_cut(i, {i, i, 0ms}, start + 5s);
+    }
+    const std::uint64_t heard = GENERATE(0U, 1U);
+    const auto evidence = quarantine.evidence_after(heard, start + 6s);
+    CHECK(evidence.requests.size() <= 256);
+    CHECK(std::ranges::count(evidence.requests, crashing, &suspected_request::request) == 1);
+    CHECK(quarantine.evidence_after(evidence.revision, start + 6s).requests.empty());
+}
