--- a/include/samphiretray/gateway/quarantine_record-inl.h
+++ b/include/samphiretray/gateway/quarantine_record-inl.h
@@ -4,6 +4,8 @@
 #include "samphiretray/gateway/crash_report.h"
 #include "samphiretray/gateway/quarantine_record.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace samphiretray::gateway {
@@ -11,7 +13,8 @@
 template <typename Store>
     requires ports::watched_store<Store> && ports::leased_store<Store>
 void quarantine_record<Store>::read() {
-    if (!std::exchange(is_reading_, true)) {
+    if (!is_reading_ && loop_.now() >= rests_until_) {
+        is_reading_ = true;
         list();
     }
 }
@@ -19,13 +22,13 @@
 template <typename Store>
     requires ports::watched_store<Store> && ports::leased_store<Store>
 void quarantine_record<Store>::list() {
+    read_began_at_ = loop_.now();
     store_.list(std::string{prefix}, [this, weak = std::weak_ptr{alive_}](
                                          const result<ports::store_listing>& listing) {
         if (weak.expired()) {
             return;
         }
         if (listing) {
-            is_reading_ = false;
             on_listing(*listing);
             return;
         }
@@ -37,21 +40,59 @@
 template <typename Store>
     requires ports::watched_store<Store> && ports::leased_store<Store>
 void quarantine_record<Store>::on_listing(const ports::store_listing& listing) {
-    for (const ports::stored_item& each : listing.items) {
-        const auto recorded = decode_recorded_evidence(each.value, each.key, wall_clock_milliseconds());
-        if (!recorded) {
-            log_event(log_level::warning, "quarantine_record_unreadable",
-                      {{"key", each.key}, {"failure", to_string(recorded.error())}});
-            continue;
+    // Revisions of different eras cannot be compared.
+    if (std::exchange(era_, listing.era) != listing.era) {
+        known_revisions_.clear();
+    }
+    std::ranges::copy_if(listing.items, std::back_inserter(pending_records_),
+                         [this](const ports::stored_item& each) {
+                             const auto known = known_revisions_.find(each.key);
+                             return known == known_revisions_.end() || known->second != each.revision;
+                         });
+    take_up_next();
+}
+
+template <typename Store>
+    requires ports::watched_store<Store> && ports::leased_store<Store>
+void quarantine_record<Store>::take_up_next() {
+    if (pending_records_.empty()) {
+        on_read_ended();
+        return;
+    }
+    take_up(pending_records_.front());
+    pending_records_.pop_front();
+    loop_.post([this, weak = std::weak_ptr{alive_}] {
+        if (!weak.expired()) {
+            take_up_next();
         }
-        log_event(log_level::info, "quarantine_record_read",
-                  {{"key", each.key},
-                   {"revision", each.revision},
-                   {"crashes", recorded->crashes.crashes.size()},
-                   {"requests", recorded->requests.requests.size()}});
-        quarantine_.merge(recorded->crashes, loop_.now());
-        requests_.merge(recorded->requests, loop_.now());
+    });
+}
+
+template <typename Store>
+    requires ports::watched_store<Store> && ports::leased_store<Store>
+void quarantine_record<Store>::take_up(const ports::stored_item& item) {
+    known_revisions_[item.key] = item.revision;
+    const auto recorded = decode_recorded_evidence(item.value, item.key, wall_clock_milliseconds());
+    if (!recorded) {
+        log_event(log_level::warning, "quarantine_record_unreadable",
+                  {{"key", item.key}, {"failure", to_string(recorded.error())}});
+        return;
     }
+    log_event(log_level::info, "quarantine_record_read",
+              {{"key", item.key},
+               {"revision", item.revision},
+               {"crashes", recorded->crashes.crashes.size()},
+               {"requests", recorded->requests.requests.size()}});
+    quarantine_.merge(recorded->crashes, loop_.now());
+    requests_.merge(recorded->requests, loop_.now());
+}
+
+template <typename Store>
+    requires ports::watched_store<Store> && ports::leased_store<Store>
+void quarantine_record<Store>::on_read_ended() {
+    const time_point now = loop_.now();
+    is_reading_ = false;
+    rests_until_ = now + std::min(rest_factor * (now - read_began_at_), max_rest);
 }
 
 template <typename Store>
@@ -87,7 +128,9 @@
     requires ports::watched_store<Store> && ports::leased_store<Store>
 void quarantine_record<Store>::on_written(const result<std::uint64_t>& outcome) {
     is_writing_ = false;
-    if (!outcome) {
+    if (outcome) {
+        known_revisions_[key_] = *outcome;
+    } else {
         log_event(log_level::warning, "quarantine_record_not_written",
                   {{"key", key_}, {"failure", to_string(outcome.error())}});
     }
