--- a/include/samphiretray/node/prefix_follower-inl.h
+++ b/include/samphiretray/node/prefix_follower-inl.h
@@ -34,9 +34,10 @@
             on_failure(listing.error());
             return;
         }
-        if (listing->era < era_) {
-            on_failure(
-                make_error(errc::unavailable, step::receive, "store", "the listing is of an older era"));
+        // A peer that answers for the store may know less than this process has reported.
+        if (std::pair{listing->era, listing->revision} < std::pair{era_, revision_}) {
+            on_failure(make_error(errc::unavailable, step::receive, "store",
+                                  "the listing is older than the last read"));
             return;
         }
         on_success();
--- a/include/samphiretray/node/reader_selector.h
+++ b/include/samphiretray/node/reader_selector.h
@@ -33,25 +33,31 @@
     /// `vm` is this process.
     explicit reader_selector(std::string vm) : vm_(std::move(vm)) {}
 
-    /// The other registered entries of the data centre.
-    void set_members(std::vector<member> others);
+    /// The other registered entries: those of the data centre and those of others.
+    void set_members(std::vector<member> others, std::vector<member> remote = {});
     /// The reader to query; empty if this process reads from the store itself, because it is a reader or
     /// every reader has failed recently.
     [[nodiscard]] std::optional<member> assigned_reader(time_point now) const;
-    /// The reader to query when this process cannot reach the store; empty if there is none, or every one has
-    /// failed recently.
-    [[nodiscard]] std::optional<member> fallback_reader(time_point now) const;
+    /// The entry to query when this process cannot reach the store: a reader, or else any other entry, since
+    /// the store may serve that one only. Empty if there is none, or every one has failed recently.
+    [[nodiscard]] std::optional<member> fallback(time_point now) const;
     /// Whether this process is one of the readers.
     [[nodiscard]] bool is_reader() const;
     /// Whether this process is one of the readers and there are entries that query it.
     [[nodiscard]] bool serves_peers() const;
     /// Records that `vm` did not answer or had no fresh data.
     void mark_failed(const std::string& vm, time_point now);
+    /// Records that `vm` had fresh data: it is queried before the others that are no readers.
+    void mark_fresh(const std::string& vm);
 
 private:
+    [[nodiscard]] std::optional<member> first_usable(const std::vector<member>& from, time_point now) const;
+
     std::string vm_;
     /// The readers other than this process, in the order in which this process queries them.
     std::vector<member> other_readers_;
+    /// All other entries, those of the data centre first.
+    std::vector<member> non_readers_;
     bool is_reader_ = true;
     std::size_t member_count_ = 1;
     std::map<std::string, time_point> backoff_until_;
--- a/include/samphiretray/node/shared_store_client-inl.h
+++ b/include/samphiretray/node/shared_store_client-inl.h
@@ -27,9 +27,10 @@
 }
 
 template <ports::watched_store Store>
-void shared_store_client<Store>::set_members(std::vector<reader_selector::member> others) {
+void shared_store_client<Store>::set_members(std::vector<reader_selector::member> others,
+                                             std::vector<reader_selector::member> remote) {
     const bool was_reader = reader_selector_.is_reader();
-    reader_selector_.set_members(std::move(others));
+    reader_selector_.set_members(std::move(others), std::move(remote));
     if (reader_selector_.is_reader() != was_reader) {
         log_event(log_level::info,
                   reader_selector_.is_reader() ? "store_reader_started" : "store_reader_ended",
@@ -52,26 +53,37 @@
             replica->apply(*listing, requested_at);
             answer_pending_watches(prefix);
         }
-        const auto peer =
-            replica != nullptr && !listing ? reader_selector_.fallback_reader(loop_.now()) : std::nullopt;
-        if (!peer) {
+        if (replica == nullptr || listing) {
             done(std::move(listing));
-            return;
+        } else {
+            list_others(prefix, max_fallbacks, listing.error(), done);
         }
-        query_peer(*peer, prefix, 0, 0ms,
-                   [this, peer, prefix, done, failure = listing.error()](result<replica_update> update) {
-                       if (!update) {
-                           on_reader_failed(peer->vm, prefix, update.error());
-                           done(failure);
-                           return;
-                       }
-                       auto from_peer = to_listing(std::move(update->changes));
-                       find_replica(prefix)->apply(from_peer, loop_.now() - update->age);
-                       done(std::move(from_peer));
-                   });
     });
 }
 
+template <ports::watched_store Store>
+void shared_store_client<Store>::list_others(const std::string& prefix, int attempts, const error& failure,
+                                             ports::completion<ports::store_listing> done) {
+    const auto peer = attempts > 0 ? reader_selector_.fallback(loop_.now()) : std::nullopt;
+    if (!peer) {
+        done(failure);
+        return;
+    }
+    query_peer(*peer, prefix, 0, 0ms,
+               [this, vm = peer->vm, prefix, attempts, failure,
+                done = std::move(done)](result<replica_update> update) {
+                   if (!update) {
+                       on_reader_failed(vm, prefix, update.error());
+                       list_others(prefix, attempts - 1, failure, done);
+                       return;
+                   }
+                   reader_selector_.mark_fresh(vm);
+                   auto from_peer = to_listing(std::move(update->changes));
+                   find_replica(prefix)->apply(from_peer, loop_.now() - update->age);
+                   done(std::move(from_peer));
+               });
+}
+
 template <ports::watched_store Store>
 ports::store_listing shared_store_client<Store>::to_listing(ports::store_changes changes) {
     ports::store_listing listing;
@@ -89,34 +101,63 @@
 void shared_store_client<Store>::watch(const std::string& prefix, std::uint64_t after, duration limit,
                                        ports::completion<ports::store_changes> done) {
     const bool is_replicated = find_replica(prefix) != nullptr;
-    if (const auto reader = is_replicated ? reader_selector_.assigned_reader(loop_.now()) : std::nullopt) {
+    if (!is_replicated) {
+        watch_store(prefix, after, limit, std::move(done));
+        return;
+    }
+    if (const auto reader = reader_selector_.assigned_reader(loop_.now())) {
         watch_peer(*reader, prefix, after, std::min(limit, settings_.max_peer_wait),
                    [this, prefix, after, done = std::move(done)](result<ports::store_changes> changes) {
                        if (changes || changes.error().code == errc::stale_revision) {
                            done(std::move(changes));
                        } else {
                            // A minimal wait, to catch up at once on changes that the reader did not report.
-                           watch_store(prefix, after, 1ms, done);
+                           watch_store_or_others(prefix, after, 1ms, done);
                        }
                    });
         return;
     }
-    const bool is_reader = is_replicated && reader_selector_.serves_peers();
-    watch_store(
-        prefix, after, is_reader ? std::min(limit, settings_.reader_watch_limit) : limit,
-        [this, prefix, after, is_replicated, done = std::move(done)](result<ports::store_changes> changes) {
-            const bool failed = !changes && changes.error().code != errc::stale_revision;
-            const auto peer =
-                is_replicated && failed ? reader_selector_.fallback_reader(loop_.now()) : std::nullopt;
-            if (!peer) {
-                done(std::move(changes));
-                return;
-            }
-            watch_peer(*peer, prefix, after, 0ms,
-                       [done, failure = changes.error()](result<ports::store_changes> from_peer) {
-                           done(from_peer ? std::move(from_peer) : result<ports::store_changes>{failure});
-                       });
-        });
+    watch_store_or_others(prefix, after,
+                          reader_selector_.serves_peers() ? std::min(limit, settings_.reader_watch_limit)
+                                                          : limit,
+                          std::move(done));
+}
+
+template <ports::watched_store Store>
+void shared_store_client<Store>::watch_store_or_others(const std::string& prefix, std::uint64_t after,
+                                                       duration limit,
+                                                       ports::completion<ports::store_changes> done) {
+    watch_store(prefix, after, limit,
+                [this, prefix, after, done = std::move(done)](result<ports::store_changes> changes) {
+                    if (changes || changes.error().code == errc::stale_revision) {
+                        done(std::move(changes));
+                    } else {
+                        watch_others(prefix, after, max_fallbacks, changes.error(), done);
+                    }
+                });
+}
+
+template <ports::watched_store Store>
+void shared_store_client<Store>::watch_others(const std::string& prefix, std::uint64_t after, int attempts,
+                                              const error& failure,
+                                              ports::completion<ports::store_changes> done) {
+    const auto peer = attempts > 0 ? reader_selector_.fallback(loop_.now()) : std::nullopt;
+    if (!peer) {
+        done(failure);
+        return;
+    }
+    watch_peer(*peer, prefix, after, 0ms,
+               [this, vm = peer->vm, prefix, after, attempts, failure,
+                done = std::move(done)](result<ports::store_changes> changes) {
+                   if (changes) {
+                       reader_selector_.mark_fresh(vm);
+                       done(std::move(changes));
+                   } else if (changes.error().code == errc::stale_revision) {
+                       done(failure);
+                   } else {
+                       watch_others(prefix, after, attempts - 1, failure, done);
+                   }
+               });
 }
 
 template <ports::watched_store Store>
--- a/include/samphiretray/node/shared_store_client.h
+++ b/include/samphiretray/node/shared_store_client.h
@@ -46,12 +46,15 @@
 
 /// Reduces the load on the store: in each data centre, only a few entries (the readers) watch the shared
 /// prefixes in the store, and the other entries query the readers over HTTP. A call that gets no fresh data
-/// from a reader falls back to the store, and a call that fails at the store falls back to a reader.
+/// from a reader falls back to the store, and a call that fails at the store falls back to other entries: the
+/// store may turn away a whole data centre while it serves others.
 template <ports::watched_store Store>
 class shared_store_client {
 public:
     /// HTTP path that peers query, on an entry's address for peers.
     static constexpr std::string_view path = "/replica";
+    /// Entries that are queried after one call has failed at the store.
+    static constexpr int max_fallbacks = 4;
 
     shared_store_client(net::loop& events, net::http_client& http, Store& store,
                         shared_store_client_settings settings);
@@ -64,8 +67,9 @@
     void watch(const std::string& prefix, std::uint64_t after, duration limit,
                ports::completion<ports::store_changes> done);
 
-    /// The other registered entries of the data centre.
-    void set_members(std::vector<reader_selector::member> others);
+    /// The other registered entries: those of the data centre and those of others.
+    void set_members(std::vector<reader_selector::member> others,
+                     std::vector<reader_selector::member> remote = {});
     /// Answers a peer's query.
     void answer(const net::http_request& request, const std::shared_ptr<net::http_response>& response);
 
@@ -82,6 +86,14 @@
                     duration limit, ports::completion<replica_update> done);
     void watch_store(const std::string& prefix, std::uint64_t after, duration limit,
                      ports::completion<ports::store_changes> done);
+    void watch_store_or_others(const std::string& prefix, std::uint64_t after, duration limit,
+                               ports::completion<ports::store_changes> done);
+    /// Queries up to `attempts` other entries for changes. Completes with `failure`, that of the store, if
+    /// none has fresh data.
+    void watch_others(const std::string& prefix, std::uint64_t after, int attempts, const error& failure,
+                      ports::completion<ports::store_changes> done);
+    void list_others(const std::string& prefix, int attempts, const error& failure,
+                     ports::completion<ports::store_listing> done);
     void watch_peer(const reader_selector::member& peer, const std::string& prefix, std::uint64_t after,
                     duration limit, ports::completion<ports::store_changes> done);
     [[nodiscard]] static ports::store_listing to_listing(ports::store_changes changes);
--- a/src/node/reader_selector.cpp
+++ b/src/node/reader_selector.cpp
@@ -3,11 +3,13 @@
 #include "samphiretray/base/hash.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
 #include <ranges>
 
 namespace samphiretray::node {
 
-void reader_selector::set_members(std::vector<member> others) {
+void reader_selector::set_members(std::vector<member> others, std::vector<member> remote) {
     std::erase_if(others, [this](const member& each) { return each.vm == vm_; });
     std::ranges::sort(others, {}, [](const member& each) { return std::pair{hash64(each.vm), each.vm}; });
     const auto own = std::pair{hash64(vm_), vm_};
@@ -16,7 +18,14 @@
     });
     is_reader_ = static_cast<std::size_t>(before) < reader_count;
     member_count_ = others.size() + 1;
-    others.resize(std::min(others.size(), reader_count));
+    const auto readers = static_cast<std::ptrdiff_t>(std::min(others.size(), reader_count));
+    // Each entry has an order of its own, so that not all of them query the same one.
+    const auto own_order = [this](const member& each) { return hash64(vm_ + "/" + each.vm); };
+    std::ranges::sort(others | std::views::drop(readers), {}, own_order);
+    std::ranges::sort(remote, {}, own_order);
+    non_readers_.assign(others.begin() + readers, others.end());
+    std::ranges::move(remote, std::back_inserter(non_readers_));
+    others.resize(static_cast<std::size_t>(readers));
     // Spreads the load: about half of the other entries query the second reader first.
     if (others.size() == reader_count && hash64(vm_) % 2 == 1) {
         std::ranges::reverse(others);
@@ -33,15 +42,25 @@
 }
 
 std::optional<reader_selector::member> reader_selector::assigned_reader(time_point now) const {
-    return is_reader_ ? std::nullopt : fallback_reader(now);
+    return is_reader_ ? std::nullopt : first_usable(other_readers_, now);
 }
 
-std::optional<reader_selector::member> reader_selector::fallback_reader(time_point now) const {
-    const auto found = std::ranges::find_if(other_readers_, [&](const member& each) {
+std::optional<reader_selector::member> reader_selector::fallback(time_point now) const {
+    const auto reader = first_usable(other_readers_, now);
+    return reader ? reader : first_usable(non_readers_, now);
+}
+
+std::optional<reader_selector::member> reader_selector::first_usable(const std::vector<member>& from,
+                                                                     time_point now) const {
+    const auto found = std::ranges::find_if(from, [&](const member& each) {
         const auto backoff = backoff_until_.find(each.vm);
         return backoff == backoff_until_.end() || backoff->second <= now;
     });
-    return found == other_readers_.end() ? std::nullopt : std::optional{*found};
+    return found == from.end() ? std::nullopt : std::optional{*found};
+}
+
+void reader_selector::mark_fresh(const std::string& vm) {
+    std::ranges::stable_partition(non_readers_, [&vm](const member& each) { return each.vm == vm; });
 }
 
 void reader_selector::mark_failed(const std::string& vm, time_point now) {
--- a/tests/node/prefix_follower_test.cpp
+++ b/tests/node/prefix_follower_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <deque>
 
 using namespace samphiretray;
@@ -94,6 +95,24 @@
     CHECK(fixture.follower.is_synchronized());
 }
 
+// Guards against a listing that a peer answers from before the last watch: keys added since would be reported
+// as removed, and never again as added (CONFIG).
+TEST_CASE("prefix_follower: a listing that is older than what has been reported changes nothing") {
+    follower_fixture fixture;
+    fixture.store.listings.push_back(ports::store_listing{{{"op/a", "1", 5}}, 9});
+    fixture.store.watches.push_back(ports::store_changes{{{"op/b", "1", 12}}, 12});
+    for (int i = 0; i < 2; ++i) {
+        fixture.store.watches.push_back(
+            make_error(errc::stale_revision, step::receive, "store", "status 410"));
+    }
+    fixture.store.listings.push_back(ports::store_listing{{{"op/a", "1", 5}}, 10});
+    fixture.store.listings.push_back(ports::store_listing{{{"op/a", "1", 5}, {"op/b", "1", 12}}, 13});
+    fixture.follower.start();
+    fixture.run_until([&] { return fixture.store.watched_after.size() == 4; });
+    CHECK(fixture.store.watched_after.back() == 13);
+    CHECK(std::ranges::all_of(fixture.changes, [](const auto& each) { return each.value.has_value(); }));
+}
+
 TEST_CASE("prefix_follower: keys removed while the history was dropped are reported as removed") {
     // Otherwise an endpoint that was removed during that time would keep receiving requests.
     follower_fixture fixture;
--- a/tests/node/reader_selector_test.cpp
+++ b/tests/node/reader_selector_test.cpp
@@ -33,7 +33,7 @@
             readers.push_back(each.vm);
             CHECK(choice.serves_peers());
             CHECK_FALSE(choice.assigned_reader(start));
-            CHECK(choice.fallback_reader(start));
+            CHECK(choice.fallback(start));
         } else {
             asked.push_back(choice.assigned_reader(start)->vm);
         }
--- a/tests/node/shared_store_client_test.cpp
+++ b/tests/node/shared_store_client_test.cpp
@@ -277,6 +277,25 @@
     }
 }
 
+// Guards against entries that serve an old configuration for as long as the store turns them and the readers
+// of their data centre away, although another entry knows the new one (CONFIG).
+TEST_CASE(
+    "shared store reads: an entry that the store refuses gets changes from the only one that it serves") {
+    data_centre site{9};
+    const auto calls = site.calls_in(200ms);
+    const auto served = static_cast<std::size_t>(std::distance(calls.begin(), std::ranges::find(calls, 0)));
+    REQUIRE(served < calls.size());
+    for (std::size_t i = 0; i < site.entries.size(); ++i) {
+        site.entries[i]->path.is_unavailable = i != served;
+    }
+    // All data is older than the readers may give.
+    site.run(250ms);
+    site.store.change("servers/b", "2");
+    site.store.change("servers/a", std::nullopt);
+    CHECK(site.loop.run_until([&] { return site.all_see("servers/b", "2"); }, 3s));
+    CHECK(site.loop.run_until([&] { return site.all_see("servers/a", std::nullopt); }, 3s));
+}
+
 // Guards against changes that no entry sees, or only those that read the store themselves, after the store
 // has come back from an older copy (CONFIG).
 TEST_CASE("shared store reads: after the store was restored, twice, all entries see what it holds") {
