--- a/include/samphiretray/net/intake_pacer.h
+++ b/include/samphiretray/net/intake_pacer.h
@@ -20,6 +20,9 @@
     static constexpr duration burst_time = 100ms;
     /// A larger debt is forgiven, so that a burst of answers does not shut callers out for long.
     static constexpr duration max_debt_time = 500ms;
+    /// A connection is accepted after this time in any case. The process's own traffic may use what the pacer
+    /// counts for longer, and callers must not be shut out meanwhile.
+    static constexpr duration max_pause = 500ms;
 
     /// `link_bytes_per_s` is what the link carries in one direction; 0 accepts everything.
     explicit intake_pacer(double link_bytes_per_s = 0);
@@ -58,6 +61,8 @@
     /// Of requests and of the answers that are received for them, for each accepted connection.
     double mean_request_bytes_ = 4096;
     std::optional<time_point> refilled_at_;
+    /// When accepting has paused, until the next connection is accepted.
+    std::optional<time_point> paused_at_;
     std::optional<time_point> measured_at_;
     std::uint64_t measured_total_ = 0;
     std::uint64_t measured_accepted_ = 0;
--- a/src/net/intake_pacer.cpp
+++ b/src/net/intake_pacer.cpp
@@ -74,6 +74,7 @@
     }
     refill(now);
     ++accepted_;
+    paused_at_.reset();
     expected_.take(mean_request_bytes_, bytes_per_s_ * seconds(max_debt_time));
 }
 
@@ -83,8 +84,13 @@
     }
     refill(now);
     const double debt = -std::min(received_.level, expected_.level);
-    return debt < 0 ? duration::zero()
-                    : std::chrono::ceil<duration>(std::chrono::duration<double>((debt + 1) / bytes_per_s_));
+    if (debt < 0) {
+        return duration::zero();
+    }
+    paused_at_ = paused_at_.value_or(now);
+    const auto paid_in =
+        std::chrono::ceil<duration>(std::chrono::duration<double>((debt + 1) / bytes_per_s_));
+    return std::clamp<duration>(*paused_at_ + max_pause - now, duration::zero(), paid_in);
 }
 
 int intake_pacer::backlog() const {
--- a/tests/net/intake_pacer_test.cpp
+++ b/tests/net/intake_pacer_test.cpp
@@ -64,6 +64,25 @@
     CHECK(pacer.wait(start + 600ms) == 0ms);
 }
 
+TEST_CASE("callers are accepted now and then while the process's own traffic fills its share of the link") {
+    // Guards against an entry that says that it is ready and accepts nobody for seconds (RECOVER).
+    intake_pacer pacer{thin_link};
+    std::uint64_t total = 0;
+    std::size_t accepted = 0;
+    for (int ms = 0; ms < 5000; ++ms) {
+        const time_point now{std::chrono::milliseconds{ms}};
+        // Answers come in clumps.
+        total += ms % 400 == 0 ? static_cast<std::uint64_t>(thin_link * 0.4) : 0;
+        pacer.on_received(total, now);
+        if (pacer.wait(now) <= 0ms) {
+            pacer.on_accepted(now);
+            ++accepted;
+        }
+    }
+    CHECK(accepted >= 8);
+    CHECK(accepted <= 20);
+}
+
 TEST_CASE("without a known link nothing is paced") {
     // Guards against deployments without the setting that turn callers away.
     intake_pacer pacer;
