--- a/include/samphiretray/gateway/buffer_metrics.h
+++ b/include/samphiretray/gateway/buffer_metrics.h
@@ -18,6 +18,7 @@
     observe::gauge_family& held_bytes_;
     observe::gauge_family& closed_connections_;
     observe::gauge_family& refused_requests_;
+    observe::gauge_family& abandoned_requests_;
 };
 
 } // namespace samphiretray::gateway
--- a/include/samphiretray/net/http_server.h
+++ b/include/samphiretray/net/http_server.h
@@ -97,6 +97,8 @@
     [[nodiscard]] virtual std::uint64_t refused_requests() const noexcept = 0;
     /// Number of connections that were closed because of `max_connections`.
     [[nodiscard]] virtual std::uint64_t displaced_connections() const noexcept = 0;
+    /// Number of requests whose client had disconnected before they were read; the handler does not run.
+    [[nodiscard]] virtual std::uint64_t abandoned_requests() const noexcept = 0;
     /// How often accepting has paused because of `link_bytes_per_s`.
     [[nodiscard]] virtual std::uint64_t accept_pauses() const noexcept = 0;
     /// Part of the link that received bytes have filled in the last second; 0 without `link_bytes_per_s`.
--- a/src/gateway/buffer_metrics.cpp
+++ b/src/gateway/buffer_metrics.cpp
@@ -10,8 +10,9 @@
                                          "Connections closed because of the limit of bytes or connections",
                                          {"use"}})),
       refused_requests_(metrics.gauge(
-          {"samphiretray_overload_refused_requests", "Requests refused because of the limit of bytes", {}})) {
-}
+          {"samphiretray_overload_refused_requests", "Requests refused because of the limit of bytes", {}})),
+      abandoned_requests_(metrics.gauge(
+          {"samphiretray_abandoned_requests", "Requests whose caller had left before they were read", {}})) {}
 
 void buffer_metrics::update(const net::buffer_budget& buffers, const net::http_server& server) {
     held_bytes_.set({"held"}, static_cast<double>(buffers.held()));
@@ -21,6 +22,7 @@
     }
     closed_connections_.set({"displaced"}, static_cast<double>(server.displaced_connections()));
     refused_requests_.set({}, static_cast<double>(buffers.refused()));
+    abandoned_requests_.set({}, static_cast<double>(server.abandoned_requests()));
 }
 
 } // namespace samphiretray::gateway
--- a/src/net/h2o_response.cpp
+++ b/src/net/h2o_response.cpp
@@ -42,7 +42,7 @@
     return text;
 }
 
-bool peer_has_disconnected(int descriptor) {
+bool is_disconnected(int descriptor) {
     pollfd state{descriptor, POLLRDHUP, 0};
     return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
@@ -62,6 +62,10 @@
     };
 }
 
+bool h2o_response::has_peer_disconnected() const {
+    return socket_ != nullptr && is_disconnected(h2o_socket_get_fd(socket_));
+}
+
 void h2o_response::attach() {
     using reference = std::shared_ptr<h2o_response>;
     void* memory = h2o_mem_alloc_shared(&request_->pool, sizeof(reference), [](void* held) {
@@ -103,7 +107,7 @@
     if (request_ == nullptr || socket_ == nullptr) {
         return;
     }
-    if (peer_has_disconnected(h2o_socket_get_fd(socket_))) {
+    if (has_peer_disconnected()) {
         terminate_connection();
         return;
     }
--- a/src/net/h2o_response.h
+++ b/src/net/h2o_response.h
@@ -22,6 +22,9 @@
 
     /// Ties the response to the lifetime of the request and starts to watch for a disconnect of the client.
     void attach();
+    /// Whether the client has closed or reset the connection, as far as the operating system knows. Always
+    /// false for HTTP/2.
+    [[nodiscard]] bool has_peer_disconnected() const;
     /// Closes the connection at once and calls the `on_closed` action as if the client had disconnected.
     void terminate_connection();
     /// Passes the pending bytes to h2o.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -36,6 +36,9 @@
     [[nodiscard]] std::uint64_t displaced_connections() const noexcept override {
         return core_->displaced_connections();
     }
+    [[nodiscard]] std::uint64_t abandoned_requests() const noexcept override {
+        return core_->abandoned_requests();
+    }
     [[nodiscard]] std::uint64_t accept_pauses() const noexcept override { return core_->accept_pauses(); }
     [[nodiscard]] double link_use() const override { return core_->link_use(); }
 
--- a/src/net/http_server_core.cpp
+++ b/src/net/http_server_core.cpp
@@ -234,6 +234,13 @@
         response->abort();
         return;
     }
+    if (response->has_peer_disconnected()) {
+        // The request has waited in the queue of the listening socket or for this loop, and its client's
+        // close stands behind it.
+        ++abandoned_requests_;
+        response->abort();
+        return;
+    }
     const std::string_view input{socket->input->bytes, socket->input->size};
     if (request->version < http_2 && has_ambiguous_length(input)) {
         ++refused_requests_;
--- a/src/net/http_server_core.h
+++ b/src/net/http_server_core.h
@@ -77,6 +77,7 @@
     [[nodiscard]] std::size_t open_connections() const noexcept { return connections_.size(); }
     [[nodiscard]] std::uint64_t refused_requests() const noexcept { return refused_requests_; }
     [[nodiscard]] std::uint64_t displaced_connections() const noexcept { return displaced_connections_; }
+    [[nodiscard]] std::uint64_t abandoned_requests() const noexcept { return abandoned_requests_; }
     [[nodiscard]] std::uint64_t accept_pauses() const noexcept { return accept_pauses_; }
     [[nodiscard]] double link_use() {
         pacer_.on_received(events_.received_bytes(), events_.now());
@@ -118,6 +119,7 @@
 
     std::uint64_t refused_requests_ = 0;
     std::uint64_t displaced_connections_ = 0;
+    std::uint64_t abandoned_requests_ = 0;
     std::uint64_t accept_pauses_ = 0;
     loop& events_;
     http_server_options options_;
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <optional>
 
 using namespace samphiretray;
@@ -187,6 +188,22 @@
     CHECK(fixture.wait([&] { return fixture.server->open_connections() == 0; }));
 }
 
+// Guards against work for callers that have left while their request waited to be read (GONE).
+TEST_CASE("a request whose client has disconnected before it is read is not handled") {
+    server_fixture fixture;
+    auto other = fixture.connect();
+    {
+        auto client = fixture.connect();
+        // The loop does not run meanwhile, so that the request and the close wait together.
+        client.send_now("POST /gone HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody");
+        client.close();
+    }
+    other.send(fixture.events, "GET /here HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(fixture.wait_for_request());
+    REQUIRE(fixture.wait([&] { return fixture.server->open_connections() == 1; }));
+    CHECK(std::ranges::none_of(fixture.requests, [](const auto& each) { return each.path == "/gone"; }));
+}
+
 TEST_CASE("a large response to a slow client is buffered and arrives completely") {
     server_fixture fixture;
     const std::string body(8U << 20U, 'x');
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -65,6 +65,13 @@
     });
 }
 
+void raw_socket::send_now(std::string_view text) {
+    const auto sent = ::send(descriptor_, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent != static_cast<ssize_t>(text.size())) {
+        throw std::runtime_error("the text was not sent at once");
+    }
+}
+
 raw_socket::read_state raw_socket::read_some() {
     std::array<char, 65536> buffer{};
     const auto count = ::recv(descriptor_, buffer.data(), buffer.size(), MSG_DONTWAIT);
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -26,6 +26,8 @@
 
     /// Writes all of `text` while `events` runs.
     void send(loop& events, std::string_view text);
+    /// Writes a short text without running a loop; throws `std::runtime_error` if the system takes less.
+    void send_now(std::string_view text);
     /// Appends to `received` until it contains `text` or the connection ends; returns whether it contains it.
     bool receive_until(loop& events, std::string_view text);
     /// Appends to `received` until the connection ends; returns false if the peer reset it.
