--- a/include/samphiretray/routing/request_quarantine.h
+++ b/include/samphiretray/routing/request_quarantine.h
@@ -77,9 +77,9 @@
     duration answered_memory = 60s;
     std::size_t max_requests = 2048;
     std::size_t max_cuts_per_request = 8;
-    /// Most requests in one piece of evidence, which has about 10 kB then. Servers under load close thousands
+    /// Most requests in one piece of evidence, which has about 5 kB then. Servers under load close thousands
     /// of connections, and an entry with a link of 10 Mbit/s answers twenty queries for evidence a second.
-    std::size_t max_told = 128;
+    std::size_t max_told = 64;
     /// Most requests with a recent answer in each of two generations.
     std::size_t max_answered = 4096;
 };
