--- a/include/samphiretray/node/reader_selector.h
+++ b/include/samphiretray/node/reader_selector.h
@@ -48,16 +48,25 @@
     /// Records that `vm` did not answer or had no fresh data.
     void mark_failed(const std::string& vm, time_point now);
     /// Records that `vm` had fresh data: it is queried before the others that are no readers.
-    void mark_fresh(const std::string& vm);
+    void mark_fresh(const std::string& vm) { fresh_vm_ = vm; }
 
 private:
-    [[nodiscard]] std::optional<member> first_usable(const std::vector<member>& from, time_point now) const;
+    /// Failures are remembered for so long after the backoff, so that all others are queried before one is
+    /// queried again.
+    static constexpr duration failure_memory = 30s;
+
+    /// The end of the last backoff of `vm`, if it is remembered.
+    [[nodiscard]] time_point last_backoff(const std::string& vm) const;
+    [[nodiscard]] std::optional<member> usable_reader(time_point now) const;
+    /// The last one that had fresh data, or else the one that has not failed for the longest time.
+    [[nodiscard]] std::optional<member> usable_non_reader(time_point now) const;
 
     std::string vm_;
     /// The readers other than this process, in the order in which this process queries them.
     std::vector<member> other_readers_;
     /// All other entries, those of the data centre first.
     std::vector<member> non_readers_;
+    std::string fresh_vm_;
     bool is_reader_ = true;
     std::size_t member_count_ = 1;
     std::map<std::string, time_point> backoff_until_;
--- a/include/samphiretray/node/shared_store_client.h
+++ b/include/samphiretray/node/shared_store_client.h
@@ -54,7 +54,7 @@
     /// HTTP path that peers query, on an entry's address for peers.
     static constexpr std::string_view path = "/replica";
     /// Entries that are queried after one call has failed at the store.
-    static constexpr int max_fallbacks = 4;
+    static constexpr int max_fallbacks = 8;
 
     shared_store_client(net::loop& events, net::http_client& http, Store& store,
                         shared_store_client_settings settings);
--- a/src/node/reader_selector.cpp
+++ b/src/node/reader_selector.cpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <iterator>
 #include <ranges>
+#include <tuple>
 
 namespace samphiretray::node {
 
@@ -42,29 +43,37 @@
 }
 
 std::optional<reader_selector::member> reader_selector::assigned_reader(time_point now) const {
-    return is_reader_ ? std::nullopt : first_usable(other_readers_, now);
+    return is_reader_ ? std::nullopt : usable_reader(now);
 }
 
 std::optional<reader_selector::member> reader_selector::fallback(time_point now) const {
-    const auto reader = first_usable(other_readers_, now);
-    return reader ? reader : first_usable(non_readers_, now);
+    const auto reader = usable_reader(now);
+    return reader ? reader : usable_non_reader(now);
 }
 
-std::optional<reader_selector::member> reader_selector::first_usable(const std::vector<member>& from,
-                                                                     time_point now) const {
-    const auto found = std::ranges::find_if(from, [&](const member& each) {
-        const auto backoff = backoff_until_.find(each.vm);
-        return backoff == backoff_until_.end() || backoff->second <= now;
-    });
-    return found == from.end() ? std::nullopt : std::optional{*found};
+time_point reader_selector::last_backoff(const std::string& vm) const {
+    const auto found = backoff_until_.find(vm);
+    return found == backoff_until_.end() ? time_point{} : found->second;
+}
+
+std::optional<reader_selector::member> reader_selector::usable_reader(time_point now) const {
+    const auto found = std::ranges::find_if(other_readers_,
+                                            [&](const member& each) { return last_backoff(each.vm) <= now; });
+    return found == other_readers_.end() ? std::nullopt : std::optional{*found};
 }
 
-void reader_selector::mark_fresh(const std::string& vm) {
-    std::ranges::stable_partition(non_readers_, [&vm](const member& each) { return each.vm == vm; });
+std::optional<reader_selector::member> reader_selector::usable_non_reader(time_point now) const {
+    const auto rank = [this, now](const member& each) {
+        const time_point backoff = last_backoff(each.vm);
+        return std::tuple{backoff > now, each.vm != fresh_vm_, backoff};
+    };
+    const auto found = std::ranges::min_element(non_readers_, {}, rank);
+    const bool is_usable = found != non_readers_.end() && last_backoff(found->vm) <= now;
+    return is_usable ? std::optional{*found} : std::nullopt;
 }
 
 void reader_selector::mark_failed(const std::string& vm, time_point now) {
-    std::erase_if(backoff_until_, [now](const auto& each) { return each.second <= now; });
+    std::erase_if(backoff_until_, [now](const auto& each) { return each.second + failure_memory <= now; });
     backoff_until_[vm] = now + failure_backoff;
 }
 
--- a/tests/node/reader_selector_test.cpp
+++ b/tests/node/reader_selector_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <set>
 
 using namespace samphiretray;
 using namespace samphiretray::node;
@@ -65,6 +66,30 @@
     CHECK(choice.assigned_reader(start + reader_selector::failure_backoff)->vm == first->vm);
 }
 
+// Guards against an entry that queries the same few entries again and again while another one knows the new
+// configuration (CONFIG).
+TEST_CASE("store readers: without the store all other entries are queried before one is queried again") {
+    reader_selector choice{"entry-0"};
+    const auto all = members_of(13);
+    choice.set_members({all.begin(), all.begin() + 4}, {all.begin() + 4, all.end()});
+    std::set<std::string> asked;
+    time_point now = start;
+    // Half of the queries go to the two readers, which are tried again after each backoff.
+    for (int i = 0; i < 24; ++i, now += reader_selector::failure_backoff / 4) {
+        const auto each = choice.fallback(now);
+        REQUIRE(each);
+        asked.insert(each->vm);
+        choice.mark_failed(each->vm, now);
+    }
+    CHECK(asked.size() == 12);
+    choice.mark_fresh("entry-9");
+    now += 2 * reader_selector::failure_backoff;
+    for (std::size_t i = 0; i < reader_selector::reader_count; ++i) {
+        choice.mark_failed(choice.fallback(now)->vm, now);
+    }
+    CHECK(choice.fallback(now)->vm == "entry-9");
+}
+
 TEST_CASE("store readers: with one or two entries, each reads from the store and serves no peers") {
     reader_selector choice{"entry-0"};
     choice.set_members({});
