--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -750,12 +750,6 @@
     send(request, candidates.front(), candidates.size() > 1);
 }
 
-inline void remove_content_length(net::http_headers& headers) {
-    std::erase_if(headers, [](const net::http_header& header) {
-        return net::equals_ignore_case(header.name, "content-length");
-    });
-}
-
 /// The id of the part with this hash, as the caller sent it.
 [[nodiscard]] inline std::string part_name(const caller_request& caller, routing::part_key key) {
     const auto found = std::ranges::find_if(
@@ -844,7 +838,7 @@
     request->endpoint = to->id;
     request->agent_host = via_agent ? to->address.host : "";
     request->engine_started_at = to->started_at;
-    request->software_version = to->software_version;
+    request->software_version = answering_version(*to, via_agent, records_age_());
     request->state = answer_state::awaiting_head;
     request->body_started = false;
     discard_buffered(*request);
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -89,6 +89,9 @@
     /// store succeed.
     void set_configuration_age(std::function<duration()> age) { configuration_age_ = std::move(age); }
 
+    /// `age` returns the time since the records of endpoints were last known to be current.
+    void set_records_age(std::function<duration()> age) { records_age_ = std::move(age); }
+
     /// Calls `action` with the other registered entries whenever they change.
     void on_peers_changed(std::function<void(const std::vector<peer_entry>&)> action) {
         on_peers_ = std::move(action);
@@ -338,6 +341,7 @@
     std::optional<time_point> quarantine_recorded_at_;
     std::function<void(const std::vector<peer_entry>&)> on_peers_;
     std::function<duration()> configuration_age_;
+    std::function<duration()> records_age_ = [] { return duration::zero(); };
     std::map<std::string, net::http_handler> peer_handlers_;
     /// Hosts of agents that could not be connected to.
     std::map<std::string, time_point> agents_down_until_;
--- a/include/samphiretray/gateway/relay.h
+++ b/include/samphiretray/gateway/relay.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <memory>
 #include <string_view>
+#include <vector>
 
 namespace samphiretray::gateway {
 
@@ -13,6 +14,13 @@
 /// larger reads from a connection.
 inline constexpr std::size_t max_unsent_bytes = 32U << 10U;
 
+/// For an answer whose length is not known when it is passed on.
+inline void remove_content_length(net::http_headers& headers) {
+    std::erase_if(headers, [](const net::http_header& header) {
+        return net::equals_ignore_case(header.name, "content-length");
+    });
+}
+
 /// Forwards bytes of an answer, and pauses reading from their source if the reader is behind.
 inline void relay(net::http_response& to, net::http_exchange& from, std::string_view bytes) {
     to.write(bytes);
--- a/include/samphiretray/gateway/stream_continuation.h
+++ b/include/samphiretray/gateway/stream_continuation.h
@@ -51,6 +51,15 @@
 /// data centre, the other agents, the other entries.
 [[nodiscard]] std::vector<net::address> order_origin_sources(const origin_sources& sources);
 
+/// A record that was current longer ago may be that of an earlier incarnation under the same id, with other
+/// software. Longer than the entries of a data centre with two of them wait for changes.
+inline constexpr duration max_record_age = 4s;
+
+/// Version of the software that answers a request to `to`; empty if it is not known. `records_age` is the
+/// time since the records of endpoints were current. Agents compare the incarnation of their engine with the
+/// record; a request that is sent without one relies on the record alone.
+[[nodiscard]] std::string answering_version(const endpoint& to, bool via_agent, duration records_age);
+
 /// Keeps the endpoints of the origin's version, unless there are none.
 void prefer_version(std::vector<std::string>& endpoints, const routing::stream_origin& origin,
                     const endpoint_directory& directory);
--- a/src/gateway/stream_continuation.cpp
+++ b/src/gateway/stream_continuation.cpp
@@ -59,6 +59,10 @@
     return ordered;
 }
 
+std::string answering_version(const endpoint& to, bool via_agent, duration records_age) {
+    return via_agent || records_age <= max_record_age ? to.software_version : std::string{};
+}
+
 void prefer_version(std::vector<std::string>& endpoints, const routing::stream_origin& origin,
                     const endpoint_directory& directory) {
     const auto is_same = [&](const std::string& id) {
--- a/tests/platform/stream_version_test.cpp
+++ b/tests/platform/stream_version_test.cpp
@@ -61,6 +61,21 @@
     CHECK(answer->body == "id: 1\ndata: v1\n\nid: 2\ndata: v1\n\n");
 }
 
+TEST_CASE("an entry that is out of step vouches for no version of a server without an agent") {
+    // Guards against a stream that is joined from two versions (ORDER): a server came back under its id with
+    // newer software while the entry stood still or was cut off, and its record still names the older one.
+    two_versions fixture{"v1", "v1"};
+    fixture.entry->set_records_age([] { return 5s; });
+    CHECK_FALSE(fixture.send_and_wait("/r/1"));
+    CHECK(fixture.received_count() == 1);
+    fixture.begin_stream();
+    // Also once it is in step again.
+    fixture.entry->set_records_age([] { return 1s; });
+    const auto& answer = fixture.take_up();
+    CHECK(status_of(answer) == 503);
+    CHECK(answer->body == "stream_origin_unknown\n");
+}
+
 TEST_CASE("a record that changes the version of an incarnation makes it unknown") {
     // Guards against a server that gets the streams of another version because its record is wrong.
     two_versions fixture;
