--- a/include/samphiretray/node/shared_store_client-inl.h
+++ b/include/samphiretray/node/shared_store_client-inl.h
@@ -117,9 +117,9 @@
                    });
         return;
     }
-    watch_store_or_others(prefix, after,
-                          reader_selector_.serves_peers() ? std::min(limit, settings_.reader_watch_limit)
-                                                          : limit,
+    const bool has_queries = reader_selector_.serves_peers() ||
+                             (queried_at_ && loop_.now() - *queried_at_ < reader_selector::failure_backoff);
+    watch_store_or_others(prefix, after, has_queries ? std::min(limit, settings_.reader_watch_limit) : limit,
                           std::move(done));
 }
 
@@ -127,11 +127,15 @@
 void shared_store_client<Store>::watch_store_or_others(const std::string& prefix, std::uint64_t after,
                                                        duration limit,
                                                        ports::completion<ports::store_changes> done) {
-    watch_store(prefix, after, limit,
+    // While the store refuses calls, changes come from others, which are queried again without delay.
+    const duration wait = refused_prefixes_.contains(prefix) ? 1ms : limit;
+    watch_store(prefix, after, wait,
                 [this, prefix, after, done = std::move(done)](result<ports::store_changes> changes) {
                     if (changes || changes.error().code == errc::stale_revision) {
+                        refused_prefixes_.erase(prefix);
                         done(std::move(changes));
                     } else {
+                        refused_prefixes_.insert(prefix);
                         watch_others(prefix, after, max_fallbacks, changes.error(), done);
                     }
                 });
@@ -146,7 +150,8 @@
         done(failure);
         return;
     }
-    watch_peer(*peer, prefix, after, 0ms,
+    // One that has fresh data holds the query until there is a change, others answer at once.
+    watch_peer(*peer, prefix, after, settings_.max_peer_wait,
                [this, vm = peer->vm, prefix, after, attempts, failure,
                 done = std::move(done)](result<ports::store_changes> changes) {
                    if (changes) {
@@ -250,6 +255,7 @@
         response->send(404, {}, "no such prefix\n");
         return;
     }
+    queried_at_ = loop_.now();
     const bool should_wait = *wait > 0 && era == replica->era() && !replica->has_changes_since(*after) &&
                              replica->changes_since(*after, loop_.now());
     if (!should_wait) {
--- a/include/samphiretray/node/shared_store_client.h
+++ b/include/samphiretray/node/shared_store_client.h
@@ -11,6 +11,8 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -111,6 +113,10 @@
     reader_selector reader_selector_;
     std::map<std::string, prefix_replica> replicas_;
     std::list<pending_watch> pending_watches_;
+    /// Prefixes whose last call to the store failed.
+    std::set<std::string> refused_prefixes_;
+    /// Last query of a peer. Others than readers are queried only if the store refuses calls.
+    std::optional<time_point> queried_at_;
     ports::call_set calls_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/node/shared_store_client_test.cpp
+++ b/tests/node/shared_store_client_test.cpp
@@ -294,6 +294,10 @@
     site.store.change("servers/a", std::nullopt);
     CHECK(site.loop.run_until([&] { return site.all_see("servers/b", "2"); }, 3s));
     CHECK(site.loop.run_until([&] { return site.all_see("servers/a", std::nullopt); }, 3s));
+    // Later changes come as from a reader: from the one that had fresh data, which keeps it fresh.
+    site.run(1s);
+    site.store.change("servers/c", "3");
+    CHECK(site.loop.run_until([&] { return site.all_see("servers/c", "3"); }, 600ms));
 }
 
 // Guards against changes that no entry sees, or only those that read the store themselves, after the store
