Begin a new pause of accepting with its own time

A pause that ended without a new connection left its beginning behind, so the next one ended at once. Found by reading; net: the pacer's cases pass.

--- a/include/samphiretray/net/intake_pacer.h
+++ b/include/samphiretray/net/intake_pacer.h
@@ -61,7 +61,7 @@
     /// Of requests and of the answers that are received for them, for each accepted connection.
     double mean_request_bytes_ = 4096;
     std::optional<time_point> refilled_at_;
-    /// When accepting has paused, until the next connection is accepted.
+    /// Since when accepting is paused.
     std::optional<time_point> paused_at_;
     std::optional<time_point> measured_at_;
     std::uint64_t measured_total_ = 0;
--- a/src/net/intake_pacer.cpp
+++ b/src/net/intake_pacer.cpp
@@ -85,6 +85,7 @@
     refill(now);
     const double debt = -std::min(received_.level, expected_.level);
     if (debt < 0) {
+        paused_at_.reset();
         return duration::zero();
     }
     paused_at_ = paused_at_.value_or(now);
