--- a/soak/platform_server.cpp
+++ b/soak/platform_server.cpp
@@ -74,6 +74,7 @@
         throw std::runtime_error(to_string(created.error()));
     }
     server_ = std::move(*created);
+    ++start_count_;
     id_count_ += next_start_ == restart_kind::same_id ? 0 : 1;
     id_ = description_.id + "-" + std::to_string(id_count_);
     if (next_start_ == restart_kind::other_service) {
--- a/soak/platform_server.h
+++ b/soak/platform_server.h
@@ -112,9 +112,9 @@
     /// Writes the events of a resumable stream from `event` on. With a fault it breaks off after the next
     /// one.
     void write_stream(const std::shared_ptr<net::http_response>& response, std::size_t event, bool has_fault);
-    /// Version of the software of this incarnation. A server that starts under another id has the other
-    /// version.
-    [[nodiscard]] std::string software_version() const { return id_count_ % 2 == 0 ? "v2" : "v1"; }
+    /// Version of the software of this incarnation. Each start has the other version, also one under the same
+    /// id: the records of an entry that is out of step then name the wrong one.
+    [[nodiscard]] std::string software_version() const { return start_count_ % 2 == 0 ? "v2" : "v1"; }
     /// Writes `bytes` again and again until the caller closes the connection.
     void keep_writing(const std::shared_ptr<net::http_response>& response, const std::string& bytes);
     /// Returns the HTTP status of the response.
@@ -128,6 +128,8 @@
     std::string id_;
     /// Numbers the ids.
     int id_count_ = 0;
+    /// Incarnations, under any id.
+    int start_count_ = 0;
     restart_kind next_start_ = restart_kind::new_id;
     time_point started_at_;
     std::deque<time_point> runs_while_cold_;
