--- a/tests/node/shared_store_client_test.cpp
+++ b/tests/node/shared_store_client_test.cpp
@@ -294,7 +294,20 @@
     site.store.change("servers/a", std::nullopt);
     CHECK(site.loop.run_until([&] { return site.all_see("servers/b", "2"); }, 3s));
     CHECK(site.loop.run_until([&] { return site.all_see("servers/a", std::nullopt); }, 3s));
-    // Later changes come as from a reader: from the one that had fresh data, which keeps it fresh.
+}
+
+// Guards against entries that hear of each change late although they know who has fresh data (CONFIG).
+TEST_CASE("shared store reads: later changes come at once from the entry that had fresh data") {
+    data_centre site{9};
+    const auto calls = site.calls_in(200ms);
+    const auto served = static_cast<std::size_t>(std::distance(calls.begin(), std::ranges::find(calls, 0)));
+    REQUIRE(served < calls.size());
+    for (std::size_t i = 0; i < site.entries.size(); ++i) {
+        site.entries[i]->path.is_unavailable = i != served;
+    }
+    site.run(250ms);
+    site.store.change("servers/b", "2");
+    REQUIRE(site.loop.run_until([&] { return site.all_see("servers/b", "2"); }, 3s));
     site.run(1s);
     site.store.change("servers/c", "3");
     CHECK(site.loop.run_until([&] { return site.all_see("servers/c", "3"); }, 600ms));
