--- a/tests/node/shared_store_client_test.cpp
+++ b/tests/node/shared_store_client_test.cpp
@@ -192,6 +192,17 @@
         }
         return calls;
     }
+
+    /// From now on the store serves one entry only, which is no reader.
+    void refuse_all_but_one() {
+        const auto calls = calls_in(200ms);
+        const auto served =
+            static_cast<std::size_t>(std::distance(calls.begin(), std::ranges::find(calls, 0)));
+        REQUIRE(served < calls.size());
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+            entries[i]->path.is_unavailable = i != served;
+        }
+    }
 };
 
 } // namespace
@@ -282,12 +293,7 @@
 TEST_CASE(
     "shared store reads: an entry that the store refuses gets changes from the only one that it serves") {
     data_centre site{9};
-    const auto calls = site.calls_in(200ms);
-    const auto served = static_cast<std::size_t>(std::distance(calls.begin(), std::ranges::find(calls, 0)));
-    REQUIRE(served < calls.size());
-    for (std::size_t i = 0; i < site.entries.size(); ++i) {
-        site.entries[i]->path.is_unavailable = i != served;
-    }
+    site.refuse_all_but_one();
     // All data is older than the readers may give.
     site.run(250ms);
     site.store.change("servers/b", "2");
@@ -299,12 +305,7 @@
 // Guards against entries that hear of each change late although they know who has fresh data (CONFIG).
 TEST_CASE("shared store reads: later changes come at once from the entry that had fresh data") {
     data_centre site{9};
-    const auto calls = site.calls_in(200ms);
-    const auto served = static_cast<std::size_t>(std::distance(calls.begin(), std::ranges::find(calls, 0)));
-    REQUIRE(served < calls.size());
-    for (std::size_t i = 0; i < site.entries.size(); ++i) {
-        site.entries[i]->path.is_unavailable = i != served;
-    }
+    site.refuse_all_but_one();
     site.run(250ms);
     site.store.change("servers/b", "2");
     REQUIRE(site.loop.run_until([&] { return site.all_see("servers/b", "2"); }, 3s));
