--- a/src/net/response_parser.cpp
+++ b/src/net/response_parser.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::size_t max_headers = 100;
+/// Statuses of HTTP (RFC 9110 section 15). A server that sends another one is in trouble.
+constexpr int min_status = 100;
+constexpr int max_status = 599;
 
 /// True if `text` contains the start of a status line.
 bool contains_status_line(std::string_view text) {
@@ -109,7 +112,7 @@
         return parsed;
     }
     parsed.progress = parse_progress::malformed;
-    if (size < 0 || parsed.head.status < 100) {
+    if (size < 0 || parsed.head.status < min_status || parsed.head.status > max_status) {
         return parsed;
     }
     parsed.head.size = static_cast<std::size_t>(size);
--- a/src/net/response_parser.h
+++ b/src/net/response_parser.h
@@ -41,8 +41,8 @@
 /// Parses the response head at the start of `input`. `previous_size` is the input size of the previous call
 /// for the same head, 0 for the first one. `is_response_to_head` tells that the request was a HEAD request,
 /// so that there is no body. A response with an ambiguous body length (different Content-Length values or an
-/// unknown transfer coding) is malformed, and so is one with a status line in its reason or in the value of a
-/// header: it is a cut head with another answer behind it.
+/// unknown transfer coding) or a status outside 100 to 599 is malformed, and so is one with a status line in
+/// its reason or in the value of a header: it is a cut head with another answer behind it.
 [[nodiscard]] head_result parse_response_head(std::string_view input, std::size_t previous_size,
                                               bool is_response_to_head);
 
--- a/tests/platform/answer_end_test.cpp
+++ b/tests/platform/answer_end_test.cpp
@@ -169,6 +169,31 @@
     CHECK(fixture.requests.size() == (each.body ? 2 : 1));
 }
 
+// Guards against an answer of a server in trouble whose status is none of HTTP and that reached the caller.
+TEST_CASE("an answer whose status is outside 100 to 599 is no answer") {
+    const std::string status = GENERATE(as<std::string>{}, "000", "001", "099", "600", "999");
+    const auto framing =
+        GENERATE(answer_framing::length, answer_framing::chunks, answer_framing::until_close);
+    const std::string path = GENERATE(as<std::string>{}, "/s/1", "/u/1", "/e/1", "/r/1");
+    INFO(status << " " << static_cast<int>(framing) << " " << path);
+    const bool is_stream = path == "/e/1" || path == "/r/1";
+    const bool is_repeatable = path == "/s/1" || path == "/r/1";
+    std::size_t answers = 0;
+    entry_with_scripted_server fixture{[&](const net::http_request& request) {
+        const auto headers = is_stream ? stream_headers(request) : signed_headers(request);
+        std::string text = format_answer(framing, headers, is_stream ? "id: 1\n\n" : "whole");
+        if (++answers == 1) {
+            text.replace(text.find(" 200 ") + 1, status.size(), status);
+        }
+        return scripted_answer{text, framing == answer_framing::until_close ? answer_ending::close
+                                                                            : answer_ending::keep_open};
+    }};
+    const auto& answer = fixture.entry.send_and_wait(path);
+    REQUIRE(answer);
+    CHECK(answer->status == (is_repeatable ? 200 : 502));
+    CHECK(fixture.requests.size() == (is_repeatable ? 2 : 1));
+}
+
 // Guards against what operators of similar systems have seen: the text of an error, or its whole head, in the
 // middle of a stream that had begun, or the stream ended as if it were complete.
 TEST_CASE(
