--- a/include/samphiretray/node/reader_selector.h
+++ b/include/samphiretray/node/reader_selector.h
@@ -38,16 +38,19 @@
     /// The reader to query; empty if this process reads from the store itself, because it is a reader or
     /// every reader has failed recently.
     [[nodiscard]] std::optional<member> assigned_reader(time_point now) const;
-    /// The entry to query when this process cannot reach the store: a reader, or else any other entry, since
-    /// the store may serve that one only. Empty if there is none, or every one has failed recently.
-    [[nodiscard]] std::optional<member> fallback(time_point now) const;
+    /// The entries to query at once when this process cannot reach the store: the last one that had fresh
+    /// data, or else up to `count` of those that have not failed recently, readers first. Any entry is asked,
+    /// since the store may serve that one only.
+    [[nodiscard]] std::vector<member> fallbacks(time_point now, std::size_t count) const;
+    /// Whether `vm` had fresh data when it was last queried as a fallback.
+    [[nodiscard]] bool is_fresh(const std::string& vm) const { return vm == fresh_vm_; }
     /// Whether this process is one of the readers.
     [[nodiscard]] bool is_reader() const;
     /// Whether this process is one of the readers and there are entries that query it.
     [[nodiscard]] bool serves_peers() const;
     /// Records that `vm` did not answer or had no fresh data.
     void mark_failed(const std::string& vm, time_point now);
-    /// Records that `vm` had fresh data: it is queried before the others that are no readers.
+    /// Records that `vm` had fresh data: it is queried before all others.
     void mark_fresh(const std::string& vm) { fresh_vm_ = vm; }
 
 private:
@@ -58,8 +61,9 @@
     /// The end of the last backoff of `vm`, if it is remembered.
     [[nodiscard]] time_point last_backoff(const std::string& vm) const;
     [[nodiscard]] std::optional<member> usable_reader(time_point now) const;
-    /// The last one that had fresh data, or else the one that has not failed for the longest time.
-    [[nodiscard]] std::optional<member> usable_non_reader(time_point now) const;
+    [[nodiscard]] bool is_usable(const std::string& vm, time_point now) const {
+        return last_backoff(vm) <= now;
+    }
 
     std::string vm_;
     /// The readers other than this process, in the order in which this process queries them.
--- a/include/samphiretray/node/shared_store_client-inl.h
+++ b/include/samphiretray/node/shared_store_client-inl.h
@@ -43,45 +43,46 @@
                                       ports::completion<ports::store_listing> done) {
     // The store is asked first, so that a starting process gets no data from before its start while the store
     // answers.
+    list_store(prefix, [this, prefix, done = std::move(done)](result<ports::store_listing> listing) {
+        if (listing || find_replica(prefix) == nullptr) {
+            done(std::move(listing));
+        } else {
+            list_store_and_others(prefix, done);
+        }
+    });
+}
+
+template <ports::watched_store Store>
+void shared_store_client<Store>::list_store(const std::string& prefix,
+                                            ports::completion<ports::store_listing> done) {
     store_.list(prefix, [this, prefix, requested_at = loop_.now(), weak = std::weak_ptr{alive_},
                          done = std::move(done)](result<ports::store_listing> listing) {
         if (weak.expired()) {
             return;
         }
-        prefix_replica* replica = find_replica(prefix);
-        if (replica != nullptr && listing) {
+        if (prefix_replica* replica = find_replica(prefix); replica != nullptr && listing) {
             replica->apply(*listing, requested_at);
             answer_pending_watches(prefix);
         }
-        if (replica == nullptr || listing) {
-            done(std::move(listing));
-        } else {
-            list_others(prefix, max_fallbacks, listing.error(), done);
-        }
+        done(std::move(listing));
     });
 }
 
 template <ports::watched_store Store>
-void shared_store_client<Store>::list_others(const std::string& prefix, int attempts, const error& failure,
-                                             ports::completion<ports::store_listing> done) {
-    const auto peer = attempts > 0 ? reader_selector_.fallback(loop_.now()) : std::nullopt;
-    if (!peer) {
-        done(failure);
-        return;
-    }
-    query_peer(*peer, prefix, 0, 0ms,
-               [this, vm = peer->vm, prefix, attempts, failure,
-                done = std::move(done)](result<replica_update> update) {
-                   if (!update) {
-                       on_reader_failed(vm, prefix, update.error());
-                       list_others(prefix, attempts - 1, failure, done);
-                       return;
-                   }
-                   reader_selector_.mark_fresh(vm);
-                   auto from_peer = to_listing(std::move(update->changes));
-                   find_replica(prefix)->apply(from_peer, loop_.now() - update->age);
-                   done(std::move(from_peer));
-               });
+void shared_store_client<Store>::list_store_and_others(const std::string& prefix,
+                                                       ports::completion<ports::store_listing> done) {
+    const first_success<ports::store_listing> first{std::move(done)};
+    list_store(prefix,
+               [first](result<ports::store_listing> listing) { first.on_primary(std::move(listing)); });
+    search_others(prefix, 0, max_fallbacks, [this, prefix, first](result<replica_update> update) {
+        if (!update) {
+            first.on_secondary(update.error());
+            return;
+        }
+        auto listing = to_listing(std::move(update->changes));
+        find_replica(prefix)->apply(listing, loop_.now() - update->age);
+        first.on_secondary(std::move(listing));
+    });
 }
 
 template <ports::watched_store Store>
@@ -127,42 +128,85 @@
 void shared_store_client<Store>::watch_store_or_others(const std::string& prefix, std::uint64_t after,
                                                        duration limit,
                                                        ports::completion<ports::store_changes> done) {
-    // While the store refuses calls, changes come from others, which are queried again without delay.
-    const duration wait = refused_prefixes_.contains(prefix) ? 1ms : limit;
-    watch_store(prefix, after, wait,
+    if (refused_prefixes_.contains(prefix)) {
+        watch_store_and_others(prefix, after, std::move(done));
+        return;
+    }
+    watch_store(prefix, after, limit,
                 [this, prefix, after, done = std::move(done)](result<ports::store_changes> changes) {
                     if (changes || changes.error().code == errc::stale_revision) {
-                        refused_prefixes_.erase(prefix);
                         done(std::move(changes));
                     } else {
                         refused_prefixes_.insert(prefix);
-                        watch_others(prefix, after, max_fallbacks, changes.error(), done);
+                        watch_store_and_others(prefix, after, done);
                     }
                 });
 }
 
 template <ports::watched_store Store>
-void shared_store_client<Store>::watch_others(const std::string& prefix, std::uint64_t after, int attempts,
-                                              const error& failure,
-                                              ports::completion<ports::store_changes> done) {
-    const auto peer = attempts > 0 ? reader_selector_.fallback(loop_.now()) : std::nullopt;
-    if (!peer) {
-        done(failure);
+void shared_store_client<Store>::watch_store_and_others(const std::string& prefix, std::uint64_t after,
+                                                        ports::completion<ports::store_changes> done) {
+    const first_success<ports::store_changes> first{std::move(done)};
+    watch_store(prefix, after, 1ms, [this, prefix, first](result<ports::store_changes> changes) {
+        if (changes || changes.error().code == errc::stale_revision) {
+            refused_prefixes_.erase(prefix);
+        }
+        first.on_primary(std::move(changes));
+    });
+    search_others(prefix, after, max_fallbacks, [this, prefix, after, first](result<replica_update> update) {
+        if (!update) {
+            first.on_secondary(update.error());
+            return;
+        }
+        find_replica(prefix)->apply(after, update->changes, loop_.now() - update->age);
+        first.on_secondary(std::move(update->changes));
+    });
+}
+
+template <ports::watched_store Store>
+void shared_store_client<Store>::search_others(const std::string& prefix, std::uint64_t after,
+                                               std::size_t attempts, ports::completion<replica_update> done) {
+    const auto peers = reader_selector_.fallbacks(loop_.now(), std::min(attempts, parallel_fallbacks));
+    if (peers.empty()) {
+        done(make_error(errc::unavailable, step::receive, "peers", "no other entry has fresh data"));
         return;
     }
-    // One that has fresh data holds the query until there is a change, others answer at once.
-    watch_peer(*peer, prefix, after, settings_.max_peer_wait,
-               [this, vm = peer->vm, prefix, after, attempts, failure,
-                done = std::move(done)](result<ports::store_changes> changes) {
-                   if (changes) {
-                       reader_selector_.mark_fresh(vm);
-                       done(std::move(changes));
-                   } else if (changes.error().code == errc::stale_revision) {
-                       done(failure);
-                   } else {
-                       watch_others(prefix, after, attempts - 1, failure, done);
-                   }
-               });
+    struct search_round {
+        std::size_t pending;
+        bool is_over = false;
+        bool has_late_answers = false;
+    };
+    const auto round = std::make_shared<search_round>(search_round{.pending = peers.size()});
+    const std::size_t attempts_left = attempts - std::min(attempts, peers.size());
+    for (const reader_selector::member& peer : peers) {
+        // Only one that had fresh data holds the query until there is a change: an entry that has stopped is
+        // given up soon.
+        const duration wait =
+            after != 0 && reader_selector_.is_fresh(peer.vm) ? settings_.max_peer_wait : 0ms;
+        query_peer(
+            peer, prefix, after, wait,
+            [this, vm = peer.vm, prefix, after, attempts_left, round, done](result<replica_update> update) {
+                constexpr bool is_stale = false;
+                if (!update && !is_stale) {
+                    on_reader_failed(vm, prefix, update.error());
+                    round->has_late_answers |= update.error().code != errc::unavailable;
+                }
+                --round->pending;
+                if (round->is_over) {
+                    return;
+                }
+                round->is_over = update || is_stale || round->pending == 0;
+                if (update) {
+                    reader_selector_.mark_fresh(vm);
+                }
+                if (update || is_stale) {
+                    done(std::move(update));
+                } else if (round->is_over) {
+                    // Time has passed, and the store is asked again first.
+                    search_others(prefix, after, round->has_late_answers ? 0 : attempts_left, done);
+                }
+            });
+    }
 }
 
 template <ports::watched_store Store>
--- a/include/samphiretray/node/shared_store_client.h
+++ b/include/samphiretray/node/shared_store_client.h
@@ -3,6 +3,7 @@
 #include "samphiretray/net/http_client.h"
 #include "samphiretray/net/http_server.h"
 #include "samphiretray/net/loop.h"
+#include "samphiretray/node/first_success.h"
 #include "samphiretray/node/prefix_replica.h"
 #include "samphiretray/node/reader_selector.h"
 #include "samphiretray/ports/call_set.h"
@@ -48,15 +49,17 @@
 
 /// Reduces the load on the store: in each data centre, only a few entries (the readers) watch the shared
 /// prefixes in the store, and the other entries query the readers over HTTP. A call that gets no fresh data
-/// from a reader falls back to the store, and a call that fails at the store falls back to other entries: the
-/// store may turn away a whole data centre while it serves others.
+/// from a reader falls back to the store. A call that fails at the store is repeated there beside queries to
+/// other entries: the store may turn away a whole data centre while it serves others.
 template <ports::watched_store Store>
 class shared_store_client {
 public:
     /// HTTP path that peers query, on an entry's address for peers.
     static constexpr std::string_view path = "/replica";
     /// Entries that are queried after one call has failed at the store.
-    static constexpr int max_fallbacks = 8;
+    static constexpr std::size_t max_fallbacks = 8;
+    /// Entries that are queried at the same time, so that one that has stopped does not hold up the search.
+    static constexpr std::size_t parallel_fallbacks = 3;
 
     shared_store_client(net::loop& events, net::http_client& http, Store& store,
                         shared_store_client_settings settings);
@@ -90,12 +93,16 @@
                      ports::completion<ports::store_changes> done);
     void watch_store_or_others(const std::string& prefix, std::uint64_t after, duration limit,
                                ports::completion<ports::store_changes> done);
-    /// Queries up to `attempts` other entries for changes. Completes with `failure`, that of the store, if
-    /// none has fresh data.
-    void watch_others(const std::string& prefix, std::uint64_t after, int attempts, const error& failure,
-                      ports::completion<ports::store_changes> done);
-    void list_others(const std::string& prefix, int attempts, const error& failure,
-                     ports::completion<ports::store_listing> done);
+    /// Watches the store without a wait and searches the other entries at the same time: the store may serve
+    /// this process again while the others do not answer.
+    void watch_store_and_others(const std::string& prefix, std::uint64_t after,
+                                ports::completion<ports::store_changes> done);
+    void list_store_and_others(const std::string& prefix, ports::completion<ports::store_listing> done);
+    void list_store(const std::string& prefix, ports::completion<ports::store_listing> done);
+    /// Queries up to `attempts` other entries. Fails with `stale_revision` if one has fresh data and lacks
+    /// the changes after `after`, with `unavailable` if none has fresh data.
+    void search_others(const std::string& prefix, std::uint64_t after, std::size_t attempts,
+                       ports::completion<replica_update> done);
     void watch_peer(const reader_selector::member& peer, const std::string& prefix, std::uint64_t after,
                     duration limit, ports::completion<ports::store_changes> done);
     [[nodiscard]] static ports::store_listing to_listing(ports::store_changes changes);
--- a/src/node/reader_selector.cpp
+++ b/src/node/reader_selector.cpp
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <iterator>
 #include <ranges>
-#include <tuple>
 
 namespace samphiretray::node {
 
@@ -46,9 +45,20 @@
     return is_reader_ ? std::nullopt : usable_reader(now);
 }
 
-std::optional<reader_selector::member> reader_selector::fallback(time_point now) const {
-    const auto reader = usable_reader(now);
-    return reader ? reader : usable_non_reader(now);
+std::vector<reader_selector::member> reader_selector::fallbacks(time_point now, std::size_t count) const {
+    std::vector<member> usable;
+    const auto is_usable_now = [this, now](const member& each) { return is_usable(each.vm, now); };
+    std::ranges::copy_if(other_readers_, std::back_inserter(usable), is_usable_now);
+    const auto reader_end = std::ssize(usable);
+    std::ranges::copy_if(non_readers_, std::back_inserter(usable), is_usable_now);
+    const auto fresh = std::ranges::find_if(usable, [this](const member& each) { return is_fresh(each.vm); });
+    if (fresh != usable.end()) {
+        return {*fresh};
+    }
+    std::ranges::stable_sort(usable | std::views::drop(reader_end), {},
+                             [this](const member& each) { return last_backoff(each.vm); });
+    usable.resize(std::min(usable.size(), count));
+    return usable;
 }
 
 time_point reader_selector::last_backoff(const std::string& vm) const {
@@ -57,21 +67,11 @@
 }
 
 std::optional<reader_selector::member> reader_selector::usable_reader(time_point now) const {
-    const auto found = std::ranges::find_if(other_readers_,
-                                            [&](const member& each) { return last_backoff(each.vm) <= now; });
+    const auto found = std::ranges::find_if(
+        other_readers_, [this, now](const member& each) { return is_usable(each.vm, now); });
     return found == other_readers_.end() ? std::nullopt : std::optional{*found};
 }
 
-std::optional<reader_selector::member> reader_selector::usable_non_reader(time_point now) const {
-    const auto rank = [this, now](const member& each) {
-        const time_point backoff = last_backoff(each.vm);
-        return std::tuple{backoff > now, each.vm != fresh_vm_, backoff};
-    };
-    const auto found = std::ranges::min_element(non_readers_, {}, rank);
-    const bool is_usable = found != non_readers_.end() && last_backoff(found->vm) <= now;
-    return is_usable ? std::optional{*found} : std::nullopt;
-}
-
 void reader_selector::mark_failed(const std::string& vm, time_point now) {
     std::erase_if(backoff_until_, [now](const auto& each) { return each.second + failure_memory <= now; });
     backoff_until_[vm] = now + failure_backoff;
--- a/tests/node/reader_selector_test.cpp
+++ b/tests/node/reader_selector_test.cpp
@@ -34,7 +34,7 @@
             readers.push_back(each.vm);
             CHECK(choice.serves_peers());
             CHECK_FALSE(choice.assigned_reader(start));
-            CHECK(choice.fallback(start));
+            CHECK(choice.fallbacks(start, 1).size() == 1);
         } else {
             asked.push_back(choice.assigned_reader(start)->vm);
         }
@@ -76,18 +76,20 @@
     time_point now = start;
     // Half of the queries go to the two readers, which are tried again after each backoff.
     for (int i = 0; i < 24; ++i, now += reader_selector::failure_backoff / 4) {
-        const auto each = choice.fallback(now);
-        REQUIRE(each);
-        asked.insert(each->vm);
-        choice.mark_failed(each->vm, now);
+        const auto next = choice.fallbacks(now, 1);
+        REQUIRE(next.size() == 1);
+        asked.insert(next.front().vm);
+        choice.mark_failed(next.front().vm, now);
     }
     CHECK(asked.size() == 12);
     choice.mark_fresh("entry-9");
     now += 2 * reader_selector::failure_backoff;
+    REQUIRE(choice.fallbacks(now, 3).size() == 1);
+    CHECK(choice.fallbacks(now, 3).front().vm == "entry-9");
     for (std::size_t i = 0; i < reader_selector::reader_count; ++i) {
-        choice.mark_failed(choice.fallback(now)->vm, now);
+        choice.mark_failed(choice.assigned_reader(now).value_or(all[0]).vm, now);
     }
-    CHECK(choice.fallback(now)->vm == "entry-9");
+    CHECK(choice.fallbacks(now, 1).front().vm == "entry-9");
 }
 
 TEST_CASE("store readers: with one or two entries, each reads from the store and serves no peers") {
--- a/tests/node/shared_store_client_test.cpp
+++ b/tests/node/shared_store_client_test.cpp
@@ -194,7 +194,7 @@
     }
 
     /// From now on the store serves one entry only, which is no reader.
-    void refuse_all_but_one() {
+    entry& refuse_all_but_one() {
         const auto calls = calls_in(200ms);
         const auto served =
             static_cast<std::size_t>(std::distance(calls.begin(), std::ranges::find(calls, 0)));
@@ -202,6 +202,15 @@
         for (std::size_t i = 0; i < entries.size(); ++i) {
             entries[i]->path.is_unavailable = i != served;
         }
+        return *entries[served];
+    }
+
+    /// One of the two entries that read from the store.
+    entry& reader() {
+        const auto calls = calls_in(200ms);
+        const auto found = std::ranges::find_if(calls, [](int each) { return each > 0; });
+        REQUIRE(found != calls.end());
+        return *entries[static_cast<std::size_t>(std::distance(calls.begin(), found))];
     }
 };
 
@@ -314,6 +323,22 @@
     CHECK(site.loop.run_until([&] { return site.all_see("servers/c", "3"); }, 600ms));
 }
 
+// Guards against an entry that acts on an old configuration while it queries one stopped entry after another,
+// although the store serves it again (CONFIG).
+TEST_CASE("shared store reads: entries that do not answer keep none from a store that serves it again") {
+    data_centre site{9};
+    entry& alive = site.reader();
+    for (const auto& each : site.entries) {
+        each->answers = each.get() == &alive;
+    }
+    alive.path.is_unavailable = true;
+    site.run(50ms);
+    alive.path.is_unavailable = false;
+    site.store.change("servers/b", "2");
+    // max_peer_wait and answer_timeout of one query, and 200 ms for a busy machine.
+    CHECK(site.loop.run_until([&] { return alive.seen.contains("servers/b"); }, 160ms + 200ms));
+}
+
 // Guards against changes that no entry sees, or only those that read the store themselves, after the store
 // has come back from an older copy (CONFIG).
 TEST_CASE("shared store reads: after the store was restored, twice, all entries see what it holds") {
