--- a/include/samphiretray/node/shared_store_client-inl.h
+++ b/include/samphiretray/node/shared_store_client-inl.h
@@ -186,7 +186,7 @@
         query_peer(
             peer, prefix, after, wait,
             [this, vm = peer.vm, prefix, after, attempts_left, round, done](result<replica_update> update) {
-                constexpr bool is_stale = false;
+                const bool is_stale = !update && update.error().code == errc::stale_revision;
                 if (!update && !is_stale) {
                     on_reader_failed(vm, prefix, update.error());
                     round->has_late_answers |= update.error().code != errc::unavailable;
--- a/tests/node/shared_store_client_test.cpp
+++ b/tests/node/shared_store_client_test.cpp
@@ -22,6 +22,8 @@
     std::map<std::string, ports::store_change> keys;
     std::uint64_t revision = 1;
     std::uint64_t era = 1;
+    /// A watch from an earlier revision is refused.
+    std::uint64_t history_begins_at = 0;
 
     /// Comes back from an older copy.
     void restore(std::map<std::string, ports::store_change> copy, std::uint64_t copied_revision) {
@@ -77,7 +79,7 @@
         *timer = store.loop.after(1ms, [this, after, until, timer, done = std::move(done)] {
             if (is_unavailable) {
                 done(make_error(errc::unavailable, step::receive, "store", "status 503"));
-            } else if (after > store.revision) {
+            } else if (after > store.revision || after < store.history_begins_at) {
                 done(make_error(errc::stale_revision, step::receive, "store", "status 410"));
             } else if (store.is_changed(after) || store.loop.now() >= until) {
                 ports::store_changes changes{{}, store.revision, store.era};
@@ -339,6 +341,26 @@
     CHECK(site.loop.run_until([&] { return alive.seen.contains("servers/b"); }, 160ms + 200ms));
 }
 
+// Guards against an entry that the store refuses and that never learns a change, because the others have
+// lost the history since its last read (CONFIG).
+TEST_CASE("shared store reads: a refused entry reads all keys from an entry whose history is gone") {
+    data_centre site{9};
+    entry& refused = site.reader();
+    refused.path.is_unavailable = true;
+    for (const auto& each : site.entries) {
+        each->answers = each.get() == &refused;
+    }
+    // Nobody hears of this change, and the store forgets it before anybody reads again.
+    site.store.change("servers/b", "2");
+    site.store.history_begins_at = site.store.revision + 1;
+    ++site.store.revision;
+    site.run(600ms);
+    for (const auto& each : site.entries) {
+        each->answers = true;
+    }
+    CHECK(site.loop.run_until([&] { return site.all_see("servers/b", "2"); }, 3s));
+}
+
 // Guards against changes that no entry sees, or only those that read the store themselves, after the store
 // has come back from an older copy (CONFIG).
 TEST_CASE("shared store reads: after the store was restored, twice, all entries see what it holds") {
