--- a/include/samphiretray/node/reader_selector.h
+++ b/include/samphiretray/node/reader_selector.h
@@ -48,7 +48,8 @@
     [[nodiscard]] bool is_reader() const;
     /// Whether this process is one of the readers and there are entries that query it.
     [[nodiscard]] bool serves_peers() const;
-    /// Records that `vm` did not answer or had no fresh data.
+    /// Records that `vm` did not answer or had no fresh data. One that had fresh data before is queried again
+    /// after the others, without a backoff: a single answer may be late.
     void mark_failed(const std::string& vm, time_point now);
     /// Records that `vm` had fresh data: it is queried before all others.
     void mark_fresh(const std::string& vm) { fresh_vm_ = vm; }
--- a/include/samphiretray/node/shared_store_client-inl.h
+++ b/include/samphiretray/node/shared_store_client-inl.h
@@ -137,12 +137,29 @@
                     if (changes || changes.error().code == errc::stale_revision) {
                         done(std::move(changes));
                     } else {
-                        refused_prefixes_.insert(prefix);
+                        on_store_refused(prefix);
                         watch_store_and_others(prefix, after, done);
                     }
                 });
 }
 
+template <ports::watched_store Store>
+void shared_store_client<Store>::on_store_refused(const std::string& prefix) {
+    refused_prefixes_.insert(prefix);
+    std::erase_if(pending_watches_, [&](const pending_watch& each) {
+        const bool is_due = each.prefix == prefix;
+        if (is_due) {
+            send_refusal(*each.response);
+        }
+        return is_due;
+    });
+}
+
+template <ports::watched_store Store>
+void shared_store_client<Store>::send_refusal(net::http_response& response) {
+    response.send(503, {}, "the store does not answer this entry\n");
+}
+
 template <ports::watched_store Store>
 void shared_store_client<Store>::watch_store_and_others(const std::string& prefix, std::uint64_t after,
                                                         ports::completion<ports::store_changes> done) {
@@ -300,6 +317,12 @@
         return;
     }
     queried_at_ = loop_.now();
+    if (refused_prefixes_.contains(prefix)) {
+        // What this entry knows comes from others. If it passed that on, two entries could go on answering
+        // each other while a third one has a change.
+        send_refusal(*response);
+        return;
+    }
     const bool should_wait = *wait > 0 && era == replica->era() && !replica->has_changes_since(*after) &&
                              replica->changes_since(*after, loop_.now());
     if (!should_wait) {
--- a/include/samphiretray/node/shared_store_client.h
+++ b/include/samphiretray/node/shared_store_client.h
@@ -107,6 +107,9 @@
                     duration limit, ports::completion<ports::store_changes> done);
     [[nodiscard]] static ports::store_listing to_listing(ports::store_changes changes);
     [[nodiscard]] prefix_replica* find_replica(const std::string& prefix);
+    /// Peers that wait for changes have to look elsewhere.
+    void on_store_refused(const std::string& prefix);
+    static void send_refusal(net::http_response& response);
     void on_reader_failed(const std::string& vm, const std::string& prefix, const error& failure);
     void answer_pending_watches(const std::string& prefix);
     /// `era` is the era of the revision `after`.
--- a/src/node/reader_selector.cpp
+++ b/src/node/reader_selector.cpp
@@ -74,7 +74,11 @@
 
 void reader_selector::mark_failed(const std::string& vm, time_point now) {
     std::erase_if(backoff_until_, [now](const auto& each) { return each.second + failure_memory <= now; });
-    backoff_until_[vm] = now + failure_backoff;
+    const bool was_fresh = is_fresh(vm);
+    if (was_fresh) {
+        fresh_vm_.clear();
+    }
+    backoff_until_[vm] = was_fresh ? now : now + failure_backoff;
 }
 
 } // namespace samphiretray::node
--- a/tests/node/reader_selector_test.cpp
+++ b/tests/node/reader_selector_test.cpp
@@ -92,6 +92,23 @@
     CHECK(choice.fallbacks(now, 1).front().vm == "entry-9");
 }
 
+// Guards against 2 s without changes after one late answer of the only entry that the store serves (CONFIG).
+TEST_CASE("store readers: one that had fresh data is queried again after one failure, behind the others") {
+    reader_selector choice{"entry-0"};
+    const auto all = members_of(6);
+    choice.set_members(all);
+    constexpr time_point now = start + 1s;
+    const std::string fresh = choice.fallbacks(now, all.size()).back().vm;
+    choice.mark_fresh(fresh);
+    choice.mark_failed(fresh, now);
+    CHECK_FALSE(choice.is_fresh(fresh));
+    const auto next = choice.fallbacks(now, all.size());
+    REQUIRE(next.size() == 5);
+    CHECK(next.back().vm == fresh);
+    choice.mark_failed(fresh, now);
+    CHECK(choice.fallbacks(now, all.size()).size() == 4);
+}
+
 TEST_CASE("store readers: with one or two entries, each reads from the store and serves no peers") {
     reader_selector choice{"entry-0"};
     choice.set_members({});
--- a/tests/node/shared_store_client_test.cpp
+++ b/tests/node/shared_store_client_test.cpp
@@ -325,6 +325,21 @@
     CHECK(site.loop.run_until([&] { return site.all_see("servers/c", "3"); }, 600ms));
 }
 
+// Guards against entries that hear of no change for 2 s after one lost answer of the only entry that the
+// store serves (CONFIG).
+TEST_CASE("shared store reads: one lost answer of the only entry with fresh data delays changes little") {
+    data_centre site{9};
+    entry& served = site.refuse_all_but_one();
+    site.run(250ms);
+    site.store.change("servers/b", "2");
+    REQUIRE(site.loop.run_until([&] { return site.all_see("servers/b", "2"); }, 3s));
+    served.answers = false;
+    REQUIRE(site.loop.run_until([&] { return served.held_responses.size() >= 8; }, hang_limit));
+    served.answers = true;
+    site.store.change("servers/c", "3");
+    CHECK(site.loop.run_until([&] { return site.all_see("servers/c", "3"); }, 600ms));
+}
+
 // Guards against an entry that acts on an old configuration while it queries one stopped entry after another,
 // although the store serves it again (CONFIG).
 TEST_CASE("shared store reads: entries that do not answer keep none from a store that serves it again") {
