--- a/include/samphiretray/node/shared_store_client-inl.h
+++ b/include/samphiretray/node/shared_store_client-inl.h
@@ -107,15 +107,7 @@
         return;
     }
     if (const auto reader = reader_selector_.assigned_reader(loop_.now())) {
-        watch_peer(*reader, prefix, after, std::min(limit, settings_.max_peer_wait),
-                   [this, prefix, after, done = std::move(done)](result<ports::store_changes> changes) {
-                       if (changes || changes.error().code == errc::stale_revision) {
-                           done(std::move(changes));
-                       } else {
-                           // A minimal wait, to catch up at once on changes that the reader did not report.
-                           watch_store_or_others(prefix, after, 1ms, done);
-                       }
-                   });
+        watch_reader(*reader, prefix, after, std::min(limit, settings_.max_peer_wait), std::move(done));
         return;
     }
     const bool has_queries = reader_selector_.serves_peers() ||
@@ -124,6 +116,39 @@
                           std::move(done));
 }
 
+template <ports::watched_store Store>
+void shared_store_client<Store>::watch_reader(const reader_selector::member& reader,
+                                              const std::string& prefix, std::uint64_t after, duration limit,
+                                              ports::completion<ports::store_changes> done) {
+    const first_success<ports::store_changes> first{std::move(done)};
+    struct hedge_state {
+        net::timer_handle timer;
+        bool is_started = false;
+    };
+    const auto hedge = std::make_shared<hedge_state>();
+    const auto ask_store = [this, prefix, after, first, hedge] {
+        if (!std::exchange(hedge->is_started, true)) {
+            // A minimal wait, to catch up at once on changes that the reader did not report.
+            watch_store_or_others(prefix, after, 1ms, [first](result<ports::store_changes> changes) {
+                first.on_primary(std::move(changes));
+            });
+        }
+    };
+    hedge->timer = loop_.after(limit + settings_.answer_timeout, [this, vm = reader.vm, prefix, ask_store] {
+        on_reader_failed(vm, prefix, make_error(errc::timeout, step::receive, vm, "the answer is late"));
+        ask_store();
+    });
+    watch_peer(reader, prefix, after, limit,
+               [this, first, hedge, ask_store](result<ports::store_changes> changes) {
+                   loop_.post([kept = std::shared_ptr<net::timer>(std::move(hedge->timer))] {});
+                   const bool is_answer = changes || changes.error().code == errc::stale_revision;
+                   first.on_secondary(std::move(changes));
+                   if (!is_answer) {
+                       ask_store();
+                   }
+               });
+}
+
 template <ports::watched_store Store>
 void shared_store_client<Store>::watch_store_or_others(const std::string& prefix, std::uint64_t after,
                                                        duration limit,
@@ -281,7 +306,7 @@
     call.target = std::string{path} + "?prefix=" + net::url_encode(prefix) +
                   "&after=" + std::to_string(after) + "&era=" + std::to_string(find_replica(prefix)->era()) +
                   "&wait=" + std::to_string(milliseconds_in(limit));
-    call.timeout = limit + settings_.answer_timeout;
+    call.timeout = limit + settings_.max_answer_time;
     constexpr std::size_t max_update_size = 8U << 20U;
     calls_.fetch(http_, std::move(call), max_update_size,
                  [vm = reader.vm, max_age = settings_.max_age,
--- a/include/samphiretray/node/shared_store_client.h
+++ b/include/samphiretray/node/shared_store_client.h
@@ -21,7 +21,7 @@
 
 /// These settings bound how late an entry learns of a change. If its reader has lost the store: `max_age` and
 /// the duration of the entry's own call to the store that follows. If its reader has stalled: the age of the
-/// reader's last answer, `max_peer_wait` and `answer_timeout`.
+/// reader's last answer, `max_peer_wait` and `answer_timeout`, and the duration of that call.
 struct shared_store_client_settings {
     std::string vm;
     std::vector<std::string> prefixes;
@@ -33,8 +33,13 @@
     duration max_age = 2200ms;
     /// Longest time that a reader holds a peer's request while there are no changes.
     duration max_peer_wait = 600ms;
-    /// Time allowed for the answer beyond that wait; a peer in the same data centre answers within 1 ms.
+    /// Time allowed for a reader's answer beyond that wait before the store is asked as well; a peer in the
+    /// same data centre answers within 1 ms.
     duration answer_timeout = 300ms;
+    /// Time after which an answer is no longer waited for, beyond the wait of the query. What callers send
+    /// can hold up answers for half a second on a thin link; a query that is given up sooner teaches nothing
+    /// for as long as that lasts.
+    duration max_answer_time = 700ms;
 };
 
 /// Changes, or all keys, of a replica as sent to a peer: JSON with values in base64.
@@ -91,6 +96,9 @@
                     duration limit, ports::completion<replica_update> done);
     void watch_store(const std::string& prefix, std::uint64_t after, duration limit,
                      ports::completion<ports::store_changes> done);
+    /// Queries a reader, and asks the store as well if the answer is late or has no fresh data.
+    void watch_reader(const reader_selector::member& reader, const std::string& prefix, std::uint64_t after,
+                      duration limit, ports::completion<ports::store_changes> done);
     void watch_store_or_others(const std::string& prefix, std::uint64_t after, duration limit,
                                ports::completion<ports::store_changes> done);
     /// Watches the store without a wait and searches the other entries at the same time: the store may serve
