--- a/src/net/http_server_core.cpp
+++ b/src/net/http_server_core.cpp
@@ -203,6 +203,7 @@
     }
     auto* connection = new server_connection{shared_from_this(), socket, options_.buffers, events_.now()};
     connections_.insert(connection);
+    pacer_.on_receiving(connection, events_.now());
     socket->on_close.data = connection;
     socket->on_close.cb = [](void* data) {
         auto* closed = static_cast<server_connection*>(data);
@@ -216,6 +217,7 @@
 
 void http_server_core::remove_connection(server_connection* connection) {
     connections_.erase(connection);
+    pacer_.on_not_receiving(connection);
     if (connection->was_closed != nullptr) {
         *connection->was_closed = true;
     }
@@ -227,6 +229,7 @@
 void http_server_core::on_request(h2o_req_t* request) {
     h2o_socket_t* socket = request->conn->callbacks->get_socket(request->conn);
     auto& connection = *static_cast<server_connection*>(socket->on_close.data);
+    pacer_.on_request(&connection);
     const auto response = std::make_shared<h2o_response>(connection, request);
     response->attach();
     if (connection.is_refused) {
@@ -334,6 +337,11 @@
     if (connection.current_response != nullptr) {
         return;
     }
+    if (socket->input->size > 0) {
+        core->pacer_.on_receiving(&connection, core->events_.now());
+    } else {
+        core->pacer_.on_not_receiving(&connection);
+    }
     if (socket->_cb.read != on_read || h2o_socket_is_reading(socket) == 0) {
         // h2o sends an interim response, and reads on with its own callback.
         core->meter_later(&connection);
--- a/src/net/intake_pacer.cpp
+++ b/src/net/intake_pacer.cpp
@@ -14,7 +14,23 @@
 constexpr duration backlog_time = 200ms;
 constexpr duration measure_interval = 1s;
 constexpr double mean_weight = 0.3;
+/// Larger requests than before fill the link at once, smaller ones only leave room on it.
+constexpr double rising_mean_weight = 0.7;
 constexpr double min_request_bytes = 512;
+/// What is being received may keep the link busy for this long.
+constexpr duration receiving_time = 200ms;
+/// Enough to keep a link busy whose round trip is short.
+constexpr double min_receiving = 8;
+/// A connection that has sent nothing for this long does not use the link.
+constexpr duration stall_time = 1s;
+/// A request that has not come yet counts as one of this size at least: it may be larger than earlier ones.
+constexpr double min_expected_bytes = 8192;
+/// Part of the link from whose use on connections are not kept open beyond a limit.
+constexpr double busy_link_use = 0.5;
+/// One request on each connection that is kept open on a busy link takes this long.
+constexpr duration kept_requests_time = 1s;
+/// Time after which it is checked again whether requests have been received.
+constexpr duration receiving_check_interval = 10ms;
 
 double seconds(duration value) {
     return std::chrono::duration<double>(value).count();
@@ -57,15 +73,16 @@
         return;
     }
     const auto bytes = static_cast<double>(total_ - measured_total_);
-    const auto connections = static_cast<double>(accepted_ - measured_accepted_);
+    const auto requests = static_cast<double>(requests_ - measured_requests_);
     link_use_ = bytes / seconds(elapsed) / (bytes_per_s_ / usable_fraction);
-    if (connections > 0) {
-        const double mean = std::max(bytes / connections, min_request_bytes);
-        mean_request_bytes_ += (mean - mean_request_bytes_) * mean_weight;
+    if (requests > 0) {
+        const double mean = std::max(bytes / requests, min_request_bytes);
+        const double weight = mean > mean_request_bytes_ ? rising_mean_weight : mean_weight;
+        mean_request_bytes_ += (mean - mean_request_bytes_) * weight;
     }
     measured_at_ = now;
     measured_total_ = total_;
-    measured_accepted_ = accepted_;
+    measured_requests_ = requests_;
 }
 
 void intake_pacer::on_accepted(time_point now) {
@@ -73,25 +90,72 @@
         return;
     }
     refill(now);
-    ++accepted_;
     paused_at_.reset();
     expected_.take(mean_request_bytes_, bytes_per_s_ * seconds(max_debt_time));
 }
 
+void intake_pacer::on_receiving(const void* connection, time_point now) {
+    if (bytes_per_s_ <= 0) {
+        return;
+    }
+    on_not_receiving(connection);
+    receiving_positions_[connection] = receiving_.insert(receiving_.end(), {connection, now});
+}
+
+void intake_pacer::on_request(const void* connection) {
+    ++requests_;
+    on_not_receiving(connection);
+}
+
+void intake_pacer::on_not_receiving(const void* connection) {
+    if (const auto found = receiving_positions_.find(connection); found != receiving_positions_.end()) {
+        receiving_.erase(found->second);
+        receiving_positions_.erase(found);
+    }
+}
+
+double intake_pacer::expected_request_bytes() const {
+    return std::max(mean_request_bytes_, min_expected_bytes);
+}
+
+bool intake_pacer::is_receiving_enough(time_point now) {
+    while (!receiving_.empty() && now - receiving_.front().progressed_at >= stall_time) {
+        on_not_receiving(receiving_.front().connection);
+    }
+    const double limit =
+        std::max(bytes_per_s_ * seconds(receiving_time) / expected_request_bytes(), min_receiving);
+    return static_cast<double>(receiving_.size()) >= limit;
+}
+
+duration intake_pacer::bucket_wait() const {
+    const double debt = -std::min(received_.level, expected_.level);
+    return debt < 0 ? duration::zero()
+                    : std::chrono::ceil<duration>(std::chrono::duration<double>((debt + 1) / bytes_per_s_));
+}
+
 duration intake_pacer::wait(time_point now) {
     if (bytes_per_s_ <= 0) {
         return duration::zero();
     }
     refill(now);
-    const double debt = -std::min(received_.level, expected_.level);
-    if (debt < 0) {
+    const duration receiving_wait = is_receiving_enough(now) ? receiving_check_interval : duration::zero();
+    const duration needed = std::max(bucket_wait(), receiving_wait);
+    if (needed <= duration::zero()) {
         paused_at_.reset();
         return duration::zero();
     }
     paused_at_ = paused_at_.value_or(now);
-    const auto paid_in =
-        std::chrono::ceil<duration>(std::chrono::duration<double>((debt + 1) / bytes_per_s_));
-    return std::clamp<duration>(*paused_at_ + max_pause - now, duration::zero(), paid_in);
+    return std::clamp<duration>(*paused_at_ + max_pause - now, duration::zero(), needed);
+}
+
+bool intake_pacer::should_close(std::size_t open_connections, time_point now) {
+    if (bytes_per_s_ <= 0) {
+        return false;
+    }
+    refill(now);
+    const bool is_busy = received_.level < 0 || link_use_ >= busy_link_use;
+    const double kept = bytes_per_s_ * seconds(kept_requests_time) / expected_request_bytes();
+    return is_busy && static_cast<double>(open_connections) > kept;
 }
 
 int intake_pacer::backlog() const {
--- a/tests/net/intake_pacer_test.cpp
+++ b/tests/net/intake_pacer_test.cpp
@@ -6,6 +6,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <cstdint>
+#include <deque>
 #include <vector>
 
 using namespace samphiretray;
@@ -28,6 +31,7 @@
         const time_point now{std::chrono::milliseconds{ms}};
         for (; received < accepted.size() && now - accepted[received] >= 5ms; ++received) {
             total += static_cast<std::uint64_t>(request_bytes);
+            pacer.on_request(nullptr);
             bytes_in_second[ms / 1000] += request_bytes;
         }
         pacer.on_received(total, now);
@@ -41,6 +45,124 @@
 
 } // namespace
 
+namespace {
+
+/// A thin link that carries the requests of accepted connections one after another, and clients that connect
+/// far faster than it carries them.
+class busy_link {
+public:
+    /// Runs for `time` with requests of `size` bytes; returns the longest time that the last byte on the link
+    /// had to wait, and counts the bytes that have come.
+    duration run(intake_pacer& pacer, duration time, std::size_t size) {
+        duration longest{0};
+        for (const time_point end = now_ + time; now_ < end; now_ += 1ms) {
+            deliver(pacer);
+            pacer.on_received(received_, now_);
+            for (int i = 0; i < 32 && pacer.wait(now_) <= 0ms; ++i) {
+                requests_.push_back({next_id_++, size});
+                queued_ += size;
+                pacer.on_accepted(now_);
+                pacer.on_receiving(id_of(requests_.back()), now_);
+            }
+            longest = std::max<duration>(longest, std::chrono::milliseconds{queued_ / bytes_in_ms});
+        }
+        return longest;
+    }
+
+    [[nodiscard]] std::uint64_t received() const { return received_; }
+
+private:
+    static constexpr std::size_t bytes_in_ms = 1250;
+
+    struct request {
+        std::uintptr_t id;
+        std::size_t left;
+    };
+
+    static const void* id_of(const request& each) {
+        return reinterpret_cast<const void*>(each.id); // NOLINT(performance-no-int-to-ptr)
+    }
+
+    void deliver(intake_pacer& pacer) {
+        for (std::size_t room = bytes_in_ms; room > 0 && !requests_.empty();) {
+            request& first = requests_.front();
+            const std::size_t taken = std::min(room, first.left);
+            first.left -= taken;
+            room -= taken;
+            queued_ -= taken;
+            received_ += taken;
+            if (first.left > 0) {
+                pacer.on_receiving(id_of(first), now_);
+            } else {
+                pacer.on_request(id_of(first));
+                requests_.pop_front();
+            }
+        }
+    }
+
+    time_point now_{1s};
+    std::deque<request> requests_;
+    std::size_t queued_ = 0;
+    std::uint64_t received_ = 0;
+    std::uintptr_t next_id_ = 1;
+};
+
+} // namespace
+
+// Guards against an entry that accepts hundreds of large requests as if they were as small as those before,
+// and whose own calls wait behind them for seconds (CONFIG).
+TEST_CASE("requests that become large do not fill the link for long") {
+    intake_pacer pacer{thin_link};
+    busy_link link;
+    for (int round = 0; round < 3; ++round) {
+        (void)link.run(pacer, 3s, 600);
+        CHECK(link.run(pacer, 1s, 40'000) < 1s);
+        const std::uint64_t before = link.received();
+        CHECK(link.run(pacer, 3s, 40'000) < 500ms);
+        // Callers are not turned away needlessly.
+        CHECK(static_cast<double>(link.received() - before) > 3 * thin_link * 0.6);
+    }
+}
+
+// Guards against hundreds of connections that were kept open in a busy hour and whose requests fill the link
+// when demand rises: they come without being accepted (CONFIG).
+TEST_CASE("on a busy link, few connections are kept open") {
+    constexpr std::size_t many = 400;
+    constexpr std::size_t few = 20;
+    intake_pacer pacer{thin_link};
+    time_point now{1s};
+    for (std::uint64_t total = 0; now < time_point{4s}; now += 10ms, total += 1250) {
+        pacer.on_received(total, now);
+        CHECK_FALSE(pacer.should_close(many, now));
+    }
+    intake_pacer busy{thin_link};
+    busy_link link;
+    (void)link.run(busy, 3s, 40'000);
+    CHECK(busy.should_close(many, time_point{4s}));
+    CHECK_FALSE(busy.should_close(few, time_point{4s}));
+    CHECK_FALSE(intake_pacer{}.should_close(many, now));
+}
+
+// Guards against callers that are shut out by connections that have been accepted and send nothing.
+TEST_CASE("connections that send nothing stop others only for a moment") {
+    intake_pacer pacer{thin_link};
+    time_point now{1s};
+    std::uintptr_t id = 1;
+    const auto accepted_in = [&](duration time) {
+        std::size_t accepted = 0;
+        for (const time_point end = now + time; now < end; now += 1ms) {
+            for (int i = 0; i < 32 && pacer.wait(now) <= 0ms; ++i) {
+                pacer.on_accepted(now);
+                pacer.on_receiving(reinterpret_cast<const void*>(id++), now); // NOLINT
+                ++accepted;
+            }
+        }
+        return accepted;
+    };
+    CHECK(accepted_in(1s) > 10);
+    CHECK(accepted_in(1s) > 10);
+}
+
 TEST_CASE("callers' requests leave room on the link for the process's own calls") {
     // Guards against a queue on the link in which the answers of the store wait for seconds behind requests.
     intake_pacer pacer{thin_link};
