--- a/src/net/h2o_response.cpp
+++ b/src/net/h2o_response.cpp
@@ -173,6 +173,11 @@
     for (const http_header& header : headers) {
         add_header(header);
     }
+    // Callers that are refused come back on new connections, and the earlier ones pile up.
+    const bool is_refusal = status == 429 || status == 503;
+    if (is_refusal && core_->should_close()) {
+        request_->http1_is_persistent = 0;
+    }
     schedule_flush();
 }
 
