--- a/include/samphiretray/net/intake_pacer.h
+++ b/include/samphiretray/net/intake_pacer.h
@@ -85,7 +85,7 @@
     /// Of requests and of the answers that are received for them.
     double mean_request_bytes_ = 4096;
     struct receiving_connection {
-        const void* connection;
+        const void* connection = nullptr;
         time_point progressed_at;
     };
     /// Those without progress for the longest time first.
--- a/include/samphiretray/node/shared_store_client-inl.h
+++ b/include/samphiretray/node/shared_store_client-inl.h
@@ -214,7 +214,7 @@
         return;
     }
     struct search_round {
-        std::size_t pending;
+        std::size_t pending = 0;
         bool is_over = false;
         bool has_late_answers = false;
     };
