--- a/include/samphiretray/net/intake_pacer.h
+++ b/include/samphiretray/net/intake_pacer.h
@@ -70,6 +70,7 @@
 
     void refill(time_point now);
     void measure(time_point now);
+    void sample(time_point now);
     /// The size that a request is expected to have, as far as the next ones may be larger than earlier ones.
     [[nodiscard]] double expected_request_bytes() const;
     /// Time until the buckets allow another connection.
@@ -86,11 +87,16 @@
     double mean_request_bytes_ = 4096;
     struct receiving_connection {
         const void* connection = nullptr;
-        time_point progressed_at;
+        time_point began_at;
     };
-    /// Those without progress for the longest time first.
+    /// In the order in which their requests began.
     std::list<receiving_connection> receiving_;
+    /// The end of `receiving_` for those that no longer count.
     std::unordered_map<const void*, std::list<receiving_connection>::iterator> receiving_positions_;
+    std::optional<time_point> sampled_at_;
+    std::uint64_t sampled_total_ = 0;
+    /// Bytes received in the last sample, as a fraction of what the link carries.
+    double current_use_ = 0;
     std::optional<time_point> refilled_at_;
     /// Since when accepting is paused.
     std::optional<time_point> paused_at_;
--- a/src/net/intake_pacer.cpp
+++ b/src/net/intake_pacer.cpp
@@ -21,11 +21,14 @@
 constexpr duration receiving_time = 200ms;
 /// Enough to keep a link busy whose round trip is short.
 constexpr double min_receiving = 8;
-/// A connection that has sent nothing for this long does not use the link.
-constexpr duration stall_time = 1s;
+/// A request that is not received within this time is not counted any more: its sender is slow.
+constexpr duration max_receiving_time = 2s;
+/// The same on a link that is not busy; enough for the first bytes of a request.
+constexpr duration max_receiving_time_if_calm = 100ms;
+constexpr duration sample_interval = 20ms;
 /// A request that has not come yet counts as one of this size at least: it may be larger than earlier ones.
 constexpr double min_expected_bytes = 8192;
-/// Part of the link from whose use on connections are not kept open beyond a limit.
+/// Part of the link from whose use on it counts as busy.
 constexpr double busy_link_use = 0.5;
 /// One request on each connection that is kept open on a busy link takes this long.
 constexpr duration kept_requests_time = 1s;
@@ -63,9 +66,21 @@
     refill(now);
     received_.take(static_cast<double>(total - total_), bytes_per_s_ * seconds(max_debt_time));
     total_ = total;
+    sample(now);
     measure(now);
 }
 
+void intake_pacer::sample(time_point now) {
+    sampled_at_ = sampled_at_.value_or(now);
+    const duration elapsed = now - *sampled_at_;
+    if (elapsed >= sample_interval) {
+        current_use_ = static_cast<double>(total_ - sampled_total_) / seconds(elapsed) /
+                       (bytes_per_s_ / usable_fraction);
+        sampled_at_ = now;
+        sampled_total_ = total_;
+    }
+}
+
 void intake_pacer::measure(time_point now) {
     measured_at_ = measured_at_.value_or(now);
     const duration elapsed = now - *measured_at_;
@@ -95,11 +110,9 @@
 }
 
 void intake_pacer::on_receiving(const void* connection, time_point now) {
-    if (bytes_per_s_ <= 0) {
-        return;
+    if (bytes_per_s_ > 0 && !receiving_positions_.contains(connection)) {
+        receiving_positions_[connection] = receiving_.insert(receiving_.end(), {connection, now});
     }
-    on_not_receiving(connection);
-    receiving_positions_[connection] = receiving_.insert(receiving_.end(), {connection, now});
 }
 
 void intake_pacer::on_request(const void* connection) {
@@ -108,10 +121,14 @@
 }
 
 void intake_pacer::on_not_receiving(const void* connection) {
-    if (const auto found = receiving_positions_.find(connection); found != receiving_positions_.end()) {
+    const auto found = receiving_positions_.find(connection);
+    if (found == receiving_positions_.end()) {
+        return;
+    }
+    if (found->second != receiving_.end()) {
         receiving_.erase(found->second);
-        receiving_positions_.erase(found);
     }
+    receiving_positions_.erase(found);
 }
 
 double intake_pacer::expected_request_bytes() const {
@@ -119,8 +136,10 @@
 }
 
 bool intake_pacer::is_receiving_enough(time_point now) {
-    while (!receiving_.empty() && now - receiving_.front().progressed_at >= stall_time) {
-        on_not_receiving(receiving_.front().connection);
+    const duration max_time = current_use_ >= busy_link_use ? max_receiving_time : max_receiving_time_if_calm;
+    while (!receiving_.empty() && now - receiving_.front().began_at >= max_time) {
+        receiving_positions_[receiving_.front().connection] = receiving_.end();
+        receiving_.pop_front();
     }
     const double limit =
         std::max(bytes_per_s_ * seconds(receiving_time) / expected_request_bytes(), min_receiving);
--- a/tests/net/intake_pacer_test.cpp
+++ b/tests/net/intake_pacer_test.cpp
@@ -144,13 +144,20 @@
 }
 
 // Guards against callers that are shut out by connections that have been accepted and send nothing.
-TEST_CASE("connections that send nothing stop others only for a moment") {
+TEST_CASE("connections that send little or nothing do not stop others") {
+    const bool sends_slowly = GENERATE(false, true);
     intake_pacer pacer{thin_link};
     time_point now{1s};
     std::uintptr_t id = 1;
+    std::uint64_t received = 0;
     const auto accepted_in = [&](duration time) {
         std::size_t accepted = 0;
         for (const time_point end = now + time; now < end; now += 1ms) {
+            for (std::uintptr_t each = 1; sends_slowly && each < id; each += 100) {
+                pacer.on_receiving(reinterpret_cast<const void*>(each), now); // NOLINT
+                ++received;
+            }
+            pacer.on_received(received, now);
             for (int i = 0; i < 32 && pacer.wait(now) <= 0ms; ++i) {
                 pacer.on_accepted(now);
                 pacer.on_receiving(reinterpret_cast<const void*>(id++), now); // NOLINT
@@ -159,8 +166,8 @@
         }
         return accepted;
     };
-    CHECK(accepted_in(1s) > 10);
-    CHECK(accepted_in(1s) > 10);
+    CHECK(accepted_in(1s) > 100);
+    CHECK(accepted_in(1s) > 100);
 }
 
 TEST_CASE("callers' requests leave room on the link for the process's own calls") {
