--- a/include/samphiretray/node/shared_store_client-inl.h
+++ b/include/samphiretray/node/shared_store_client-inl.h
@@ -121,26 +121,24 @@
                                               const std::string& prefix, std::uint64_t after, duration limit,
                                               ports::completion<ports::store_changes> done) {
     const first_success<ports::store_changes> first{std::move(done)};
-    struct hedge_state {
-        net::timer_handle timer;
-        bool is_started = false;
-    };
-    const auto hedge = std::make_shared<hedge_state>();
-    const auto ask_store = [this, prefix, after, first, hedge] {
-        if (!std::exchange(hedge->is_started, true)) {
+    const auto is_store_asked = std::make_shared<bool>(false);
+    const auto ask_store = [this, prefix, after, first, is_store_asked] {
+        if (!std::exchange(*is_store_asked, true)) {
             // A minimal wait, to catch up at once on changes that the reader did not report.
             watch_store_or_others(prefix, after, 1ms, [first](result<ports::store_changes> changes) {
                 first.on_primary(std::move(changes));
             });
         }
     };
-    hedge->timer = loop_.after(limit + settings_.answer_timeout, [this, vm = reader.vm, prefix, ask_store] {
-        on_reader_failed(vm, prefix, make_error(errc::timeout, step::receive, vm, "the answer is late"));
-        ask_store();
-    });
+    const std::uint64_t id = next_hedge_id_++;
+    hedge_timers_[id] =
+        loop_.after(limit + settings_.answer_timeout, [this, vm = reader.vm, prefix, ask_store] {
+            on_reader_failed(vm, prefix, make_error(errc::timeout, step::receive, vm, "the answer is late"));
+            ask_store();
+        });
     watch_peer(reader, prefix, after, limit,
-               [this, first, hedge, ask_store](result<ports::store_changes> changes) {
-                   loop_.post([kept = std::shared_ptr<net::timer>(std::move(hedge->timer))] {});
+               [this, id, first, ask_store](result<ports::store_changes> changes) {
+                   hedge_timers_.erase(id);
                    const bool is_answer = changes || changes.error().code == errc::stale_revision;
                    first.on_secondary(std::move(changes));
                    if (!is_answer) {
--- a/include/samphiretray/node/shared_store_client.h
+++ b/include/samphiretray/node/shared_store_client.h
@@ -136,6 +136,9 @@
     /// Last query of a peer. Others than readers are queried only if the store refuses calls.
     std::optional<time_point> queried_at_;
     ports::call_set calls_;
+    /// For each query of a reader without an answer yet.
+    std::map<std::uint64_t, net::timer_handle> hedge_timers_;
+    std::uint64_t next_hedge_id_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
