--- a/src/net/http_server_core.h
+++ b/src/net/http_server_core.h
@@ -84,7 +84,10 @@
         return pacer_.link_use();
     }
     /// Whether a connection ends with its response, so that its client comes back as fast as the link allows.
-    [[nodiscard]] bool should_close() { return pacer_.should_close(connections_.size(), events_.now()); }
+    [[nodiscard]] bool should_close() {
+        pacer_.on_received(events_.received_bytes(), events_.now());
+        return pacer_.should_close(connections_.size(), events_.now());
+    }
     [[nodiscard]] bool is_shutting_down() const noexcept { return context_.shutdown_requested != 0; }
     /// Loads the certificate files, if any are set; on an error the old certificate stays in use.
     [[nodiscard]] status load_certificates();
--- a/tests/net/intake_pacer_test.cpp
+++ b/tests/net/intake_pacer_test.cpp
@@ -253,3 +253,40 @@
     CHECK((*server)->accept_pauses() > 0);
     REQUIRE(events.run_until([&] { return handled == 60; }, 20s));
 }
+
+// Guards against a server that keeps the connections of refused callers open on a busy link, or closes those
+// of callers that it serves (CONFIG).
+TEST_CASE("on a busy link, a server closes the connections of refused callers only") {
+    loop events;
+    std::size_t handled = 0;
+    http_server_options options;
+    options.listen = {"127.0.0.1", 0};
+    // One request on each of 19 connections keeps the link busy for a second.
+    options.link_bytes_per_s = 200'000;
+    auto server = http_server::create(
+        events, options, [&](const http_request& request, const std::shared_ptr<http_response>& response) {
+            ++handled;
+            response->send(request.path == "/refused" ? 429 : 200, {}, "answer");
+        });
+    REQUIRE(server);
+    const auto request_to = [](const std::string& path) {
+        return "POST " + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: 4000\r\n\r\n" +
+               std::string(4000, 'x');
+    };
+    std::vector<raw_socket> clients;
+    for (int i = 0; i < 25; ++i) {
+        clients.push_back(raw_socket::connect((*server)->local_address()));
+        clients.back().send(events, request_to("/served"));
+    }
+    REQUIRE(events.run_until([&] { return handled == 25; }, 20s));
+    for (std::size_t i = 2; i < clients.size(); ++i) {
+        clients[i].send(events, request_to("/served"));
+    }
+    REQUIRE(events.run_until([&] { return handled == 48; }, 20s));
+    clients[0].send(events, request_to("/refused"));
+    clients[1].send(events, request_to("/served"));
+    REQUIRE(events.run_until([&] { return handled == 50; }, 20s));
+    CHECK(events.run_until([&] { return (*server)->open_connections() == 24; }, 20s));
+    clients[1].send(events, request_to("/served"));
+    CHECK(events.run_until([&] { return handled == 51; }, 20s));
+}
