--- a/include/samphiretray/node/reader_selector.h
+++ b/include/samphiretray/node/reader_selector.h
@@ -38,9 +38,9 @@
     /// The reader to query; empty if this process reads from the store itself, because it is a reader or
     /// every reader has failed recently.
     [[nodiscard]] std::optional<member> assigned_reader(time_point now) const;
-    /// The entries to query at once when this process cannot reach the store: the last one that had fresh
-    /// data, or else up to `count` of those that have not failed recently, readers first. Any entry is asked,
-    /// since the store may serve that one only.
+    /// The entries to query at the same time while the store fails calls of this process: the last one that
+    /// had fresh data, or else up to `count` of those that have not failed recently, readers first. Any entry
+    /// is queried, since the store may serve that one only.
     [[nodiscard]] std::vector<member> fallbacks(time_point now, std::size_t count) const;
     /// Whether `vm` had fresh data when it was last queried as a fallback.
     [[nodiscard]] bool is_fresh(const std::string& vm) const { return vm == fresh_vm_; }
--- a/src/net/http_server_core.h
+++ b/src/net/http_server_core.h
@@ -83,7 +83,8 @@
         pacer_.on_received(events_.received_bytes(), events_.now());
         return pacer_.link_use();
     }
-    /// Whether a connection ends with its response, so that its client comes back as fast as the link allows.
+    /// Whether the connection of a refused caller should end with the response; see
+    /// `intake_pacer::should_close`.
     [[nodiscard]] bool should_close() {
         pacer_.on_received(events_.received_bytes(), events_.now());
         return pacer_.should_close(connections_.size(), events_.now());
--- a/src/net/intake_pacer.cpp
+++ b/src/net/intake_pacer.cpp
@@ -19,7 +19,7 @@
 constexpr double min_request_bytes = 512;
 /// What is being received may keep the link busy for this long.
 constexpr duration receiving_time = 200ms;
-/// Enough to keep a link busy whose round trip is short.
+/// Requests; enough to keep a link busy whose round trip is short.
 constexpr double min_receiving = 8;
 /// A request that is not received within this time is not counted any more: its sender is slow.
 constexpr duration max_receiving_time = 2s;
