--- a/src/gateway/origin_exchange.cpp
+++ b/src/gateway/origin_exchange.cpp
@@ -54,6 +54,13 @@
 }
 
 bool origin_exchange::find(routing::stream_key stream, std::vector<net::address> targets, completion done) {
+    const auto waiting = waiting_.find(stream);
+    if (waiting != waiting_.end()) {
+        // Also if the search has ended, but its result has not been taken yet: a second one would be left
+        // without anybody who waits for it.
+        waiting->second.push_back(std::move(done));
+        return true;
+    }
     if (!search_.begin(stream, std::move(targets))) {
         return false;
     }
--- a/tests/gateway/origin_search_test.cpp
+++ b/tests/gateway/origin_search_test.cpp
@@ -2,6 +2,8 @@
 #include "samphiretray/gateway/origin_exchange.h"
 #include "samphiretray/gateway/origin_search.h"
 #include "samphiretray/gateway/stream_continuation.h"
+#include "samphiretray/net/http_client.h"
+#include "samphiretray/net/loop.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -126,6 +128,35 @@
     });
 }
 
+TEST_CASE("a stream that is looked for repeatedly in one turn of the loop ends once for each request") {
+    // Guards against a search that ends twice: its second result had no waiting request and ended the
+    // process.
+    net::loop loop;
+    const auto client = net::http_client::create(loop);
+    origin_exchange exchange{loop, *client};
+    std::vector<std::size_t> ended(4, 0);
+    const auto seek = [&](std::size_t index) {
+        return exchange.find(1, {}, [&, index](const auto& origin, std::size_t asked) {
+            ++ended[index];
+            CHECK_FALSE(origin);
+            CHECK(asked == 0);
+            if (index == 0) {
+                // Begins a search of its own, since the first one has ended.
+                CHECK(exchange.find(1, {}, [&](const auto&, std::size_t) {
+                    ++ended.back();
+                    loop.stop();
+                }));
+            }
+        });
+    };
+    REQUIRE(seek(0));
+    REQUIRE(seek(1));
+    REQUIRE(seek(2));
+    const auto give_up = loop.after(2s, [&] { loop.stop(); });
+    loop.run();
+    CHECK(ended == std::vector<std::size_t>{1, 1, 1, 1});
+}
+
 TEST_CASE("a stream goes on only where its route still leads and a server of its version does not drain") {
     // Guards against a stream that is sent to another service or version, or that waits for a server that
     // leaves.
