--- a/include/samphiretray/agent/slot_table.h
+++ b/include/samphiretray/agent/slot_table.h
@@ -45,6 +45,10 @@
     /// it with `load_delay_half_life`.
     duration load_time = 250ms;
     duration load_delay_half_life = 10s;
+
+    /// For callers that wait for one or two seconds at most: evicts by popularity only, since a minimum
+    /// residence time would delay loads.
+    [[nodiscard]] static slot_settings for_short_waits(std::size_t slots);
 };
 
 enum class slot_state { empty, loading, resident, unloading };
--- a/include/samphiretray/gateway/agent_protocol.h
+++ b/include/samphiretray/gateway/agent_protocol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "samphiretray/base/name_table.h"
+#include "samphiretray/base/time.h"
 #include "samphiretray/net/http.h"
 #include "samphiretray/routing/endpoint_choice.h"
 
@@ -56,6 +57,20 @@
     duration until_abandoned{0};
 };
 
+/// The times of a request that decide how long it may wait.
+struct request_times {
+    time_point arrived;
+    time_point deadline;
+    /// Callers give up if the answer has not begun after this time.
+    duration silence_timeout{0};
+    duration target_latency{0};
+};
+
+/// `round_trip` is that of the chosen endpoint. With `may_try_others` another endpoint is preferred to a long
+/// wait at the first choice.
+[[nodiscard]] waiting_budget make_waiting_budget(const request_times& times, duration round_trip,
+                                                 bool may_try_others, time_point now);
+
 void add_waiting_budget(net::http_headers& headers, const waiting_budget& budget);
 [[nodiscard]] std::optional<waiting_budget> read_waiting_budget(const net::http_headers& headers);
 
--- a/include/samphiretray/gateway/crash_report.h
+++ b/include/samphiretray/gateway/crash_report.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "samphiretray/agent/crash_recorder.h"
 #include "samphiretray/base/error.h"
 #include "samphiretray/base/hash.h"
 #include "samphiretray/gateway/model.h"
@@ -27,6 +28,9 @@
            std::views::transform(&prompt_part::id);
 }
 
+/// The id of the part with this hash, as the caller sent it; empty if the prompt has none.
+[[nodiscard]] std::string part_name(const std::vector<prompt_part>& prompt, routing::part_key key);
+
 /// `id` tells requests, or attempts at them, apart.
 template <std::ranges::input_range Ids>
 [[nodiscard]] routing::prompt_request make_prompt_request(std::uint64_t id, const Ids& part_ids) {
@@ -68,6 +72,13 @@
     std::optional<std::uint64_t> engine_started_at = {};
 };
 
+/// The crash of an engine with all requests that it was running, which are logged. `suspects` is not empty.
+[[nodiscard]] routing::engine_crash describe_crash(const std::vector<agent::interrupted_work>& suspects,
+                                                   std::string engine, time_point now);
+
+/// Removes the crashes that `known` has too.
+void remove_known_crashes(routing::crash_evidence& evidence, const routing::crash_evidence& known);
+
 [[nodiscard]] std::string encode(const crash_message& message);
 /// Fails with `protocol_error` if `text` is not a message about crashes.
 [[nodiscard]] result<crash_message> decode_crash_message(std::string_view text, std::string_view peer);
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -3,6 +3,7 @@
 #include "samphiretray/base/hash.h"
 #include "samphiretray/base/log.h"
 #include "samphiretray/base/text.h"
+#include "samphiretray/gateway/agent_limits.h"
 #include "samphiretray/gateway/crash_exchange.h"
 #include "samphiretray/gateway/crash_report.h"
 #include "samphiretray/gateway/endpoint_directory.h"
@@ -15,48 +16,6 @@
 
 namespace samphiretray::gateway {
 
-namespace limits {
-
-/// The engine counts as down after this many consecutive failed status polls, which takes about half a second
-/// at the default poll interval.
-inline constexpr std::uint32_t engine_down_polls = 3;
-/// Consecutive failed loads of an adapter after which the requests waiting for it are refused.
-inline constexpr std::uint32_t max_failed_loads = 3;
-/// A request whose adapter is not loaded within this time is refused, so that its entry tries another engine.
-/// The limit is ten times the usual load from the weight store: with a shorter one the same adapter would be
-/// loaded by two engines.
-inline constexpr duration max_load_wait = 2500ms;
-inline constexpr duration agent_tick_interval = 20ms;
-/// Queued requests are still forwarded for this long after the engine or the agent starts to drain. It is a
-/// third of the shortest time after which operators require that a draining engine gets no new requests.
-inline constexpr duration engine_drain_grace = 1s;
-/// Size of the range of fencing numbers of one agent, which takes a new number after each engine restart.
-inline constexpr std::uint64_t fencing_numbers_per_agent = 1U << 16U;
-/// A graceful shutdown ends this long before the process would be killed.
-inline constexpr duration agent_stop_margin = 400ms;
-/// The engine runs on the same machine, so connecting is fast.
-inline constexpr duration engine_connect_timeout = 150ms;
-/// Longer than the idle timeout of the entries' HTTP clients, so that always the entry closes an idle
-/// connection and never sends a request on one that the agent is closing.
-inline constexpr duration entry_idle_timeout = 30s;
-/// During a shutdown, idle connections stay open until entries no longer use them for at-most-once requests.
-/// The additional time covers the longest network delay between regions and scheduling delays of a busy
-/// machine.
-inline constexpr duration idle_before_close = at_most_once_max_idle + 500ms;
-
-} // namespace limits
-
-/// Evicts by popularity only: a minimum residence time would delay loads, and callers wait for one or two
-/// seconds at most.
-[[nodiscard]] inline agent::slot_settings slot_settings_of(std::size_t slots) {
-    agent::slot_settings values;
-    values.slots = slots;
-    values.minimum_residence = 0ms;
-    values.reserved_slots = 0;
-    values.drain_after = 300ms;
-    return values;
-}
-
 template <request_binding Binding, engine_control Engine>
 engine_agent<Binding, Engine>::engine_agent(net::loop& events, engine_agent_settings settings, Engine& engine)
     : loop_(events), settings_(std::move(settings)), engine_(engine),
@@ -144,7 +103,7 @@
         cold_.on_start(cold_start_.cold_time, loop_.now());
     }
     if (!slots_) {
-        slots_.emplace(slot_settings_of(found->engine->adapter_slots));
+        slots_.emplace(agent::slot_settings::for_short_waits(found->engine->adapter_slots));
         log_event(log_level::info, "capacity_known",
                   {{"version", state.version},
                    {"batch", found->engine->max_batch_size},
@@ -674,20 +633,8 @@
     crashes_total_.add({});
     log_event(log_level::warning, "engine_crashed",
               {{"started_at", report_->started_at}, {"suspects", suspects.size()}});
-    routing::engine_crash crash{crashed_engine_name(settings_.engine, report_->started_at),
-                                now - suspects.front().interrupted_at,
-                                {}};
-    for (const agent::interrupted_work& each : suspects) {
-        const auto answer_age =
-            each.answer_began_at ? milliseconds_in(each.interrupted_at - *each.answer_began_at) : -1;
-        log_event(log_level::info, "crash_suspect",
-                  {{"request", each.attempt_id},
-                   {"request_hash", to_hex(each.request_key)},
-                   {"answer_age_ms", answer_age},
-                   {"parts", join(each.parts, ",")}});
-        crash.requests.push_back(make_prompt_request(each.request_key, each.parts));
-    }
-    known_crashes_.on_crash(crash, now);
+    const std::string engine = crashed_engine_name(settings_.engine, report_->started_at);
+    known_crashes_.on_crash(describe_crash(suspects, engine, now), now);
 }
 
 template <request_binding Binding, engine_control Engine>
@@ -1110,10 +1057,7 @@
     crash_message own{known_crashes_.evidence_after(0, now),
                       {},
                       report_ ? std::optional{report_->started_at} : std::nullopt};
-    std::erase_if(own.evidence.crashes, [&](const routing::engine_crash& each) {
-        return std::ranges::find(told->evidence.crashes, each.engine, &routing::engine_crash::engine) !=
-               told->evidence.crashes.end();
-    });
+    remove_known_crashes(own.evidence, told->evidence);
     response.send(200, {{"content-type", "application/json"}}, encode(own));
 }
 
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -25,9 +25,6 @@
 inline constexpr duration endpoint_cooldown = 300ms;
 /// Timeout of a request that states none.
 inline constexpr duration default_timeout = 60s;
-/// How long a request may wait at the first choice while other endpoints could take it, as a multiple of the
-/// target latency.
-inline constexpr double first_choice_wait_factor = 1.5;
 /// Least `retry-after` for organisations over their rate; also sent when a plain service has no usable
 /// endpoint.
 inline constexpr duration default_retry_after = 400ms;
@@ -750,20 +747,13 @@
     send(request, candidates.front(), candidates.size() > 1);
 }
 
-/// The id of the part with this hash, as the caller sent it.
-[[nodiscard]] inline std::string part_name(const caller_request& caller, routing::part_key key) {
-    const auto found = std::ranges::find_if(
-        caller.prefix, [key](const prompt_part& part) { return hash64(part.id) == key; });
-    return found == caller.prefix.end() ? std::string{} : found->id;
-}
-
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::hold_back(active_request& request,
                                               const routing::quarantine_match& match) {
     held_back_counter_.add({});
     log_event(log_level::info, "request_held_back",
               {{"request", request.caller.attempt_id},
-               {"part", part_name(request.caller, match.part)},
+               {"part", part_name(request.caller.prefix, match.part)},
                {"retry_after_ms", milliseconds_in(match.retry_after)},
                {"attempts", request.attempt}});
     end_held_back(request, match.retry_after, "prompt_part_quarantined");
@@ -808,19 +798,10 @@
 template <request_binding Binding, typename Store>
 waiting_budget entry_gateway<Binding, Store>::waiting_budget_of(const active_request& request,
                                                                 bool has_others) const {
-    const time_point now = loop_.now();
-    const time_point abandoned_at =
-        std::min(request.deadline, request.arrived + request.matched_route->silence_timeout);
-    waiting_budget budget;
-    budget.until_abandoned = abandoned_at - now;
-    budget.until_late =
-        request.arrived + request.matched_route->target_latency - now - choice_.round_trip(request.endpoint);
-    const duration first_choice_wait =
-        scaled(request.matched_route->target_latency, limits::first_choice_wait_factor);
+    const request_times times{request.arrived, request.deadline, request.matched_route->silence_timeout,
+                              request.matched_route->target_latency};
     const bool may_try_others = has_others && request.tried_endpoints.empty();
-    budget.max_queue_wait =
-        may_try_others ? std::min(first_choice_wait, budget.until_abandoned) : budget.until_abandoned;
-    return budget;
+    return make_waiting_budget(times, choice_.round_trip(request.endpoint), may_try_others, loop_.now());
 }
 
 template <request_binding Binding, typename Store>
--- a/src/agent/slot_table.cpp
+++ b/src/agent/slot_table.cpp
@@ -17,6 +17,15 @@
 
 } // namespace
 
+slot_settings slot_settings::for_short_waits(std::size_t slots) {
+    slot_settings values;
+    values.slots = slots;
+    values.minimum_residence = 0ms;
+    values.reserved_slots = 0;
+    values.drain_after = 300ms;
+    return values;
+}
+
 slot_table::slot_table(slot_settings settings)
     : settings_(settings),
       reserved_(std::min(settings.reserved_slots, std::max<std::size_t>(settings.slots, 1) - 1)),
--- a/src/gateway/agent_protocol.cpp
+++ b/src/gateway/agent_protocol.cpp
@@ -27,6 +27,9 @@
 /// reading rate, followed by the names of resident adapters.
 constexpr std::size_t load_number_count = 6;
 constexpr std::size_t budget_number_count = 3;
+/// How long a request may wait at the first choice while other endpoints could take it, as a multiple of the
+/// target latency.
+constexpr double first_choice_wait_factor = 1.5;
 
 std::string milliseconds_text(duration value) {
     return std::to_string(std::max<std::int64_t>(milliseconds_in(value), 0));
@@ -34,6 +37,17 @@
 
 } // namespace
 
+waiting_budget make_waiting_budget(const request_times& times, duration round_trip, bool may_try_others,
+                                   time_point now) {
+    waiting_budget budget;
+    budget.until_abandoned = std::min(times.deadline, times.arrived + times.silence_timeout) - now;
+    budget.until_late = times.arrived + times.target_latency - now - round_trip;
+    budget.max_queue_wait = may_try_others ? std::min(scaled(times.target_latency, first_choice_wait_factor),
+                                                      budget.until_abandoned)
+                                           : budget.until_abandoned;
+    return budget;
+}
+
 void add_waiting_budget(net::http_headers& headers, const waiting_budget& budget) {
     headers.push_back({std::string{budget_header}, milliseconds_text(budget.max_queue_wait) + "," +
                                                        milliseconds_text(budget.until_late) + "," +
--- a/src/gateway/crash_report.cpp
+++ b/src/gateway/crash_report.cpp
@@ -1,12 +1,15 @@
 #include "samphiretray/gateway/crash_report.h"
 
 #include "samphiretray/base/hash.h"
+#include "samphiretray/base/log.h"
+#include "samphiretray/base/text.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <chrono>
 #include <iterator>
+#include <utility>
 
 namespace samphiretray::gateway {
 
@@ -110,6 +113,35 @@
     return digest64({decoded.host, request.method, request.target, caller, prompt});
 }
 
+std::string part_name(const std::vector<prompt_part>& prompt, routing::part_key key) {
+    const auto found =
+        std::ranges::find_if(prompt, [key](const prompt_part& part) { return hash64(part.id) == key; });
+    return found == prompt.end() ? std::string{} : found->id;
+}
+
+routing::engine_crash describe_crash(const std::vector<agent::interrupted_work>& suspects, std::string engine,
+                                     time_point now) {
+    routing::engine_crash crash{std::move(engine), now - suspects.front().interrupted_at, {}};
+    for (const agent::interrupted_work& each : suspects) {
+        const auto answer_age =
+            each.answer_began_at ? milliseconds_in(each.interrupted_at - *each.answer_began_at) : -1;
+        log_event(log_level::info, "crash_suspect",
+                  {{"request", each.attempt_id},
+                   {"request_hash", to_hex(each.request_key)},
+                   {"answer_age_ms", answer_age},
+                   {"parts", join(each.parts, ",")}});
+        crash.requests.push_back(make_prompt_request(each.request_key, each.parts));
+    }
+    return crash;
+}
+
+void remove_known_crashes(routing::crash_evidence& evidence, const routing::crash_evidence& known) {
+    std::erase_if(evidence.crashes, [&known](const routing::engine_crash& each) {
+        return std::ranges::find(known.crashes, each.engine, &routing::engine_crash::engine) !=
+               known.crashes.end();
+    });
+}
+
 std::string crashed_engine_name(const net::address& engine, std::uint64_t started_at) {
     return net::to_string(engine) + "#" + std::to_string(started_at);
 }
