--- a/include/samphiretray/agent/engine_admission.h
+++ b/include/samphiretray/agent/engine_admission.h
@@ -91,6 +91,8 @@
     /// before their deadline. They stay in the queue until the caller removes them.
     [[nodiscard]] std::vector<std::uint64_t> expected_to_expire(time_point now) const;
 
+    /// Changes whether a waiting request needs a load before it can run.
+    void set_needs_load(std::uint64_t id, bool needs_load);
     /// Records the end of a request's prefill.
     void on_prefill_done(std::uint64_t id, time_point now);
     /// Removes a waiting or running request.
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -114,11 +114,23 @@
 
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::apply(const adapter_release& release) {
-    std::uint64_t& version = released_versions_[release.adapter];
-    if (release.version > version) {
-        version = release.version;
-        log_event(log_level::info, "adapter_released", {{"adapter", release.adapter}, {"version", version}});
+    if (!releases_.note(release)) {
+        return;
+    }
+    log_event(log_level::info, "adapter_released",
+              {{"adapter", release.adapter}, {"version", release.version}});
+    const time_point now = loop_.now();
+    for (const request_pointer& each : requests_ | std::views::values) {
+        if (each->waits_for_adapter && each->adapter.adapter == release.adapter) {
+            execute(slots_->wait_ended(each->adapter, false, now));
+            each->adapter = releases_.newest(release.adapter);
+            slots_->wait_started(each->adapter, false, now);
+            each->load_wanted_at = now;
+            each->admission.needs_load = !slots_->resident(each->adapter);
+            admission_.set_needs_load(each->id, each->admission.needs_load);
+        }
     }
+    process_queue();
 }
 
 template <request_binding Binding, engine_control Engine>
@@ -164,23 +176,6 @@
     return report_ && failed_polls_ < limits::engine_down_polls;
 }
 
-template <request_binding Binding, engine_control Engine>
-ports::adapter_version engine_agent<Binding, Engine>::adapter_of(const forwarded_request& request) const {
-    if (request.caller.adapter.empty()) {
-        return {};
-    }
-    std::uint64_t version = 1;
-    if (const auto known = released_versions_.find(request.caller.adapter);
-        known != released_versions_.end()) {
-        version = known->second;
-    }
-    // The entry may know of a newer version than this agent.
-    if (const auto requested = parse_number<std::uint64_t>(request.fields.version)) {
-        version = std::max(version, *requested);
-    }
-    return {request.caller.adapter, std::to_string(version)};
-}
-
 template <request_binding Binding, engine_control Engine>
 agent::admission_request
 engine_agent<Binding, Engine>::make_admission_request(const agent_request& request) const {
@@ -270,7 +265,11 @@
         return;
     }
     request->forwarded = std::move(*decoded);
-    request->adapter = adapter_of(request->forwarded);
+    // The entry may know of a newer version than this agent.
+    if (const auto version = parse_number<std::uint64_t>(request->forwarded.fields.version)) {
+        apply(adapter_release{request->forwarded.caller.adapter, *version});
+    }
+    request->adapter = releases_.newest(request->forwarded.caller.adapter);
     request->deadline = request->arrived_at + request->forwarded.fields.time_left;
     const duration time_left = request->forwarded.fields.time_left;
     request->budget =
@@ -349,6 +348,7 @@
     });
     if (!request->adapter.adapter.empty()) {
         request->waits_for_adapter = true;
+        request->load_wanted_at = request->arrived_at;
         slots_->wait_started(request->adapter, false, loop_.now());
     }
 }
@@ -414,7 +414,7 @@
     wait_seconds_.observe({}, std::chrono::duration<double>(now - request->arrived_at).count());
     forward_fields fields = request->forwarded.fields;
     fields.time_left = std::max<duration>(request->deadline - now, 1ms);
-    fields.version = released_versions_.contains(request->adapter.adapter) || !fields.version.empty()
+    fields.version = releases_.contains(request->adapter.adapter) || !fields.version.empty()
                          ? request->adapter.version
                          : "";
     net::http_call call;
@@ -729,7 +729,7 @@
         if (!each->waits_for_adapter || slots_->resident(each->adapter)) {
             continue;
         }
-        const bool has_timed_out = now - each->arrived_at > limits::max_load_wait;
+        const bool has_timed_out = now - each->load_wanted_at > limits::max_load_wait;
         if (has_timed_out || slots_->failures(each->adapter) >= limits::max_failed_loads) {
             to_refuse.push_back(each);
         }
@@ -1069,6 +1069,12 @@
     } else if (request.path == stream_origins_path) {
         response.send(200, {{"content-type", "application/json"}},
                       answer_origin_query(request.query, stream_origins_, loop_.now()));
+    } else if (request.path == releases_path) {
+        const auto told = decode_releases(request.body, request.peer);
+        if (told) {
+            std::ranges::for_each(*told, [this](const adapter_release& each) { apply(each); });
+        }
+        response.send(told ? 200 : 400, {}, told ? "" : told.error().detail + "\n");
     } else if (request.path == "/metrics") {
         buffer_metrics_.update(*buffers_, *server_);
         response.send(200, {{"content-type", "text/plain; version=0.0.4"}}, metrics_.text());
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -15,6 +15,8 @@
 #include "samphiretray/gateway/first_event_detector.h"
 #include "samphiretray/gateway/model.h"
 #include "samphiretray/gateway/relay.h"
+#include "samphiretray/gateway/release_exchange.h"
+#include "samphiretray/gateway/released_versions.h"
 #include "samphiretray/gateway/settings.h"
 #include "samphiretray/gateway/stream_continuation.h"
 #include "samphiretray/net/http_client.h"
@@ -91,6 +93,7 @@
         forwarded_request forwarded;
         net::http_request http;
         std::shared_ptr<net::http_response> response;
+        /// Until the request is passed on, the newest version that is known.
         ports::adapter_version adapter;
         std::vector<routing::prompt_segment> prompt;
         /// Identifies the request, and the parts of its prompt that others may share, in evidence of crashes.
@@ -101,6 +104,8 @@
         time_point deadline;
         waiting_budget budget;
         bool waits_for_adapter = false;
+        /// When the request began to wait for this version of its adapter.
+        time_point load_wanted_at;
         bool ended = false;
         bool body_started = false;
         /// The request's entry in the admission queue; default-constructed until it is queued.
@@ -134,7 +139,6 @@
     /// Expected time until the load of the base model ends; zero if none is running.
     [[nodiscard]] duration model_load_time_left() const;
     [[nodiscard]] agent::admission_request make_admission_request(const agent_request& request) const;
-    [[nodiscard]] ports::adapter_version adapter_of(const forwarded_request& request) const;
     void enqueue(const request_pointer& request, const agent::admission_request& admission);
     void process_queue();
     void refuse_expired();
@@ -230,7 +234,7 @@
     routing::prefix_cache_model prefixes_{0};
     /// The streams that the engine has begun or gone on with.
     routing::stream_origins stream_origins_;
-    std::map<std::string, std::uint64_t> released_versions_;
+    released_versions releases_;
     std::unordered_map<std::uint64_t, request_pointer> requests_;
     std::uint64_t next_id_ = 1;
     std::uint64_t fencing_number_ = 0;
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -136,7 +136,7 @@
                        .listen = settings_.control_listen},
                       usage_, quarantine_, suspected_requests_, limits_),
       crash_exchange_(events, *http_, quarantine_, suspected_requests_, settings_.agent_control_port),
-      origin_exchange_(events, *http_),
+      release_exchange_(events, *http_, settings_.agent_control_port), origin_exchange_(events, *http_),
       quarantine_record_(events, store, settings_.node.vm, quarantine_, suspected_requests_),
       ended_requests_(metrics_.counter(
           {"samphiretray_requests_total", "Requests by kind and outcome", {"kind", "outcome"}})),
@@ -281,12 +281,19 @@
 
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::apply(const adapter_release& release) {
-    std::uint64_t& version = adapter_versions_[release.adapter];
-    if (release.version <= version) {
+    if (!releases_.note(release)) {
         return;
     }
-    version = release.version;
-    log_event(log_level::info, "adapter_released", {{"adapter", release.adapter}, {"version", version}});
+    log_event(log_level::info, "adapter_released",
+              {{"adapter", release.adapter}, {"version", release.version}});
+    std::set<std::string> waiting_at;
+    for (const request_pointer& each : active_requests_ | std::views::values) {
+        if (each->caller.adapter == release.adapter && each->state == answer_state::awaiting_head &&
+            !each->agent_host.empty()) {
+            waiting_at.insert(each->agent_host);
+        }
+    }
+    release_exchange_.announce(waiting_at, release);
 }
 
 template <request_binding Binding, typename Store>
@@ -727,11 +734,7 @@
         hold_back(*request, *match);
         return;
     }
-    const auto announced = adapter_versions_.find(request->caller.adapter);
-    request->adapter_version = request->caller.adapter.empty() ? "" : "1";
-    if (announced != adapter_versions_.end()) {
-        request->adapter_version = std::to_string(announced->second);
-    }
+    request->adapter_version = releases_.newest(request->caller.adapter).version;
     auto candidates = choice_.order(make_choice_request(*request), usable_endpoints(*request), loop_.now());
     // Without its agent, an engine can serve only models and adapters that are already loaded.
     // Nor is it noticed without an agent that the engine has been restarted under its id, perhaps with other
@@ -831,7 +834,7 @@
     fields.time_left = request->deadline - now;
     fields.endpoint_id = to->id;
     fields.organisation = request->owner == nullptr ? "" : request->owner->name;
-    fields.version = adapter_versions_.contains(request->caller.adapter) ? request->adapter_version : "";
+    fields.version = releases_.contains(request->caller.adapter) ? request->adapter_version : "";
     const std::uint32_t priority = request->owner != nullptr && request->owner->priority
                                        ? *request->owner->priority
                                        : request->matched_route->priority;
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -14,6 +14,8 @@
 #include "samphiretray/gateway/quarantine_record.h"
 #include "samphiretray/gateway/record_schedule.h"
 #include "samphiretray/gateway/relay.h"
+#include "samphiretray/gateway/release_exchange.h"
+#include "samphiretray/gateway/released_versions.h"
 #include "samphiretray/gateway/routing_table.h"
 #include "samphiretray/gateway/settings.h"
 #include "samphiretray/gateway/stream_continuation.h"
@@ -315,7 +317,7 @@
     std::unique_ptr<net::http_server> readiness_server_;
     std::unique_ptr<net::http_server> control_server_;
     std::shared_ptr<const routing_table> table_;
-    std::map<std::string, std::uint64_t> adapter_versions_;
+    released_versions releases_;
     endpoint_directory directory_;
     bool endpoints_complete_ = false;
     routing::endpoint_choice choice_;
@@ -332,6 +334,7 @@
     placement_rules rules_;
     usage_exchange<Store> usage_exchange_;
     crash_exchange crash_exchange_;
+    release_exchange release_exchange_;
     /// The streams that this entry has passed on.
     routing::stream_origins stream_origins_;
     origin_exchange origin_exchange_;
--- a/src/agent/engine_admission.cpp
+++ b/src/agent/engine_admission.cpp
@@ -130,6 +130,13 @@
     return expired;
 }
 
+void engine_admission::set_needs_load(std::uint64_t id, bool needs_load) {
+    const auto waiting = std::ranges::find(waiting_, id, &admission_request::id);
+    if (waiting != waiting_.end()) {
+        waiting->needs_load = needs_load;
+    }
+}
+
 void engine_admission::clear_prefill(admission_request& request) {
     pending_prefill_tokens_ -= request.prefill_tokens;
     request.prefill_tokens = 0;
--- a/tests/platform/engine_agent_test.cpp
+++ b/tests/platform/engine_agent_test.cpp
@@ -256,6 +256,50 @@
     CHECK(net::find_header(fixture.engine.requests[1].headers, "x-samphiretray-expect-version") == "2");
 }
 
+TEST_CASE("a request that waits at a full engine begins on the version that is released meanwhile") {
+    // Guards against a version that is fixed when a request arrives (VERSION): it may wait for seconds.
+    agent_fixture fixture;
+    std::vector<std::function<void()>> held;
+    const auto answer = fixture.engine.on_request;
+    fixture.engine.on_request = [&](const net::http_request& request,
+                                    std::shared_ptr<net::http_response> response) {
+        held.push_back([&, request, kept = std::move(response)] { answer(request, kept); });
+    };
+    fixture.start();
+    for (int i = 0; i < 10; ++i) {
+        fixture.send_request(std::to_string(i), "a1");
+    }
+    REQUIRE(fixture.events.run_until([&] { return held.size() == 8; }, hang_limit));
+    fixture.agent.apply(gateway::adapter_release{"m0/a1", 2});
+    fixture.run_for(30ms);
+    fixture.engine.on_request = answer;
+    std::ranges::for_each(held, [](const auto& each) { each(); });
+    fixture.wait_for_answers(10);
+    REQUIRE(fixture.engine.requests.size() == 10);
+    for (std::size_t i = 0; i < 10; ++i) {
+        const auto version =
+            net::find_header(fixture.engine.requests[i].headers, "x-samphiretray-expect-version");
+        CHECK(version == (i < 8 ? "" : "2"));
+    }
+}
+
+TEST_CASE("what one request tells an agent of a release holds for the requests that wait there") {
+    // Guards against a request on an older version while the store does not serve the agent.
+    agent_fixture fixture;
+    fixture.start();
+    fixture.engine.delay_orders(400);
+    fixture.send_request("1", "a1");
+    fixture.run_for(20ms);
+    fixture.send_request("2", "a1", "3");
+    fixture.run_for(20ms);
+    fixture.engine.order_fates.clear();
+    fixture.wait_for_answers(2);
+    REQUIRE(fixture.engine.requests.size() == 2);
+    for (const net::http_request& each : fixture.engine.requests) {
+        CHECK(net::find_header(each.headers, "x-samphiretray-expect-version") == "3");
+    }
+}
+
 TEST_CASE("an agent that does not know of a release uses the adapter version in the entry's request") {
     // This occurs if the agent has no connection to the store when the version is released.
     agent_fixture fixture;
