--- a/include/samphiretray/agent/request_runner-inl.h
+++ b/include/samphiretray/agent/request_runner-inl.h
@@ -588,7 +588,7 @@
     report.capacity = concurrency_;
     report.wait_ms = static_cast<std::uint32_t>(milliseconds_in(queue_.estimated_wait(false, runnable())));
     if (slots_) {
-        report.slots = static_cast<std::uint32_t>(slots_->size());
+        report.slots = static_cast<std::uint32_t>(slots_->capacity());
         report.slots_pinned = static_cast<std::uint32_t>(slots_->pinned_count());
     }
     return report;
--- a/include/samphiretray/agent/slot_table.h
+++ b/include/samphiretray/agent/slot_table.h
@@ -141,7 +141,8 @@
                                                           time_point now);
     /// Reports the completion of an unload. `unloaded` is also true if the engine did not hold the adapter.
     [[nodiscard]] std::vector<slot_command> unload_finished(std::uint64_t id, bool unloaded, time_point now);
-    /// Retries failed unloads that are due. Has to be called periodically.
+    /// Retries failed unloads that are due, and unloads adapters above the capacity. Has to be called
+    /// periodically.
     [[nodiscard]] std::vector<slot_command> poll(time_point now);
 
     /// True if `pin` would succeed.
@@ -155,7 +156,10 @@
     /// The adapters of all resident slots.
     [[nodiscard]] std::vector<adapter_version> resident_adapters() const;
     [[nodiscard]] std::uint32_t pins(const adapter_version& adapter) const;
-    [[nodiscard]] std::size_t size() const noexcept { return slots_.size(); }
+    /// Changes the number of adapters that may be held. Those above it are unloaded by `poll`, the least used
+    /// first, as soon as no request runs on them.
+    void set_capacity(std::size_t adapters);
+    [[nodiscard]] std::size_t capacity() const noexcept { return capacity_; }
     [[nodiscard]] std::size_t count(slot_state state) const;
     [[nodiscard]] std::size_t pinned_count() const;
     /// Number of slots that a load could take now, if necessary by an eviction.
@@ -215,6 +219,10 @@
     [[nodiscard]] bool assigned(const adapter_version& adapter) const;
     [[nodiscard]] bool waited_for(const adapter_version& adapter) const;
     [[nodiscard]] std::size_t evictable_count() const;
+    [[nodiscard]] std::size_t occupied_count() const;
+    /// An unused slot within the capacity; null if there is none.
+    [[nodiscard]] slot* find_empty();
+    void unload_excess(std::vector<slot_command>& commands, time_point now);
     [[nodiscard]] bool any_draining() const;
     [[nodiscard]] bool is_victim(const slot& candidate, const demand& wanted, time_point now) const;
     [[nodiscard]] slot* choose_slot(const demand& wanted, time_point now);
@@ -232,7 +240,9 @@
     void forget_idle_demands(time_point now);
 
     slot_settings settings_;
-    std::size_t reserved_;
+    std::size_t reserved_ = 0;
+    std::size_t capacity_;
+    /// At least as many as the capacity; more after it has been lowered.
     std::vector<slot> slots_;
     std::map<adapter_version, demand> demands_;
     std::vector<adapter_version> unexpected_adapters_;
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -102,6 +102,8 @@
         cold_window_.set_rate(cold_start_.requests_per_s);
         cold_.on_start(cold_start_.cold_time, loop_.now());
     }
+    memory_ = std::make_shared<const ports::engine_memory>(ports::engine_memory{
+        found->engine->adapter_slots, found->engine->weights_mb, found->engine->model_sizes});
     if (!slots_) {
         slots_.emplace(agent::slot_settings::for_short_waits(found->engine->adapter_slots));
         log_event(log_level::info, "capacity_known",
@@ -110,6 +112,21 @@
                    {"kv_tokens", found->engine->kv_tokens},
                    {"adapter_slots", found->engine->adapter_slots}});
     }
+    set_slot_capacity();
+}
+
+template <request_binding Binding, engine_control Engine>
+void engine_agent<Binding, Engine>::set_slot_capacity() {
+    // Without a fencing number adapters above the capacity could not be unloaded.
+    if (!report_ || fencing_number_ == 0) {
+        return;
+    }
+    const std::size_t capacity = ports::adapter_capacity(*memory_, report_->models);
+    if (capacity != slots_->capacity()) {
+        log_event(log_level::info, "adapter_capacity_changed",
+                  {{"adapters", capacity}, {"weights_mb", memory_->weights_mb.value_or(0)}});
+        slots_->set_capacity(capacity);
+    }
 }
 
 template <request_binding Binding, engine_control Engine>
@@ -207,7 +224,7 @@
     if (const auto known = read_engine_start(request.http.headers); known && *known < report_->started_at) {
         return agent_refusal::engine_restarted;
     }
-    if (admission.needs_load && fencing_number_ == 0) {
+    if (admission.needs_load && (fencing_number_ == 0 || slots_->capacity() == 0)) {
         return agent_refusal::load_failed;
     }
     const duration load_wait = admission.needs_load ? slots_->load_delay(loop_.now()) : 0ms;
@@ -742,8 +759,12 @@
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::execute(std::vector<agent::slot_command> commands) {
     for (agent::slot_command& command : commands) {
-        command.order.adapter_slots = slots_->size();
+        command.order.memory = memory_;
         command.order.engine_id = engine_id_;
+        if (command.order.fencing_number == 0) {
+            // An adapter that this agent found loaded.
+            command.order.fencing_number = fencing_number_;
+        }
         switch (command.kind) {
         case agent::slot_command_kind::load:
             log_event(log_level::info, "load_started",
@@ -876,6 +897,7 @@
     if (!report->models.empty()) {
         base_model_ = report->models.front();
     }
+    set_slot_capacity();
     if (restarted) {
         refuse_waiting(agent_refusal::engine_down);
     }
@@ -962,9 +984,7 @@
     if (has_base_model() || base_model_load_started_ || fencing_number_ == 0) {
         return;
     }
-    if (base_model_.empty() && !service_models_.empty()) {
-        base_model_ = service_models_[hash64(settings_.node.vm) % service_models_.size()];
-    }
+    base_model_ = ports::choose_base_model(*memory_, base_model_, service_models_, hash64(settings_.node.vm));
     if (base_model_.empty()) {
         return;
     }
@@ -972,7 +992,7 @@
     log_event(
         log_level::info, "model_load_started",
         {{"model", base_model_}, {"fencing_number", fencing_number_}, {"started_at", report_->started_at}});
-    engine_.load({{base_model_, ""}, fencing_number_}, [this](const result<std::string>& outcome) {
+    engine_.load({{base_model_, ""}, fencing_number_, memory_}, [this](const result<std::string>& outcome) {
         base_model_load_started_.reset();
         orders_total_.add({"model", outcome ? "done" : "failed"});
         log_event(log_level::info, "model_load_ended",
@@ -982,6 +1002,7 @@
         } else if (report_) {
             // Takes effect now instead of with the next status poll.
             report_->models = {base_model_};
+            set_slot_capacity();
             process_queue();
         }
     });
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -188,6 +188,8 @@
     void on_failed_poll(const error& failure);
     void refuse_after_failed_loads();
     void load_base_model();
+    /// Adapts the number of adapters to the configuration and the base model.
+    void set_slot_capacity();
     void refuse_waiting(agent_refusal reason);
     /// Why the request must not be sent to the engine; nothing if it may.
     [[nodiscard]] std::optional<routing::quarantine_match> hold_of(const agent_request& request) const;
@@ -208,6 +210,8 @@
     std::unique_ptr<net::http_client> http_;
     std::unique_ptr<net::http_server> server_;
     std::unique_ptr<net::http_server> control_;
+    /// What the engine may hold.
+    std::shared_ptr<const ports::engine_memory> memory_ = std::make_shared<const ports::engine_memory>();
     std::optional<agent::slot_table> slots_;
     agent::engine_admission admission_;
     agent::load_pacing pacing_;
--- a/include/samphiretray/gateway/model.h
+++ b/include/samphiretray/gateway/model.h
@@ -8,6 +8,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -73,6 +75,10 @@
     std::vector<std::string> models;
     /// Time to load the slowest of these models from the weight store; zero if not configured.
     duration model_load_time{0};
+    /// Memory for base models and adapters together, in megabytes; nothing if not configured.
+    std::optional<double> weights_mb = {};
+    /// By the names of the base models.
+    std::map<std::string, ports::model_size, std::less<>> model_sizes = {};
 };
 
 struct service {
--- a/include/samphiretray/ports/engine.h
+++ b/include/samphiretray/ports/engine.h
@@ -2,12 +2,12 @@
 
 #include "samphiretray/base/error.h"
 #include "samphiretray/base/time.h"
+#include "samphiretray/ports/engine_memory.h"
 #include "samphiretray/ports/key_value.h"
 
 #include <concepts>
 #include <cstdint>
 #include <functional>
-#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,14 +16,6 @@
 
 namespace samphiretray::ports {
 
-/// Identifies an adapter version at an engine.
-struct adapter_version {
-    std::string adapter;
-    std::string version;
-
-    auto operator<=>(const adapter_version&) const = default;
-};
-
 /// The state that an engine reports; it may lag behind the actual state.
 struct engine_state {
     /// Changes with every start of the engine.
@@ -43,8 +35,8 @@
     adapter_version target;
     /// Engines that check fencing numbers refuse an order with a lower number than they have seen.
     std::uint64_t fencing_number = 0;
-    /// A load is refused while the engine holds or loads this many adapters already.
-    std::size_t adapter_slots = std::numeric_limits<std::size_t>::max();
+    /// What the engine may hold; null if that is not limited. A load that does not fit is refused.
+    std::shared_ptr<const engine_memory> memory = {};
     /// Id of the engine incarnation that the order is for; any other one refuses it. Empty if not known.
     std::string engine_id = {};
 };
--- a/src/agent/slot_table.cpp
+++ b/src/agent/slot_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ranges>
 #include <tuple>
 
 namespace samphiretray::agent {
@@ -27,9 +28,15 @@
 }
 
 slot_table::slot_table(slot_settings settings)
-    : settings_(settings),
-      reserved_(std::min(settings.reserved_slots, std::max<std::size_t>(settings.slots, 1) - 1)),
-      slots_(settings.slots), load_delay_(settings.load_time) {}
+    : settings_(settings), capacity_(0), load_delay_(settings.load_time) {
+    set_capacity(settings.slots);
+}
+
+void slot_table::set_capacity(std::size_t adapters) {
+    capacity_ = adapters;
+    reserved_ = std::min(settings_.reserved_slots, std::max<std::size_t>(adapters, 1) - 1);
+    slots_.resize(std::max(slots_.size(), adapters));
+}
 
 slot_table::slot* slot_table::find(const adapter_version& adapter) {
     const auto found = std::ranges::find_if(slots_, [&](const slot& each) {
@@ -66,10 +73,20 @@
 
 /// Number of slots that a priority load could take at once.
 std::size_t slot_table::evictable_count() const {
-    return static_cast<std::size_t>(std::ranges::count_if(slots_, [](const slot& each) {
-        return each.state == slot_state::empty ||
-               (each.state == slot_state::resident && each.pins == 0 && !each.held_for_waiter);
+    const auto replaceable = static_cast<std::size_t>(std::ranges::count_if(slots_, [](const slot& each) {
+        return each.state == slot_state::resident && each.pins == 0 && !each.held_for_waiter;
     }));
+    const std::size_t occupied = occupied_count();
+    return capacity_ + replaceable - std::min(capacity_ + replaceable, occupied);
+}
+
+std::size_t slot_table::occupied_count() const {
+    return slots_.size() - count(slot_state::empty);
+}
+
+slot_table::slot* slot_table::find_empty() {
+    const auto empty = std::ranges::find(slots_, slot_state::empty, &slot::state);
+    return empty == slots_.end() || occupied_count() >= capacity_ ? nullptr : &*empty;
 }
 
 bool slot_table::any_draining() const {
@@ -248,9 +265,11 @@
     if (!priority && evictable_count() <= reserved_) {
         return nullptr;
     }
-    const auto empty = std::ranges::find(slots_, slot_state::empty, &slot::state);
-    if (empty != slots_.end()) {
-        return &*empty;
+    if (slot* empty = find_empty()) {
+        return empty;
+    }
+    if (occupied_count() > capacity_) {
+        return nullptr;
     }
     const auto rank = [&](const slot& candidate) {
         return std::tuple{candidate.held_for_waiter, !candidate.draining, waited_for(candidate.adapter),
@@ -424,10 +443,28 @@
             commands.push_back(start_unload(each));
         }
     }
+    unload_excess(commands, now);
     forget_idle_demands(now);
     return commands;
 }
 
+void slot_table::unload_excess(std::vector<slot_command>& commands, time_point now) {
+    const auto leaving = static_cast<std::size_t>(std::ranges::count_if(
+        slots_, [](const slot& each) { return each.state == slot_state::unloading && !each.next_adapter; }));
+    std::vector<slot*> unused;
+    for (slot& each : slots_) {
+        if (each.state == slot_state::resident && each.pins == 0) {
+            unused.push_back(&each);
+        }
+    }
+    std::ranges::sort(unused, {}, [&](const slot* each) { return retention_value(*each, now); });
+    const std::size_t kept = leaving + capacity_;
+    const std::size_t excess = occupied_count() - std::min(occupied_count(), kept);
+    for (slot* each : unused | std::views::take(excess)) {
+        commands.push_back(start_unload(*each));
+    }
+}
+
 bool slot_table::can_run(const adapter_version& adapter, bool priority) const {
     const slot* found = find(adapter);
     if (found == nullptr) {
@@ -497,10 +534,7 @@
 }
 
 std::size_t slot_table::free_slots() const {
-    return static_cast<std::size_t>(std::ranges::count_if(slots_, [](const slot& each) {
-        return each.state == slot_state::empty ||
-               (each.state == slot_state::resident && each.pins == 0 && !each.held_for_waiter);
-    }));
+    return evictable_count();
 }
 
 std::vector<adapter_version> slot_table::loads_in_flight() const {
--- a/tests/platform/engine_agent_test.cpp
+++ b/tests/platform/engine_agent_test.cpp
@@ -128,6 +128,70 @@
     CHECK_FALSE(fixture.engine.overloaded);
 }
 
+TEST_CASE("an engine is ordered to load no more adapters than its memory holds beside the base model") {
+    // Guards against an engine that crashes with all its streams (LIMIT): of eight slots, three fit its
+    // memory.
+    agent_fixture fixture;
+    fixture.engine.weights_mb = 1'000;
+    fixture.engine.model_mb = 500;
+    fixture.engine.adapter_mb = 150;
+    // Found loaded by the agent, and above what it may keep once the limit is lowered.
+    fixture.engine.adapters = {"a7@1", "a8@1", "a9@1"};
+    fixture.start();
+    gateway::routing_state state;
+    state.version = 2;
+    gateway::engine_capacity capacity{8, 100'000, 8, {"m0"}};
+    capacity.weights_mb = 1'000;
+    capacity.model_sizes = {{"m0", {500, 150}}};
+    state.services = {{"engines", capacity}};
+    fixture.agent.apply(state);
+    for (int i = 0; i < 12; ++i) {
+        fixture.send_request(std::to_string(i), "a" + std::to_string(i % 6));
+    }
+    fixture.wait_for_answers(12);
+    for (const auto& answer : fixture.answers) {
+        REQUIRE(answer);
+        CHECK(answer->status == 200);
+    }
+    CHECK_FALSE(fixture.engine.overloaded);
+    SECTION("a lowered limit unloads what is above it") {
+        capacity.weights_mb = 800;
+        state.version = 3;
+        state.services = {{"engines", capacity}};
+        fixture.agent.apply(state);
+        CHECK(fixture.events.run_until([&] { return fixture.engine.adapters.size() == 2; }, hang_limit));
+    }
+    SECTION("a request that no capacity is left for is refused at once") {
+        capacity.weights_mb = 600;
+        state.version = 3;
+        state.services = {{"engines", capacity}};
+        fixture.agent.apply(state);
+        fixture.send_request("13", "a10");
+        fixture.wait_for_answers(13);
+        CHECK(gateway::read_refusal(fixture.answers[12]->headers) == gateway::agent_refusal::load_failed);
+    }
+}
+
+TEST_CASE("a base model that does not fit the engine is not ordered, and one that does is") {
+    // Guards against an engine that crashes on the order for its base model (LIMIT).
+    agent_fixture fixture;
+    fixture.engine.models.clear();
+    fixture.engine.weights_mb = 1'000;
+    fixture.engine.model_mb = 900;
+    REQUIRE(fixture.agent.start());
+    gateway::routing_state state;
+    state.version = 1;
+    gateway::engine_capacity capacity{8, 100'000, 8, {"m0", "m1", "m2"}};
+    capacity.weights_mb = 1'000;
+    capacity.model_sizes = {{"m0", {1'200, 40}}, {"m1", {900, 40}}, {"m2", {1'001, 40}}};
+    state.services = {{"engines", capacity}};
+    fixture.agent.apply(state);
+    fixture.agent.set_fencing_number(5);
+    CHECK(fixture.events.run_until([&] { return !fixture.engine.models.empty(); }, hang_limit));
+    CHECK(fixture.engine.models == std::vector<std::string>{"m1"});
+    CHECK_FALSE(fixture.engine.overloaded);
+}
+
 TEST_CASE("the base model is loaded again after an engine restart") {
     agent_fixture fixture;
     fixture.start();
--- a/tests/platform/engine_client_test.cpp
+++ b/tests/platform/engine_client_test.cpp
@@ -40,7 +40,9 @@
 
 ports::engine_order order_for(const std::string& adapter, std::uint64_t fencing_number = 5,
                               std::size_t slots = 8) {
-    return {{"m0/" + adapter, "1"}, fencing_number, slots};
+    return {{"m0/" + adapter, "1"},
+            fencing_number,
+            std::make_shared<const ports::engine_memory>(ports::engine_memory{slots})};
 }
 
 } // namespace
@@ -230,7 +232,7 @@
                           .recheck_interval = 2ms,
                           .completion_timeout = 500ms}};
     std::vector<result<std::string>> outcomes;
-    client.unload({{"m0/a1", "1"}, 5, 8},
+    client.unload(order_for("a1"),
                   [&](result<std::string> outcome) { outcomes.push_back(std::move(outcome)); });
     auto connection = engine.accept(events);
     REQUIRE(connection.receive_until(events, "/v1/report"));
--- a/tests/platform/fake_engine.h
+++ b/tests/platform/fake_engine.h
@@ -81,6 +81,7 @@
         if (!order.contains("adapter")) {
             ++seq;
             models = is_load ? std::vector{model} : std::vector<std::string>{};
+            note_load();
             return 202;
         }
         if (models.empty()) {
@@ -92,10 +93,16 @@
         if (is_load) {
             adapters.push_back(name + "@" + std::to_string(order.value("version", 1)));
         }
-        overloaded = overloaded || adapters.size() > adapter_slots;
+        note_load();
         return is_load ? 202 : 200;
     }
 
+    void note_load() {
+        const double used_mb =
+            static_cast<double>(models.size()) * model_mb + static_cast<double>(adapters.size()) * adapter_mb;
+        overloaded = overloaded || adapters.size() > adapter_slots || used_mb > weights_mb;
+    }
+
     void answer(const net::http_request& request, std::shared_ptr<net::http_response> response) {
         if (request.path == "/v1/report") {
             ++reports;
@@ -154,7 +161,10 @@
     std::uint64_t highest_fencing_number = 0;
     std::string state = "ready";
     std::size_t adapter_slots = 8;
-    /// Set once the engine has had more adapters than slots, which would crash a real one.
+    double weights_mb = 35'000;
+    double model_mb = 0;
+    double adapter_mb = 0;
+    /// Set once the engine has had more than its slots or its memory hold, which would crash a real one.
     bool overloaded = false;
     std::vector<std::string> models{"m0"};
     std::vector<std::string> adapters;
