--- a/include/samphiretray/gateway/endpoint_directory.h
+++ b/include/samphiretray/gateway/endpoint_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "samphiretray/gateway/drain_promise.h"
 #include "samphiretray/gateway/model.h"
 
 #include <map>
@@ -23,8 +24,9 @@
     /// True if the record is older than what is known of the endpoint, or not newer than that of one that has
     /// been removed. A store that has been restored from a copy lists such records.
     [[nodiscard]] bool is_outdated(const endpoint& value, time_point now) const;
-    /// Adds or replaces an endpoint. Returns true if it is new or has restarted.
-    bool update(endpoint value);
+    /// Adds or replaces an endpoint. Returns true if it is new or has restarted. The record was written after
+    /// `changed_after`, if that is known.
+    bool update(endpoint value, std::optional<time_point> changed_after = std::nullopt);
     /// With `after_outage`, discovery has just returned and the record may be written again, so the endpoint
     /// is kept for `reregistration_grace`.
     void remove(const std::string& id, bool after_outage, time_point now);
@@ -44,6 +46,9 @@
     [[nodiscard]] const endpoint* find(const std::string& id) const;
     /// The endpoints of a service that are not draining and have not asked for a pause.
     [[nodiscard]] std::vector<const endpoint*> available(std::string_view service, time_point now) const;
+    /// The draining endpoints of a service that still take up streams. They get no other requests.
+    [[nodiscard]] std::vector<const endpoint*> taking_up(std::string_view service, time_point now) const;
+    [[nodiscard]] bool takes_up(const endpoint& value, time_point now) const;
     [[nodiscard]] std::vector<std::string> ids() const;
     [[nodiscard]] std::vector<const endpoint*> all() const;
     [[nodiscard]] std::size_t size() const noexcept { return endpoints_.size(); }
@@ -74,6 +79,7 @@
     std::unordered_map<std::string, time_point> removed_at_;
     std::unordered_map<std::string, departed_endpoint> departed_;
     std::unordered_map<std::string, told_state> told_;
+    std::unordered_map<std::string, drain_promise> drain_promises_;
 };
 
 } // namespace samphiretray::gateway
--- a/include/samphiretray/gateway/engine_agent-inl.h
+++ b/include/samphiretray/gateway/engine_agent-inl.h
@@ -214,7 +214,7 @@
 std::optional<agent_refusal>
 engine_agent<Binding, Engine>::reason_to_refuse(const agent_request& request,
                                                 const agent::admission_request& admission) const {
-    if (drain_started_ || engine_draining_since_ || is_evacuated()) {
+    if (drain_started_ || is_evacuated() || (engine_draining_since_ && !may_take_up(request))) {
         return agent_refusal::draining;
     }
     if (!is_engine_up() || !slots_ || !(has_base_model() || may_wait_for_base_model(request))) {
@@ -607,6 +607,7 @@
     }
     if (head.is_leaving) {
         said_leaving_at_ = loop_.now();
+        engine_drain_.on_said_leaving(loop_.now());
         check_engine_draining();
     }
     if (head.pause) {
@@ -829,6 +830,7 @@
 
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::poll() {
+    polled_at_ = loop_.now();
     engine_.report([this](const result<engine_report>& report) {
         on_report(report);
         poll_timer_ = loop_.after(settings_.poll_interval, [this] { poll(); });
@@ -864,6 +866,9 @@
     }
     failed_polls_ = 0;
     const bool restarted = report_ && report_->started_at != report->started_at;
+    engine_drain_ = restarted ? drain_promise{} : engine_drain_;
+    engine_drain_.on_state(report->draining, report->serves_for, reported_at_);
+    reported_at_ = polled_at_;
     const bool is_first_report = !report_;
     if (restarted) {
         on_engine_crash();
@@ -936,12 +941,21 @@
     }
 }
 
-/// Refuses all requests that have not been forwarded yet, so that their entries try another engine.
+template <request_binding Binding, engine_control Engine>
+bool engine_agent<Binding, Engine>::may_take_up(const agent_request& request) const {
+    return !request.forwarded.caller.resumed_attempt_id.empty() && !drain_started_ &&
+           engine_drain_.takes_up(loop_.now());
+}
+
+/// Refuses the requests that have not been forwarded yet, so that their entries try another engine.
 template <request_binding Binding, engine_control Engine>
 void engine_agent<Binding, Engine>::refuse_waiting(agent_refusal reason) {
     std::vector<request_pointer> waiting;
-    std::ranges::copy_if(requests_ | std::views::values, std::back_inserter(waiting),
-                         [](const request_pointer& each) { return !each->forwarded_at; });
+    std::ranges::copy_if(
+        requests_ | std::views::values, std::back_inserter(waiting), [&](const request_pointer& each) {
+            const bool goes_on = reason == agent_refusal::draining && !is_evacuated() && may_take_up(*each);
+            return !each->forwarded_at && !goes_on;
+        });
     for (const request_pointer& each : waiting) {
         refuse(each, reason, "");
     }
--- a/include/samphiretray/gateway/engine_agent.h
+++ b/include/samphiretray/gateway/engine_agent.h
@@ -11,6 +11,7 @@
 #include "samphiretray/gateway/answer_classification.h"
 #include "samphiretray/gateway/binding.h"
 #include "samphiretray/gateway/buffer_metrics.h"
+#include "samphiretray/gateway/drain_promise.h"
 #include "samphiretray/gateway/event_stream_parser.h"
 #include "samphiretray/gateway/first_event_detector.h"
 #include "samphiretray/gateway/model.h"
@@ -196,6 +197,8 @@
     /// Takes back the quarantined requests, and those with quarantined parts, whose answers have not begun.
     void withdraw_held();
     [[nodiscard]] bool has_base_model() const;
+    /// Whether the engine is draining, but still goes on with the stream that the request's caller takes up.
+    [[nodiscard]] bool may_take_up(const agent_request& request) const;
     void check_drained();
     [[nodiscard]] routing::engine_load current_load() const;
     [[nodiscard]] bool is_engine_up() const;
@@ -250,6 +253,10 @@
     /// The base model that the engine should have loaded.
     std::string base_model_;
     std::vector<std::string> service_models_;
+    /// When the last status poll began, and the last one that was answered.
+    time_point polled_at_;
+    std::optional<time_point> reported_at_;
+    drain_promise engine_drain_;
     /// Set while the engine reports that it is draining.
     std::optional<time_point> engine_draining_since_;
     /// Set while the base model is being loaded.
--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -329,7 +329,7 @@
 }
 
 template <request_binding Binding, typename Store>
-void entry_gateway<Binding, Store>::update_endpoint(endpoint value) {
+void entry_gateway<Binding, Store>::update_endpoint(endpoint value, std::optional<time_point> changed_after) {
     if (directory_.is_outdated(value, loop_.now())) {
         log_event(log_level::info, "endpoint_record_outdated",
                   {{"endpoint", value.id},
@@ -343,7 +343,7 @@
     const bool is_same = known != nullptr && known->draining == value.draining &&
                          known->address == value.address && known->started_at == value.started_at;
     const endpoint copy = value;
-    const bool restarted = directory_.update(std::move(value));
+    const bool restarted = directory_.update(std::move(value), changed_after);
     rules_.on_record(copy, restarted, loop_.now());
     if (restarted) {
         refresh_endpoint(copy);
@@ -578,6 +578,7 @@
         // Other processes may have noted an event of the attempt that failed.
         prefer_version(chosen, *request.possible_origin, directory_);
     }
+    prefer_staying(chosen, directory_);
     return chosen;
 }
 
@@ -588,6 +589,9 @@
                                                  table_ == request.table ? nullptr : table_.get(),
                                                  request.caller.host, request.http.path);
     auto found = directory_.available(request.service, loop_.now());
+    if (request.origin && request.caller.continues_stream) {
+        add_draining(found, *request.origin, directory_, loop_.now());
+    }
     std::erase_if(found, [&](const endpoint* each) {
         const bool is_other_version =
             request.origin && !routing::may_continue(*request.origin, each->service, each->software_version);
@@ -619,7 +623,8 @@
 
 template <request_binding Binding, typename Store>
 std::string_view entry_gateway<Binding, Store>::unplaced_cause(const active_request& request) const {
-    if (request.origin && is_version_gone(*request.origin, directory_)) {
+    if (request.origin &&
+        is_version_gone(*request.origin, directory_, request.caller.continues_stream, loop_.now())) {
         return "stream_version_gone";
     }
     if (request.last_refusal) {
@@ -681,7 +686,8 @@
 void entry_gateway<Binding, Store>::continue_stream(const request_pointer& request,
                                                     const std::optional<routing::stream_origin>& origin,
                                                     std::size_t asked) {
-    const continuation outcome = classify_continuation(origin, *request->matched_route, directory_);
+    const continuation outcome =
+        classify_continuation(origin, *request->matched_route, directory_, loop_.now());
     continued_streams_counter_.add({name_of(outcome)});
     log_event(log_level::info, "stream_taken_up",
               {{"request", request->caller.attempt_id},
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -78,7 +78,7 @@
     void apply(routing_state state);
     /// Records the announced version of an adapter, unless it is not above the recorded one.
     void apply(const adapter_release& release);
-    void update_endpoint(endpoint value);
+    void update_endpoint(endpoint value, std::optional<time_point> changed_after = std::nullopt);
     void remove_endpoint(const std::string& id, bool after_outage);
     /// Sends nothing more to the servers of the data centre, or sends to them again. With `after_outage` the
     /// store has just returned and may be an older copy.
--- a/include/samphiretray/gateway/model.h
+++ b/include/samphiretray/gateway/model.h
@@ -143,6 +143,8 @@
     std::string software_version = {};
     /// Records of this incarnation have named more than one version.
     bool has_conflicting_versions = false;
+    /// How much longer a draining server serves, if its record says so.
+    std::optional<duration> serves_for = {};
 };
 
 /// The latest released version of an adapter, which is named "model/adapter".
@@ -238,6 +240,8 @@
     bool busy = false;
     /// The engine is about to shut down.
     bool draining = false;
+    /// How much longer a draining engine serves, if it says so.
+    std::optional<duration> serves_for = {};
     /// Number of load and unload orders that the engine has accepted since its start.
     std::uint64_t order_sequence = 0;
     /// Adapters, named "model/adapter".
--- a/include/samphiretray/gateway/stream_continuation.h
+++ b/include/samphiretray/gateway/stream_continuation.h
@@ -25,15 +25,25 @@
 enum class continuation {
     /// Nobody knows where the stream has begun.
     unknown,
-    /// The route has left the service, or no server of the version is left that does not drain.
+    /// The route has left the service, or no server of the version is left that takes the stream up.
     gone,
     possible,
 };
 [[nodiscard]] continuation classify_continuation(const std::optional<routing::stream_origin>& origin,
-                                                 const route& from, const endpoint_directory& directory);
+                                                 const route& from, const endpoint_directory& directory,
+                                                 time_point now);
 
-/// Whether no server of the version that began the stream is left, but draining ones.
-[[nodiscard]] bool is_version_gone(const routing::stream_origin& origin, const endpoint_directory& directory);
+/// Whether no server of the version that began the stream is left. A draining one counts only if a caller
+/// takes the stream up, and while it still promises to serve.
+[[nodiscard]] bool is_version_gone(const routing::stream_origin& origin, const endpoint_directory& directory,
+                                   bool is_taken_up, time_point now);
+
+/// Adds the draining endpoints at which a stream that a caller takes up may still go on.
+void add_draining(std::vector<const endpoint*>& candidates, const routing::stream_origin& origin,
+                  const endpoint_directory& directory, time_point now);
+
+/// Removes the draining endpoints, which would soon cut the stream again, unless there are no others.
+void prefer_staying(std::vector<std::string>& endpoints, const endpoint_directory& directory);
 
 /// Who may know where a stream has begun.
 struct origin_sources {
--- a/include/samphiretray/node/prefix_follower-inl.h
+++ b/include/samphiretray/node/prefix_follower-inl.h
@@ -40,7 +40,7 @@
                                   "the listing is older than the last read"));
             return;
         }
-        on_success();
+        on_success(listing->age);
         apply(*listing);
         schedule(settings_.min_watch_interval, &prefix_follower::watch);
     });
@@ -63,7 +63,7 @@
                          on_history_lost(changes->era);
                          return;
                      }
-                     on_success();
+                     on_success(changes->age);
                      lost_histories_ = 0;
                      apply(*changes);
                      const duration elapsed = loop_.now() - requested_at_;
@@ -124,8 +124,9 @@
 }
 
 template <ports::watched_store Store>
-void prefix_follower<Store>::on_success() {
+void prefix_follower<Store>::on_success(duration data_age) {
     const time_point now = loop_.now();
+    changes_since_ = std::exchange(current_at_, std::min(requested_at_, now - data_age));
     if (failures_ >= outage_threshold) {
         outage_ended_at_ = now;
         log_event(log_level::info, "store_regained",
--- a/include/samphiretray/node/prefix_follower.h
+++ b/include/samphiretray/node/prefix_follower.h
@@ -51,6 +51,8 @@
     [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
     /// Time since the store last answered.
     [[nodiscard]] duration age() const { return loop_.now() - last_answer_at_; }
+    /// The changes of the last answer were made after this; nothing if it was the first answer.
+    [[nodiscard]] std::optional<time_point> changes_since() const noexcept { return changes_since_; }
 
 private:
     void list();
@@ -58,7 +60,7 @@
     void apply(const ports::store_listing& listing);
     void apply(const ports::store_changes& changes);
     void report(const ports::store_change& change);
-    void on_success();
+    void on_success(duration data_age);
     void on_failure(const error& failure);
     /// The history that the last read belongs to is gone.
     void on_history_lost(std::uint64_t era);
@@ -78,6 +80,9 @@
     bool synchronized_ = false;
     time_point requested_at_;
     time_point last_answer_at_;
+    /// When the data of the last answer was known to be current.
+    std::optional<time_point> current_at_;
+    std::optional<time_point> changes_since_;
     time_point outage_began_at_;
     std::optional<time_point> outage_ended_at_;
     net::timer_handle timer_;
--- a/include/samphiretray/node/shared_store_client-inl.h
+++ b/include/samphiretray/node/shared_store_client-inl.h
@@ -90,6 +90,7 @@
     ports::store_listing listing;
     listing.revision = changes.revision;
     listing.era = changes.era;
+    listing.age = changes.age;
     for (ports::store_change& each : changes.changes) {
         if (each.value) {
             listing.items.push_back({std::move(each.key), *std::move(each.value), each.revision});
@@ -323,6 +324,9 @@
                          done(make_error(errc::unavailable, step::receive, vm, "the data is too old"));
                          return;
                      }
+                     if (update) {
+                         update->changes.age = update->age;
+                     }
                      done(std::move(update));
                  });
 }
--- a/include/samphiretray/ports/shared_store.h
+++ b/include/samphiretray/ports/shared_store.h
@@ -25,6 +25,8 @@
     /// The listing contains the changes up to this revision.
     std::uint64_t revision = 0;
     std::uint64_t era = 0;
+    /// Time since the listing was known to be current, for one that does not come from the store itself.
+    duration age{0};
 };
 
 /// A write or the removal of a key.
@@ -40,6 +42,8 @@
     std::vector<store_change> changes;
     std::uint64_t revision = 0;
     std::uint64_t era = 0;
+    /// As for a listing.
+    duration age{0};
 };
 
 /// A key-value store with one revision counter for all keys in each era. Each completion runs exactly once,
--- a/src/gateway/endpoint_directory.cpp
+++ b/src/gateway/endpoint_directory.cpp
@@ -19,7 +19,7 @@
            written <= std::pair{departed->second.started_at, departed->second.sequence};
 }
 
-bool endpoint_directory::update(endpoint value) {
+bool endpoint_directory::update(endpoint value, std::optional<time_point> changed_after) {
     removed_at_.erase(value.id);
     departed_.erase(value.id);
     const auto found = endpoints_.find(value.id);
@@ -32,6 +32,9 @@
             (!known.software_version.empty() && known.software_version != value.software_version);
         value.software_version = value.has_conflicting_versions ? "" : value.software_version;
     }
+    drain_promise& promise = drain_promises_[value.id];
+    promise = is_new_incarnation ? drain_promise{} : promise;
+    promise.on_state(value.draining, value.serves_for, changed_after);
     endpoints_.insert_or_assign(value.id, std::move(value));
     return is_new_incarnation;
 }
@@ -46,6 +49,7 @@
         return;
     }
     told_.erase(id);
+    drain_promises_.erase(id);
     departed_[id] = {known->second.started_at, known->second.sequence, now};
     removed_at_.erase(id);
     endpoints_.erase(known);
@@ -96,6 +100,7 @@
     const bool is_new = told != nullptr && !is_leaving(*find(id), now);
     if (told != nullptr) {
         told->leaving_since = now;
+        drain_promises_[id].on_said_leaving(now);
     }
     return is_new;
 }
@@ -138,6 +143,22 @@
     return found;
 }
 
+bool endpoint_directory::takes_up(const endpoint& value, time_point now) const {
+    const auto promise = drain_promises_.find(value.id);
+    return value.draining && promise != drain_promises_.end() && promise->second.takes_up(now) &&
+           pause_left(value, now) <= duration::zero();
+}
+
+std::vector<const endpoint*> endpoint_directory::taking_up(std::string_view service, time_point now) const {
+    std::vector<const endpoint*> found;
+    for (const endpoint& each : endpoints_ | std::views::values) {
+        if (each.service == service && takes_up(each, now)) {
+            found.push_back(&each);
+        }
+    }
+    return found;
+}
+
 std::vector<const endpoint*> endpoint_directory::all() const {
     std::vector<const endpoint*> found;
     std::ranges::transform(endpoints_ | std::views::values, std::back_inserter(found),
--- a/src/gateway/stream_continuation.cpp
+++ b/src/gateway/stream_continuation.cpp
@@ -1,6 +1,8 @@
 #include "samphiretray/gateway/stream_continuation.h"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <ranges>
 #include <set>
 
@@ -14,19 +16,38 @@
     return std::ranges::find(from.services, service, &weighted_service::service) != from.services.end();
 }
 
-bool is_version_gone(const routing::stream_origin& origin, const endpoint_directory& directory) {
-    const auto all = directory.all();
-    return std::ranges::none_of(all, [&origin](const endpoint* each) {
-        return !each->draining && routing::may_continue(origin, each->service, each->software_version);
+bool is_version_gone(const routing::stream_origin& origin, const endpoint_directory& directory,
+                     bool is_taken_up, time_point now) {
+    return std::ranges::none_of(directory.all(), [&](const endpoint* each) {
+        const bool serves = !each->draining || (is_taken_up && directory.takes_up(*each, now));
+        return serves && routing::may_continue(origin, each->service, each->software_version);
     });
 }
 
+void add_draining(std::vector<const endpoint*>& candidates, const routing::stream_origin& origin,
+                  const endpoint_directory& directory, time_point now) {
+    std::ranges::copy_if(directory.taking_up(origin.service, now), std::back_inserter(candidates),
+                         [&origin](const endpoint* each) {
+                             return routing::may_continue(origin, each->service, each->software_version);
+                         });
+}
+
+void prefer_staying(std::vector<std::string>& endpoints, const endpoint_directory& directory) {
+    const auto stays = [&directory](const std::string& id) {
+        const endpoint* known = directory.find(id);
+        return known != nullptr && !known->draining;
+    };
+    if (std::ranges::any_of(endpoints, stays)) {
+        std::erase_if(endpoints, std::not_fn(stays));
+    }
+}
+
 continuation classify_continuation(const std::optional<routing::stream_origin>& origin, const route& from,
-                                   const endpoint_directory& directory) {
+                                   const endpoint_directory& directory, time_point now) {
     if (!origin) {
         return continuation::unknown;
     }
-    const bool is_gone = !serves(from, origin->service) || is_version_gone(*origin, directory);
+    const bool is_gone = !serves(from, origin->service) || is_version_gone(*origin, directory, true, now);
     return is_gone ? continuation::gone : continuation::possible;
 }
 
--- a/tests/gateway/origin_search_test.cpp
+++ b/tests/gateway/origin_search_test.cpp
@@ -168,14 +168,15 @@
     server.service = older.service;
     server.software_version = older.software_version;
     directory.update(server);
-    CHECK(classify_continuation(std::nullopt, from, directory) == continuation::unknown);
-    CHECK(classify_continuation(older, from, directory) == continuation::possible);
-    CHECK(classify_continuation(routing::stream_origin{"assistants", "v2"}, from, directory) ==
+    const time_point now{1000s};
+    CHECK(classify_continuation(std::nullopt, from, directory, now) == continuation::unknown);
+    CHECK(classify_continuation(older, from, directory, now) == continuation::possible);
+    CHECK(classify_continuation(routing::stream_origin{"assistants", "v2"}, from, directory, now) ==
           continuation::gone);
-    CHECK(classify_continuation(older, route{}, directory) == continuation::gone);
+    CHECK(classify_continuation(older, route{}, directory, now) == continuation::gone);
     server.draining = true;
     directory.update(server);
-    CHECK(classify_continuation(older, from, directory) == continuation::gone);
+    CHECK(classify_continuation(older, from, directory, now) == continuation::gone);
 }
 
 TEST_CASE("agents of likely engines come before entries of the data centre, and each process once") {
--- a/tests/platform/engine_agent_test.cpp
+++ b/tests/platform/engine_agent_test.cpp
@@ -289,6 +289,35 @@
     CHECK(fixture.engine.requests.empty());
 }
 
+TEST_CASE("a draining engine goes on with streams that are taken up, until its promise ends") {
+    // Guards against streams that are lost in a rolling release (LOST), and against late requests (DRAIN).
+    agent_fixture fixture;
+    fixture.start();
+    fixture.engine.state = "draining";
+    const time_point began = fixture.events.now();
+    fixture.run_for(100ms);
+    const auto take_up = [](net::http_headers& headers) {
+        headers.push_back({"last-event-id", "1"});
+        headers.push_back({"resumes", "begun"});
+    };
+    fixture.send_request("1", "", "", 5s, take_up);
+    fixture.wait_for_answers(1);
+    CHECK(fixture.answers[0]->status == 200);
+    fixture.send_request("2", "");
+    fixture.wait_for_answers(2);
+    CHECK(gateway::read_refusal(fixture.answers[1]->headers) == gateway::agent_refusal::draining);
+    // One that waits for its adapter is given back in time.
+    fixture.engine.delay_orders(400);
+    fixture.send_request("3", "a1", "", 5s, take_up);
+    fixture.wait_for_answers(3);
+    CHECK(fixture.events.now() - began < gateway::drain_promise::drain_time);
+    fixture.run_for(began + gateway::drain_promise::drain_time - fixture.events.now());
+    fixture.send_request("4", "", "", 5s, take_up);
+    fixture.wait_for_answers(4);
+    CHECK(gateway::read_refusal(fixture.answers[3]->headers) == gateway::agent_refusal::draining);
+    CHECK(fixture.engine.requests.size() == 1);
+}
+
 TEST_CASE("a request for an earlier incarnation of the engine is refused without reaching the engine") {
     // After a power failure of all sites, entries know only the previous incarnations for another second. The
     // engines rejected such requests, the retries used up the retry budget, and 93 requests were refused.
--- a/tests/platform/entry_with_servers.h
+++ b/tests/platform/entry_with_servers.h
@@ -159,15 +159,20 @@
         entry->set_endpoints_complete();
     }
 
-    void register_server(std::size_t i, bool draining = false, const std::string& version = "v1") {
+    [[nodiscard]] gateway::endpoint make_endpoint(std::size_t i, const std::string& version = "v1") const {
         gateway::endpoint server;
         server.id = "i-" + std::to_string(i);
         server.service = "orders";
         server.address = servers[i]->local_address();
         server.data_centre = i == 0 ? "north-a" : "south-a";
         server.slots = 6;
-        server.draining = draining;
         server.software_version = version;
+        return server;
+    }
+
+    void register_server(std::size_t i, bool draining = false, const std::string& version = "v1") {
+        gateway::endpoint server = make_endpoint(i, version);
+        server.draining = draining;
         entry->update_endpoint(server);
     }
 
--- a/tests/platform/stream_version_test.cpp
+++ b/tests/platform/stream_version_test.cpp
@@ -27,6 +27,13 @@
         };
     }
 
+    /// The server reports that it drains; the report is `age` old.
+    void drain(std::size_t server, const std::string& version, duration age) {
+        gateway::endpoint value = make_endpoint(server, version);
+        value.draining = true;
+        entry->update_endpoint(value, events.now() - age);
+    }
+
     /// Begins a stream that is broken off, as attempt "begun", and returns the version that has begun it.
     std::string begin_stream() {
         send_request("/r/1", {}, "key", "order", "begun");
@@ -113,6 +120,53 @@
     CHECK(fixture.received_count() == 0);
 }
 
+TEST_CASE("a caller that takes its stream up gets a draining server of its version while that still serves") {
+    // Guards against streams that are lost in a rolling release (LOST): the servers of their version all
+    // drain.
+    two_versions fixture;
+    const bool is_first = fixture.begin_stream() == "v1";
+    const std::size_t leaving = is_first ? 0 : 1;
+    const std::string version = is_first ? "v1" : "v2";
+    fixture.drain(leaving, version, 1s);
+    for (int i = 0; i < 4; ++i) {
+        const auto& answer = fixture.take_up();
+        REQUIRE(answer);
+        CHECK(answer->body == "id: 2\ndata: " + version + "\n\n");
+    }
+    // New streams begin elsewhere.
+    fixture.received = std::vector<std::vector<net::http_request>>(2);
+    CHECK_FALSE(fixture.send_and_wait("/r/1", {}, "key", "other"));
+    CHECK(fixture.received[leaving].empty());
+}
+
+TEST_CASE("a draining server gets no stream that is taken up after its promise, nor one that another can go "
+          "on with") {
+    // Guards against requests that reach a draining server late (DRAIN), and against streams that are cut
+    // again.
+    two_versions fixture;
+    const bool is_first = fixture.begin_stream() == "v1";
+    const std::size_t leaving = is_first ? 0 : 1;
+    const std::string version = is_first ? "v1" : "v2";
+    SECTION("the promise is over") {
+        fixture.drain(leaving, version, 2500ms);
+        const auto& answer = fixture.take_up();
+        CHECK(status_of(answer) == 503);
+        CHECK(answer->body == "stream_version_gone\n");
+        CHECK(fixture.received_count() == 0);
+    }
+    SECTION("another server of the version stays") {
+        gateway::endpoint other = fixture.make_endpoint(1 - leaving, version);
+        other.id = "i-other";
+        fixture.respond_as(1 - leaving, version);
+        fixture.entry->update_endpoint(other);
+        fixture.drain(leaving, version, 0s);
+        for (int i = 0; i < 8; ++i) {
+            CHECK(status_of(fixture.take_up()) == 200);
+            CHECK(fixture.received[leaving].empty());
+        }
+    }
+}
+
 TEST_CASE("a stream that nobody knows is refused, whichever versions are there") {
     // Guards against the guess that a stream began at the only version in sight, and against a caller that
     // names another one's attempt.
