--- a/include/samphiretray/gateway/model.h
+++ b/include/samphiretray/gateway/model.h
@@ -111,7 +111,7 @@
 
 /// One version of the complete routing configuration.
 struct routing_state {
-    /// Increases with each change.
+    /// Increases with each change. 0 if it is not known: such a configuration replaces none.
     std::uint64_t version = 0;
     std::vector<route> routes;
     std::vector<service> services;
--- a/include/samphiretray/net/http_client.h
+++ b/include/samphiretray/net/http_client.h
@@ -13,6 +13,9 @@
 namespace samphiretray::net {
 
 /// A request to send and its time limits.
+/// A tenth of the thinnest link that operators use. Callers' requests fill most of it at times.
+inline constexpr double min_transfer_rate = 125'000;
+
 struct http_call {
     address peer;
     std::string method = "GET";
@@ -22,6 +25,8 @@
     std::string body;
     /// Limit for the whole exchange, from `send` to the last byte of the response.
     duration timeout = 5s;
+    /// If it is not zero, an answer that arrives at this rate at least may take longer than `timeout`.
+    double min_bytes_per_s = 0;
     /// Limit for establishing a new connection; zero means that only `timeout` applies.
     duration connect_timeout = 0s;
     /// A pooled connection that has been idle for longer is not used for this call.
--- a/include/samphiretray/node/prefix_follower-inl.h
+++ b/include/samphiretray/node/prefix_follower-inl.h
@@ -153,7 +153,8 @@
 
 template <ports::watched_store Store>
 void prefix_follower<Store>::on_failure(const error& failure) {
-    if (failure.code == errc::stale_revision) {
+    // Changes that are too large for one answer will be so again; a listing comes in pages.
+    if (failure.code == errc::stale_revision || (synchronized_ && failure.code == errc::too_large)) {
         on_history_lost(era_);
         return;
     }
--- a/include/samphiretray/node/shared_store_client-inl.h
+++ b/include/samphiretray/node/shared_store_client-inl.h
@@ -306,6 +306,7 @@
                   "&after=" + std::to_string(after) + "&era=" + std::to_string(find_replica(prefix)->era()) +
                   "&wait=" + std::to_string(milliseconds_in(limit));
     call.timeout = limit + settings_.max_answer_time;
+    call.min_bytes_per_s = net::min_transfer_rate;
     constexpr std::size_t max_update_size = 8U << 20U;
     calls_.fetch(http_, std::move(call), max_update_size,
                  [vm = reader.vm, max_age = settings_.max_age,
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -119,6 +119,8 @@
     void fail(errc code, step at, std::string detail);
     void end(std::optional<error> failure);
     void on_timeout();
+    /// For the whole call, given the part of the answer that has come.
+    [[nodiscard]] duration time_limit() const;
     void on_connect_timeout();
     /// The limit that was exceeded, and how often the loop has looked at the sockets meanwhile: few polls in
     /// a long time show that this process was late, not its peer.
@@ -130,6 +132,8 @@
     http_call call_;
     http_call_events handlers_;
     std::string request_head_;
+    time_point started_at_;
+    std::size_t body_bytes_ = 0;
     timer_handle timeout_timer_;
     timer_handle connect_timer_;
     h2o_socket_t* socket_ = nullptr;
@@ -148,6 +152,7 @@
 };
 
 void client_call::start() {
+    started_at_ = events_.now();
     timeout_timer_ = events_.after(call_.timeout, [this] { on_timeout(); });
     if (!is_well_formed(call_)) {
         fail_later(errc::protocol_error, step::send, "the request has a malformed target or header");
@@ -283,6 +288,7 @@
         fail(errc::protocol_error, step::receive, "a chunk of the response is malformed");
         return;
     }
+    body_bytes_ += decoded.data.size();
     if (!decoded.data.empty() && handlers_.on_data) {
         notify("response_data", [&] { handlers_.on_data(decoded.data); });
     }
@@ -376,9 +382,21 @@
            std::to_string(events_.polls() - polls_at_start_) + " polls";
 }
 
+duration client_call::time_limit() const {
+    const double rate = call_.min_bytes_per_s;
+    const std::chrono::duration<double> transfer{rate > 0 ? static_cast<double>(body_bytes_) / rate : 0.0};
+    return call_.timeout + std::chrono::duration_cast<duration>(transfer);
+}
+
 void client_call::on_timeout() {
     const auto self = shared_from_this();
-    const std::string limit = describe_limit(call_.timeout);
+    const duration left = started_at_ + time_limit() - events_.now();
+    if (left >= 1ms) {
+        events_.dispose_later(std::move(timeout_timer_));
+        timeout_timer_ = events_.after(left, [this] { on_timeout(); });
+        return;
+    }
+    const std::string limit = describe_limit(time_limit());
     fail(errc::timeout, connected_ ? step::receive : step::connect,
          connected_ ? "no whole response within " + limit : "no connection within " + limit);
 }
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -73,6 +73,35 @@
 
 } // namespace
 
+TEST_CASE("an answer may take longer than the time limit while it arrives fast enough, and no longer") {
+    // Guards against entries that are never ready behind a thin link (FAULT): a page of a listing took a
+    // second.
+    client_fixture fixture;
+    recorded_call call;
+    http_call request;
+    request.timeout = 150ms;
+    request.min_bytes_per_s = 10'000;
+    fixture.start(call, request);
+    auto peer = fixture.listener.accept(fixture.events);
+    REQUIRE(peer.receive_until(fixture.events, "\r\n\r\n"));
+    const std::string piece(1'000, 'x');
+    const bool is_whole = GENERATE(true, false);
+    peer.send(fixture.events, "HTTP/1.1 200 OK\r\nContent-Length: 6000\r\n\r\n" + piece);
+    for (int i = 0; i < (is_whole ? 5 : 1); ++i) {
+        fixture.events.run_until([] { return false; }, 90ms);
+        REQUIRE_FALSE(call.ended);
+        peer.send(fixture.events, piece);
+    }
+    fixture.expect_end(call);
+    if (is_whole) {
+        CHECK_FALSE(call.failure);
+        CHECK(call.body.size() == 6'000);
+    } else {
+        REQUIRE(call.failure);
+        CHECK(call.failure->code == errc::timeout);
+    }
+}
+
 TEST_CASE("method, target, headers and bodies are transferred in both directions") {
     client_fixture fixture;
     recorded_call call;
--- a/tests/node/prefix_follower_test.cpp
+++ b/tests/node/prefix_follower_test.cpp
@@ -126,6 +126,19 @@
     CHECK(fixture.follower.revision() == 40);
 }
 
+TEST_CASE("prefix_follower: changes that are too large for one answer are listed in pages instead") {
+    // Guards against an entry that asks for the same changes again and again, and learns nothing more
+    // (FAULT).
+    follower_fixture fixture;
+    fixture.store.listings.push_back(ports::store_listing{{{"op/a", "1", 5}}, 9});
+    fixture.store.watches.push_back(make_error(errc::too_large, step::receive, "store", "too long"));
+    fixture.store.listings.push_back(ports::store_listing{{{"op/a", "2", 30}}, 40});
+    fixture.follower.start();
+    fixture.run_until([&] { return fixture.synchronized == 2; });
+    CHECK(fixture.changes.back().value == "2");
+    CHECK(fixture.follower.revision() == 40);
+}
+
 TEST_CASE("prefix_follower: removals right after an outage are marked as after_outage") {
     follower_fixture fixture;
     fixture.store.listings.push_back(ports::store_listing{{{"op/a", "1", 5}}, 9});
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 using namespace samphiretray;
 using namespace samphiretray::platform;
 
@@ -83,6 +85,47 @@
     CHECK_FALSE(decode_configuration("[]"));
 }
 
+TEST_CASE("a number that is too large for its field does not refuse a whole configuration") {
+    // Guards against processes that are never ready after a start (FAULT): one field refused all routes.
+    const auto decode_with = [](std::string_view from, std::string_view to) {
+        INFO(to);
+        const auto state = decode_configuration(replaced(configuration_text, from, to));
+        REQUIRE(state);
+        CHECK(state->routes.size() == decode_configuration(configuration_text)->routes.size());
+        return *state;
+    };
+    for (const std::string_view version : {R"("version":18446744073709551616)", R"("version":1e300)"}) {
+        CHECK(decode_with(R"("version":7)", version).version == 0);
+    }
+    CHECK(decode_with(R"("version":7)", R"("version":1e16)").version == 10'000'000'000'000'000);
+    CHECK(decode_with(R"("version":7)", R"("version":18446744073709551615)").version ==
+          std::numeric_limits<std::uint64_t>::max());
+    CHECK(decode_with(R"("timeoutMs":8000)", R"("timeoutMs":1e12)").routes[0].timeout == 1'000'000s);
+    for (const std::string_view priority :
+         {R"("priority":4294967296,"service")", R"("priority":1e30,"service")"}) {
+        CHECK(decode_with(R"("priority":1,"service")", priority).routes[0].priority ==
+              std::numeric_limits<std::uint32_t>::max());
+    }
+    CHECK(decode_with(R"("adapterSlots":8)", R"("adapterSlots":1e9)").services[0].engine->adapter_slots ==
+          4096);
+    CHECK(decode_with(R"("maxBodyBytes":4194304)", R"("maxBodyBytes":1e300)").limits.max_body_bytes ==
+          std::size_t{1} << 40U);
+}
+
+TEST_CASE("a long software version of a server stands for itself, in a form that fits a header") {
+    // Guards against a version of megabytes that is kept for each stream and sent with each request.
+    const auto version_of = [](std::size_t length) {
+        return decode_endpoint("i-1", R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":6,)"
+                                      R"("state":"ready","version":")" +
+                                          std::string(length, 'v') + R"("})")
+            ->software_version;
+    };
+    CHECK(version_of(128).size() == 128);
+    CHECK(version_of(50'000).size() == 64);
+    CHECK(version_of(50'000) == version_of(50'000));
+    CHECK(version_of(50'000) != version_of(50'001));
+}
+
 TEST_CASE("a server record is decoded into an endpoint with its adapter versions") {
     const auto endpoint = decode_endpoint(
         "i-1", R"({"service":"engines","address":"10.0.0.9:8080","zone":"north-a","version":"v1","slots":96,
--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -1,3 +1,5 @@
+#include "samphiretray/base/base64.h"
+
 #include "platform/store.h"
 #include "tests/ports/fake_service.h"
 
@@ -37,6 +39,82 @@
     CHECK(net::find_query_parameter(fixture.requests[1].query, "prefix") == "op/");
 }
 
+TEST_CASE("a listing goes on with the page that could not be read") {
+    // Guards against entries that are never ready (FAULT): each failed page made them read all pages again.
+    store_fixture fixture;
+    fixture.queued_responses = {
+        answer_with(200, R"({"items":[{"key":"op/a","value":"eA==","revision":3}],"hasMore":true,"at":10})"),
+        answer_with(503, "{}"), answer_with(503, "{}"),
+        answer_with(200, R"({"items":[{"key":"op/b","value":"","revision":4}],"hasMore":false,"at":12})"),
+        answer_with(200, R"({"items":[],"hasMore":false,"at":13})")};
+    std::optional<result<ports::store_listing>> listing;
+    for (int failed = 0; failed < 2; ++failed) {
+        listing.reset();
+        fixture.service.list("op/", store(listing));
+        CHECK_FALSE(fixture.wait_for(listing));
+    }
+    listing.reset();
+    fixture.service.list("op/", store(listing));
+    const auto& done = fixture.wait_for(listing);
+    REQUIRE(done);
+    CHECK(done->revision == 10);
+    CHECK(done->items.size() == 2);
+    REQUIRE(fixture.requests.size() == 4);
+    CHECK(net::find_query_parameter(fixture.requests[3].query, "after") == "op/a");
+    // The next listing begins anew.
+    listing.reset();
+    fixture.service.list("op/", store(listing));
+    REQUIRE(fixture.wait_for(listing));
+    CHECK(net::find_query_parameter(fixture.requests[4].query, "after").empty());
+}
+
+TEST_CASE("a listing does not go on in a store that has been restored meanwhile") {
+    // Guards against keys of two eras in one listing.
+    store_fixture fixture;
+    const auto with_era = [](net::fetched_response response, const std::string& era) {
+        response.headers.push_back({"store-era", era});
+        return response;
+    };
+    const auto first =
+        answer_with(200, R"({"items":[{"key":"op/a","value":"eA==","revision":3}],"hasMore":true,"at":10})");
+    const auto last = answer_with(200, R"({"items":[],"hasMore":false,"at":12})");
+    fixture.queued_responses = {with_era(first, "1"), answer_with(503, "{}"), with_era(last, "2"),
+                                with_era(last, "2")};
+    std::optional<result<ports::store_listing>> listing;
+    for (int failed = 0; failed < 2; ++failed) {
+        listing.reset();
+        fixture.service.list("op/", store(listing));
+        CHECK_FALSE(fixture.wait_for(listing));
+    }
+    listing.reset();
+    fixture.service.list("op/", store(listing));
+    const auto& done = fixture.wait_for(listing);
+    REQUIRE(done);
+    CHECK(done->era == 2);
+    CHECK(done->items.empty());
+}
+
+TEST_CASE("records of servers that are far too large are not kept, and large configurations are") {
+    // Guards against processes that end for memory, since another writer puts megabytes under `servers/`.
+    store_fixture fixture;
+    const std::string large = to_base64(std::string(200'000, 'v'));
+    const auto item = [&](const std::string& key) {
+        return R"({"key":")" + key + R"(","value":")" + large + R"(","revision":3})";
+    };
+    fixture.queued_responses = {answer_with(200, R"({"items":[)" + item("servers/h1") + "," +
+                                                     item("op/config") + R"(],"hasMore":false,"at":10})"),
+                                answer_with(200, R"({"events":[)" + item("servers/h1") + R"(],"at":11})")};
+    std::optional<result<ports::store_listing>> listing;
+    fixture.service.list("", store(listing));
+    REQUIRE(fixture.wait_for(listing));
+    CHECK((*listing)->items[0].value.empty());
+    CHECK((*listing)->items[1].value.size() == 200'000);
+    std::optional<result<ports::store_changes>> changes;
+    fixture.service.watch("servers/", 4, 50ms, store(changes));
+    REQUIRE(fixture.wait_for(changes));
+    CHECK((*changes)->changes[0].value == "");
+}
+
 TEST_CASE("a watch reports writes and removals") {
     store_fixture fixture;
     fixture.queued_responses = {answer_with(
