--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -345,6 +345,7 @@
     const endpoint copy = value;
     const bool restarted = directory_.update(std::move(value), changed_after);
     rules_.on_record(copy, restarted, loop_.now());
+    restart_signs_.on_record(copy.id, restarted, changed_after);
     if (restarted) {
         refresh_endpoint(copy);
         if (!copy.adapters.empty()) {
@@ -388,6 +389,7 @@
     endpoints_paused_until_.erase(id);
     limits_.forget(id);
     rules_.forget(id);
+    restart_signs_.forget(id);
 }
 
 template <request_binding Binding, typename Store>
@@ -597,6 +599,9 @@
             request.origin && !routing::may_continue(*request.origin, each->service, each->software_version);
         return is_other_version || rules_.is_evacuated(*each) || !rules_.is_at_home(*each, homes);
     });
+    if (request.origin && !request.is_engine) {
+        restart_signs_.remove_doubtful(found, loop_.now());
+    }
     return found;
 }
 
@@ -828,7 +833,8 @@
     request->endpoint = to->id;
     request->agent_host = via_agent ? to->address.host : "";
     request->engine_started_at = to->started_at;
-    request->software_version = answering_version(*to, via_agent, records_age_());
+    request->software_version = answering_version(
+        *to, via_agent, restart_signs_.is_version_doubtful(to->id, now) ? duration::max() : records_age_());
     request->state = answer_state::awaiting_head;
     request->body_started = false;
     discard_buffered(*request);
@@ -1196,6 +1202,7 @@
 template <request_binding Binding, typename Store>
 void entry_gateway<Binding, Store>::on_broken_answer(const request_pointer& request, std::string_view cause) {
     ejection_.failed(request->endpoint, loop_.now());
+    restart_signs_.on_broken_off(request->endpoint, loop_.now());
     ++request->failed_sends;
     if (is_resumable(*request)) {
         retry_or_give_up(request, true, cause);
@@ -1438,6 +1445,7 @@
     if (never_sent) {
         if (const endpoint* unreachable = directory_.find(request->endpoint)) {
             rules_.on_unreachable(*unreachable, now);
+            restart_signs_.on_unreachable(request->endpoint, now);
         }
         request->tried_endpoints.push_back(request->endpoint);
         log_event(log_level::warning, "endpoint_unreachable",
--- a/include/samphiretray/gateway/entry_gateway.h
+++ b/include/samphiretray/gateway/entry_gateway.h
@@ -16,6 +16,7 @@
 #include "samphiretray/gateway/relay.h"
 #include "samphiretray/gateway/release_exchange.h"
 #include "samphiretray/gateway/released_versions.h"
+#include "samphiretray/gateway/restart_signs.h"
 #include "samphiretray/gateway/routing_table.h"
 #include "samphiretray/gateway/settings.h"
 #include "samphiretray/gateway/stream_continuation.h"
@@ -333,6 +334,7 @@
     rate::endpoint_limits limits_;
     placement_rules rules_;
     usage_exchange<Store> usage_exchange_;
+    restart_signs restart_signs_;
     crash_exchange crash_exchange_;
     release_exchange release_exchange_;
     /// The streams that this entry has passed on.
