--- a/include/samphiretray/gateway/entry_gateway-inl.h
+++ b/include/samphiretray/gateway/entry_gateway-inl.h
@@ -580,7 +580,9 @@
         // Other processes may have noted an event of the attempt that failed.
         prefer_version(chosen, *request.possible_origin, directory_);
     }
-    prefer_staying(chosen, directory_);
+    if (request.origin) {
+        prefer_staying(chosen, directory_);
+    }
     return chosen;
 }
 
--- a/tests/platform/engine_client_test.cpp
+++ b/tests/platform/engine_client_test.cpp
@@ -218,6 +218,36 @@
     CHECK_FALSE(fixture.engine.overloaded);
 }
 
+// Guards against an engine that stays without its base model after a restart, because the unanswered order
+// for the same model counts beside it.
+TEST_CASE(
+    "a base model is ordered again after a restart, although an earlier order for it may still arrive") {
+    client_fixture fixture;
+    fixture.engine.models.clear();
+    fixture.engine.weights_mb = 1'000;
+    fixture.engine.model_mb = 900;
+    fixture.engine.delay_orders(100);
+    const ports::engine_order order{
+        {"m0", ""},
+        5,
+        std::make_shared<const ports::engine_memory>(ports::engine_memory{8, 1'000, {{"m0", {900, 40}}}})};
+    fixture.client.load(order, fixture.collect());
+    REQUIRE(fixture.events.run_until([&] { return !fixture.engine.late_orders.empty(); }, hang_limit));
+    fixture.engine.restart("i-1");
+    fixture.wait_for_outcomes(1);
+    fixture.engine.order_fates.clear();
+    fixture.client.load(order, fixture.collect());
+    fixture.wait_for_outcomes(2);
+    CHECK(fixture.outcomes[1]);
+    CHECK(fixture.engine.models == std::vector<std::string>{"m0"});
+    ports::engine_order adapter = order;
+    adapter.target = {"m0/a1", "1"};
+    fixture.client.load(adapter, fixture.collect());
+    fixture.wait_for_outcomes(3);
+    CHECK(fixture.outcomes[2]);
+    CHECK_FALSE(fixture.engine.overloaded);
+}
+
 // Guards against an unload that counts as done although the engine has not answered it: a second copy of the
 // report before it arrives on the connection on which the order is sent.
 TEST_CASE("a copy of an engine's report is not taken for its answer to an order") {
