--- a/bench/measure/agent_model.cpp
+++ b/bench/measure/agent_model.cpp
@@ -344,7 +344,7 @@
     wire::load_report report;
     report.running = engine_.running();
     report.queued = static_cast<std::uint32_t>(queue_.count_if(runnable()));
-    report.slots = static_cast<std::uint32_t>(slots_.size());
+    report.slots = static_cast<std::uint32_t>(slots_.capacity());
     report.slots_pinned = static_cast<std::uint32_t>(slots_.pinned_count());
     report.capacity = batch_;
     report.wait_ms = static_cast<std::uint32_t>(milliseconds_in(queue_.estimated_wait(false, runnable())));
