--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -16,6 +16,15 @@
     metadata_store service{*client, {.service = address(), .timeout = 200ms}};
 };
 
+/// Lists `op/` twice; both calls fail.
+void list_in_vain(store_fixture& fixture) {
+    for (int failed = 0; failed < 2; ++failed) {
+        std::optional<result<ports::store_listing>> listing;
+        fixture.service.list("op/", store(listing));
+        CHECK_FALSE(fixture.wait_for(listing));
+    }
+}
+
 net::fetched_response answer_with(int status, std::string body) {
     return {status, {{"content-type", "application/json"}}, std::move(body)};
 }
@@ -47,13 +56,8 @@
         answer_with(503, "{}"), answer_with(503, "{}"),
         answer_with(200, R"({"items":[{"key":"op/b","value":"","revision":4}],"hasMore":false,"at":12})"),
         answer_with(200, R"({"items":[],"hasMore":false,"at":13})")};
+    list_in_vain(fixture);
     std::optional<result<ports::store_listing>> listing;
-    for (int failed = 0; failed < 2; ++failed) {
-        listing.reset();
-        fixture.service.list("op/", store(listing));
-        CHECK_FALSE(fixture.wait_for(listing));
-    }
-    listing.reset();
     fixture.service.list("op/", store(listing));
     const auto& done = fixture.wait_for(listing);
     REQUIRE(done);
@@ -80,13 +84,8 @@
     const auto last = answer_with(200, R"({"items":[],"hasMore":false,"at":12})");
     fixture.queued_responses = {with_era(first, "1"), answer_with(503, "{}"), with_era(last, "2"),
                                 with_era(last, "2")};
+    list_in_vain(fixture);
     std::optional<result<ports::store_listing>> listing;
-    for (int failed = 0; failed < 2; ++failed) {
-        listing.reset();
-        fixture.service.list("op/", store(listing));
-        CHECK_FALSE(fixture.wait_for(listing));
-    }
-    listing.reset();
     fixture.service.list("op/", store(listing));
     const auto& done = fixture.wait_for(listing);
     REQUIRE(done);
