--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-cd "$(dirname "$0")" && exec python3 case.py
+cd "$(dirname "$0")" && exec python3 -B case.py
--- a/review/lib-3/rig.py
+++ b/review/lib-3/rig.py
@@ -17,6 +17,7 @@
 import sys
 import tempfile
 import time
+from urllib.parse import parse_qs
 
 REPOSITORY = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 PROGRAM = os.path.join(REPOSITORY, "target", "bin", "samphiretray")
@@ -238,7 +239,6 @@
             return False
         method, target = head.first[0], head.first[1]
         path, _, query = target.partition("?")
-        from urllib.parse import parse_qs, unquote
         fields = {k: v[0] for k, v in parse_qs(query, keep_blank_values=True).items()}
         await asyncio.sleep(self.answer_s)
         self.expire()
@@ -839,12 +839,16 @@
 
     async def main():
         world = make_world(folder, trouble)
+        # A run that is ended from outside still ends the processes that it has started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await world.start()
             broken, summary = await play(world)
             code = 1 if broken else 0
         except CannotRun as failure:
             code, summary = 2, [f"the case could not run: {failure}"]
+        except asyncio.CancelledError:
+            code, summary = 2, ["the case was ended from outside"]
         finally:
             await world.stop()
         summary.append(f"trouble={'on' if trouble else 'off'} processes that ended by themselves: "
