--- a/review/lib-3/rig.py
+++ b/review/lib-3/rig.py
@@ -687,7 +687,7 @@
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.trouble, self.server_down_s, self.own_ends = trouble, 3.0, 0
         self.tasks, self.lines, self.arrivals, self.orders = set(), [], [], []
-        self.adapter_versions = {}
+        self.adapter_versions, self.sent_at = {}, {}
         self.subnet = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         self.base_port = random.randint(11000, 28000)
         self.started = now()
@@ -805,6 +805,7 @@
                      ("X-Samphiretray-Token-Count", f"{prompt},{output}"),
                      ("X-Samphiretray-Prompt-Prefix", ",".join(f"{name}:{size}" for name, size in parts))]
         sent += list(headers)
+        self.sent_at[attempt] = now()
         self.note("sent", kind=kind, attempt=attempt, at=entry.node, path=path)
         answer = await call(entry.ip, self.base_port + 30, method, path, sent, body, timeout + 0.5, on_first)
         answer.attempt = attempt
