--- a/review/lib-3/rig.py
+++ b/review/lib-3/rig.py
@@ -364,6 +364,11 @@
         self.shut()
         self.world.spawn(self.come_back(self.id, down_s))
 
+    def leave(self):
+        """The process exits for good."""
+        self.is_up = False
+        self.shut()
+
     async def come_back(self, old_id, down_s):
         self.world.spawn(self.forget(old_id))
         await asyncio.sleep(down_s)
