--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,5 +1,5 @@
-"""All model servers of a service ask for a pause (503 with Retry-After), and one of them is taken away meanwhile
-without reporting that it drains: its entry is removed, and it serves on for a while."""
+"""A prompt part crashes each server that begins to write an answer on it. Requests with it pause for most of
+a minute and then come again."""
 
 import asyncio
 import os
@@ -9,61 +9,77 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-3"))
 import rig
 
-# The bounds of peilnet-be-grown, and the figures of its routine bulletins.
-DRAIN_S = 4
-AIM_MS, DEADLINE_MS = 2000, 8000
-RETRY_AFTER_S = 7
-PER_S = 16
+POISON = "dead0001"
+FIRST = ("5c1e07a2", 119)
+PER_S = 8
+PAUSE_S = 56
+AGAIN_S = 6
 
 
 class World(rig.World):
-    in_need_until = {}
-    turned_away = 0
-
-    def configuration(self, version):
-        made = super().configuration(version)
-        made["routes"][0].update(timeoutMs=DEADLINE_MS, targetLatencyMs=AIM_MS, targetGapMs=400)
-        return made
-
-    async def on_arrival(self, server, head, body):
-        if rig.now() < self.in_need_until.get(server, 0):
-            self.turned_away += 1
-            self.note("turned_away", server=server.id)
-            return rig.response(503, server.identity(head) + [("X-Samphiretray-Not-Executed", "1"),
-                                                              ("Retry-After", RETRY_AFTER_S)])
+    fifth_crash = None
+    crashes = 0
+
+    async def on_run(self, server, head, body):
+        if self.trouble and POISON in head.get("x-samphiretray-prompt-prefix"):
+            self.crashes += 1
+            if self.crashes == 5:
+                self.fifth_crash = rig.now()
+                self.note("fifth_crash")
+            return "crash"
         return None
 
 
+def own_part():
+    return (f"{random.getrandbits(32):08x}", 150)
+
+
 async def play(world):
-    async def traffic():
+    sound, turn = [], 0
+
+    async def sound_traffic():
         while True:
             entry = random.choice(world.entries)
-            world.spawn(world.ask(entry, "/ask/q", parts=[("5c1e07a2", 119), (f"{random.getrandbits(32):08x}", 150)],
-                                  body=random.randbytes(600), output=10, timeout=DEADLINE_MS / 1000))
+            sound.append(world.spawn(world.ask(entry, "/ask/q", parts=[FIRST, own_part()], body=random.randbytes(600),
+                                               output=20, kind="sound")))
+            await asyncio.sleep(0.1)
+
+    async def send_for(seconds, enough):
+        nonlocal turn
+        until = rig.now() + seconds
+        while rig.now() < until and not enough():
+            entry = world.entries[turn % len(world.entries)]
+            turn += 1
+            world.spawn(world.ask(entry, "/ask/q", parts=[FIRST, (POISON, 79), own_part()], body=random.randbytes(600),
+                                  output=10, kind="poison"))
             await asyncio.sleep(1 / PER_S)
 
-    requests = world.spawn(traffic())
-    await asyncio.sleep(5)
-    if world.trouble:
-        world.note("in_need", servers=len(world.engines))
-        world.in_need_until = {each: rig.now() + RETRY_AFTER_S for each in world.engines}
-    await asyncio.sleep(1.5)
-    leaving = world.engines[0]
-    leaving.reaches_store = False
-    leaving.extra = [("Server-Leaving", "1")]
-    world.store.remove(f"servers/{leaving.id}")
-    removed = rig.now()
-    world.note("removed", server=leaving.id)
-    await asyncio.sleep(14)
-    requests.cancel()
-    late = [each for each in world.arrivals if each[1] == leaving.id and each[0] > removed + DRAIN_S]
+    traffic = world.spawn(sound_traffic())
+    await asyncio.sleep(4)
+    await send_for(15, lambda: world.fifth_crash is not None)
+    if world.trouble and world.fifth_crash is None:
+        raise rig.CannotRun("the part did not crash five servers")
+    world.note("pause", seconds=PAUSE_S)
+    await asyncio.sleep(PAUSE_S)
+    world.note("part_again")
+    again = rig.now()
+    await send_for(AGAIN_S, lambda: False)
+    await asyncio.sleep(4)
+    traffic.cancel()
+
+    limit = world.fifth_crash + rig.BOUNDS["contactMs"] / 1000 if world.fifth_crash else None
+    late = [each for each in world.arrivals if limit and each[0] > limit
+            and POISON in each[2].get("x-samphiretray-prompt-prefix")]
     for at, server, head, _ in late:
-        world.note("late_arrival", after_removal=f"{at - removed:.3f}", server=server,
+        world.note("late_arrival", after_again=f"{at - again:.3f}", server=server,
                    attempt=head.get("x-samphiretray-attempt-id"))
-    latest = max([each[0] - removed for each in late], default=0)
-    return bool(late), [f"turned away: {world.turned_away}; requests that reached the server that had left later "
-                        f"than drainMs ({DRAIN_S * 1000}) after the removal of its entry: {len(late)}, the latest "
-                        f"{latest:.2f} s after it"]
+    answers = [each.result() for each in sound if each.done() and not each.cancelled()]
+    whole = sum(each.status == 200 and each.whole for each in answers)
+    cut = sum(each.status == 200 and not each.whole for each in answers)
+    return len(late) > 3, [
+        f"crashes: {world.crashes}; requests with the part that reached servers later than contactMs after the "
+        f"fifth crash: {len(late)} (at most 3 allowed)",
+        f"sound streams: {len(answers)} sent, {whole} whole, {cut} cut in the middle"]
 
 
-rig.run_case(lambda folder, trouble: World(folder, entries=5, engines=3, trouble=trouble), play)
+rig.run_case(lambda folder, trouble: World(folder, entries=5, engines=9, trouble=trouble), play)
