--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,5 +1,5 @@
-"""A prompt part crashes each server that begins to write an answer on it. Requests with it pause for most of
-a minute and then come again."""
+"""A prompt part crashes each server that begins to write an answer on it. The sound requests of the route have
+the same other parts, and had paused for a few seconds when the crashes came."""
 
 import asyncio
 import os
@@ -9,11 +9,10 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-3"))
 import rig
 
-POISON = "dead0001"
-FIRST = ("5c1e07a2", 119)
-PER_S = 8
-PAUSE_S = 56
-AGAIN_S = 6
+POISON = os.environ.get("POISON", "dead0001")
+SHARED = [("5c1e07a2", 119), ("91bd3f06", 79)]
+SOUND_PER_S, POISON_PER_S = 3, 8
+BASELINE_S, LULL_S, POISON_S = 15, 7, 20
 
 
 class World(rig.World):
@@ -35,51 +34,47 @@
 
 
 async def play(world):
-    sound, turn = [], 0
+    sound = []
 
-    async def sound_traffic():
+    def send(kind, parts):
+        return world.spawn(world.ask(random.choice(world.entries), "/ask/q", parts=parts + [own_part()],
+                                     body=random.randbytes(600), output=10, kind=kind))
+
+    async def traffic(kind, parts, per_s, into):
         while True:
-            entry = random.choice(world.entries)
-            sound.append(world.spawn(world.ask(entry, "/ask/q", parts=[FIRST, own_part()], body=random.randbytes(600),
-                                               output=20, kind="sound")))
-            await asyncio.sleep(0.1)
-
-    async def send_for(seconds, enough):
-        nonlocal turn
-        until = rig.now() + seconds
-        while rig.now() < until and not enough():
-            entry = world.entries[turn % len(world.entries)]
-            turn += 1
-            world.spawn(world.ask(entry, "/ask/q", parts=[FIRST, (POISON, 79), own_part()], body=random.randbytes(600),
-                                  output=10, kind="poison"))
-            await asyncio.sleep(1 / PER_S)
-
-    traffic = world.spawn(sound_traffic())
-    await asyncio.sleep(4)
-    await send_for(15, lambda: world.fifth_crash is not None)
+            into.append((rig.now(), send(kind, parts)))
+            await asyncio.sleep(1 / per_s)
+
+    requests = world.spawn(traffic("sound", SHARED, SOUND_PER_S, sound))
+    await asyncio.sleep(BASELINE_S)
+    requests.cancel()
+    world.note("lull", seconds=LULL_S)
+    await asyncio.sleep(LULL_S)
+    poison_began = rig.now()
+    world.note("poison")
+    poison = world.spawn(traffic("poison", SHARED + [(POISON, 50)], POISON_PER_S, []))
+    await asyncio.sleep(2)
+    requests = world.spawn(traffic("sound", SHARED, SOUND_PER_S, sound))
+    await asyncio.sleep(POISON_S - 2)
+    poison.cancel()
+    poison_ended = rig.now()
+    requests.cancel()
+    await asyncio.sleep(5)
     if world.trouble and world.fifth_crash is None:
         raise rig.CannotRun("the part did not crash five servers")
-    world.note("pause", seconds=PAUSE_S)
-    await asyncio.sleep(PAUSE_S)
-    world.note("part_again")
-    again = rig.now()
-    await send_for(AGAIN_S, lambda: False)
-    await asyncio.sleep(4)
-    traffic.cancel()
-
-    limit = world.fifth_crash + rig.BOUNDS["contactMs"] / 1000 if world.fifth_crash else None
-    late = [each for each in world.arrivals if limit and each[0] > limit
-            and POISON in each[2].get("x-samphiretray-prompt-prefix")]
-    for at, server, head, _ in late:
-        world.note("late_arrival", after_again=f"{at - again:.3f}", server=server,
-                   attempt=head.get("x-samphiretray-attempt-id"))
-    answers = [each.result() for each in sound if each.done() and not each.cancelled()]
-    whole = sum(each.status == 200 and each.whole for each in answers)
-    cut = sum(each.status == 200 and not each.whole for each in answers)
-    return len(late) > 3, [
-        f"crashes: {world.crashes}; requests with the part that reached servers later than contactMs after the "
-        f"fifth crash: {len(late)} (at most 3 allowed)",
-        f"sound streams: {len(answers)} sent, {whole} whole, {cut} cut in the middle"]
+
+    def begun(since, until):
+        answers = [task.result() for at, task in sound if since <= at < until and task.done()]
+        return sum(each.status == 200 and bool(each.events()) for each in answers), len(answers)
+
+    before = begun(0, poison_began)
+    since = (world.fifth_crash or poison_began) + 2 * rig.BOUNDS["contactMs"] / 1000
+    during = begun(since, poison_ended)
+    if min(before[1], during[1]) < 20:
+        raise rig.CannotRun(f"too few sound requests: {before}, {during}")
+    broken = during[0] / during[1] < 0.5 * before[0] / before[1]
+    return broken, [f"crashes: {world.crashes}; sound requests that began at their first attempt: {before[0]} of "
+                    f"{before[1]} before, {during[0]} of {during[1]} from 2 x contactMs after the fifth crash on"]
 
 
 rig.run_case(lambda folder, trouble: World(folder, entries=5, engines=9, trouble=trouble), play)
